--- /dev/null
+++ b/crates/moleroad_consensus/src/replica.rs
@@ -0,0 +1,430 @@
+//! One member's part in the agreement: the pure core.
+
+use crate::entry::{Entry, HardState, LogIndex, Payload, Snapshot};
+use crate::log::Log;
+use crate::member::{Configuration, MemberId, MemberInfo};
+use crate::message::Message;
+use crate::status::{MemberStatus, ReplicaStatus};
+use crate::storage::Restored;
+use moleroad_types::prelude::{Millis, Term};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Most entries in one [`Message::Append`].
+pub const MAX_ENTRIES_PER_APPEND: usize = 256;
+
+/// Periods of the algorithm, in milliseconds.
+///
+/// The lease is safe when `lease_ms` plus the drift of two clocks over that
+/// span stays below `election_min_ms`: a member that heard the leader does
+/// not vote for that long. See [`Timing::is_safe`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Time between heartbeats.
+    pub heartbeat_ms: u64,
+    /// Shortest silence of the leader before a member stands for election.
+    pub election_min_ms: u64,
+    /// Longest such silence.
+    pub election_max_ms: u64,
+    /// How long the leader may act on its own after a majority heard it.
+    pub lease_ms: u64,
+    /// Silence after which a voter is replaced if there is a spare member.
+    pub repair_after_ms: u64,
+}
+
+/// Largest share by which two clocks are assumed to drift apart, in percent.
+pub const DRIFT_BOUND_PERCENT: u64 = 10;
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            heartbeat_ms: 100,
+            election_min_ms: 600,
+            election_max_ms: 1_200,
+            lease_ms: 450,
+            repair_after_ms: 10_000,
+        }
+    }
+}
+
+impl Timing {
+    /// Whether the lease ends before any other member can be elected.
+    pub fn is_safe(&self) -> bool {
+        let longest_lease = self.lease_ms * (100 + DRIFT_BOUND_PERCENT) / 100;
+        longest_lease < self.election_min_ms
+            && self.heartbeat_ms * 2 < self.lease_ms
+            && self.election_min_ms < self.election_max_ms
+    }
+}
+
+/// Names a proposal towards the caller that made it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ProposalTicket(pub u64);
+
+/// A command that the caller wants in the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Proposal {
+    /// The caller's name for it.
+    pub ticket: ProposalTicket,
+    /// The encoded command.
+    pub data: Vec<u8>,
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time passed.
+    Tick,
+    /// A message came in.
+    Receive {
+        /// Who sent it.
+        from: MemberId,
+        /// The message.
+        message: Message,
+    },
+    /// Callers want commands in the log; one sync covers all of them.
+    Propose(Vec<Proposal>),
+    /// The applied state was encoded and may replace the log up to `index`.
+    Compact {
+        /// Last applied position that the state includes.
+        index: LogIndex,
+        /// The encoded state.
+        state: Vec<u8>,
+    },
+    /// A member with a data folder that is in no configuration is reachable.
+    SpareSeen(MemberInfo),
+    /// The founding members were named by an operator.
+    Found(Configuration),
+}
+
+/// Something the caller must do, in the order given.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Write and sync the voting state.
+    SaveHardState(HardState),
+    /// Drop stored entries from this position on.
+    Truncate(LogIndex),
+    /// Write and sync entries.
+    Append(Vec<Entry>),
+    /// Write and sync a snapshot, and with it only the entries that follow it.
+    SaveSnapshot {
+        /// The snapshot.
+        snapshot: Snapshot,
+        /// Entries after it that stay in the log.
+        keep: Vec<Entry>,
+    },
+    /// Send a message to a member.
+    Send {
+        /// Receiver.
+        to: MemberInfo,
+        /// Message.
+        message: Message,
+    },
+    /// Replace the applied state by a snapshot's.
+    Restore(Snapshot),
+    /// Apply committed entries to the state.
+    Apply(Vec<Entry>),
+    /// A proposal is in the log at this position and term; it counts only
+    /// when [`Action::Apply`] brings that position with that term.
+    Proposed {
+        /// The proposal.
+        ticket: ProposalTicket,
+        /// Its position.
+        index: LogIndex,
+        /// Its term.
+        term: Term,
+    },
+    /// A proposal was not taken because this member does not lead.
+    Refused {
+        /// The proposal.
+        ticket: ProposalTicket,
+        /// The leader, if one is known.
+        leader: Option<MemberInfo>,
+    },
+    /// This member now leads.
+    BecameLeader(Term),
+    /// This member led and does not any more; pending proposals are unknown.
+    LostLeadership,
+}
+
+/// What a leader knows of another member.
+#[derive(Clone, Debug)]
+pub(crate) struct Progress {
+    pub(crate) next: LogIndex,
+    pub(crate) matched: LogIndex,
+    /// Latest `sent_at` that the member echoed.
+    pub(crate) echoed: Option<Millis>,
+    pub(crate) heard_at: Millis,
+    pub(crate) snapshot_sent_at: Option<Millis>,
+}
+
+/// What only a leader keeps.
+#[derive(Clone, Debug)]
+pub(crate) struct LeaderState {
+    pub(crate) progress: BTreeMap<MemberId, Progress>,
+    pub(crate) heartbeat_due: Millis,
+    /// Position of the entry that opened the term.
+    pub(crate) opened_at: LogIndex,
+    pub(crate) led_since: Millis,
+    pub(crate) spares: BTreeMap<MemberId, (MemberInfo, Millis)>,
+}
+
+/// Which part a member plays in its term.
+#[derive(Clone, Debug)]
+pub(crate) enum Role {
+    Follower,
+    PreCandidate(BTreeSet<MemberId>),
+    Candidate(BTreeSet<MemberId>),
+    Leader(Box<LeaderState>),
+}
+
+/// One member's state and decisions. No clock, disk or socket inside.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    pub(crate) id: MemberId,
+    pub(crate) timing: Timing,
+    pub(crate) random: SmallRng,
+    pub(crate) hard: HardState,
+    pub(crate) log: Log,
+    pub(crate) configuration: Configuration,
+    pub(crate) configuration_index: LogIndex,
+    pub(crate) commit: LogIndex,
+    pub(crate) applied: LogIndex,
+    pub(crate) role: Role,
+    pub(crate) leader: Option<MemberId>,
+    pub(crate) leader_heard_at: Millis,
+    pub(crate) election_due: Millis,
+}
+
+impl Replica {
+    /// A replica that goes on from what its disk held.
+    ///
+    /// It counts as having heard a leader at `now`, so that a restart cannot
+    /// break the promise behind a lease. `seed` spreads election times.
+    pub fn new(id: MemberId, timing: Timing, seed: u64, restored: Restored, now: Millis) -> Self {
+        assert!(timing.is_safe(), "the lease must end before an election can succeed");
+        let log = Log::new(restored.snapshot, restored.entries);
+        let (configuration_index, configuration) = log.configuration_at(LogIndex(u64::MAX));
+        let covered = log.snapshot_index();
+        let mut replica = Self {
+            id,
+            timing,
+            random: SmallRng::seed_from_u64(seed),
+            hard: restored.hard_state,
+            log,
+            configuration,
+            configuration_index,
+            commit: covered,
+            applied: covered,
+            role: Role::Follower,
+            leader: None,
+            leader_heard_at: now,
+            election_due: now,
+        };
+        replica.reset_election(now);
+        replica
+    }
+
+    /// Takes one event and returns what must be done, in order.
+    pub fn on_event(&mut self, now: Millis, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Tick => self.tick(now, &mut actions),
+            Event::Receive { from, message } => self.receive(now, from, message, &mut actions),
+            Event::Propose(proposals) => self.propose(now, proposals, &mut actions),
+            Event::Compact { index, state } => self.compact(index, state, &mut actions),
+            Event::SpareSeen(info) => self.note_spare(now, info),
+            Event::Found(configuration) => self.found(now, configuration, &mut actions),
+        }
+        actions
+    }
+
+    fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if self.is_leader() {
+            self.lead(now, actions);
+        } else if now >= self.election_due {
+            self.stand(now, actions);
+        }
+    }
+
+    fn receive(&mut self, now: Millis, from: MemberId, message: Message, actions: &mut Vec<Action>) {
+        match message {
+            Message::VoteRequest { term, pre, last_index, last_term } => {
+                self.answer_vote(now, from, term, pre, (last_term, last_index), actions);
+            }
+            Message::VoteReply { term, pre, granted } => {
+                self.count_vote(now, from, term, pre, granted, actions);
+            }
+            Message::Append { term, prev_index, prev_term, entries, commit, sent_at } => {
+                if self.follow(now, from, term, actions) {
+                    self.take_entries(from, (prev_index, prev_term), entries, commit, sent_at, actions);
+                } else {
+                    self.reply_append(from, false, LogIndex(0), sent_at, actions);
+                }
+            }
+            Message::AppendReply { term, accepted, position, sent_at } => {
+                self.count_append(now, from, term, accepted, position, sent_at, actions);
+            }
+            Message::Install { term, snapshot, sent_at } => {
+                if self.follow(now, from, term, actions) {
+                    self.take_snapshot(from, snapshot, sent_at, actions);
+                } else {
+                    self.reply_append(from, false, LogIndex(0), sent_at, actions);
+                }
+            }
+        }
+    }
+
+    fn propose(&mut self, now: Millis, proposals: Vec<Proposal>, actions: &mut Vec<Action>) {
+        if !self.is_leader() {
+            let leader = self.leader_info().cloned();
+            for proposal in proposals {
+                actions.push(Action::Refused { ticket: proposal.ticket, leader: leader.clone() });
+            }
+            return;
+        }
+        let mut payloads = Vec::with_capacity(proposals.len());
+        let mut index = self.log.last_index();
+        for proposal in proposals {
+            index = index.next();
+            actions.push(Action::Proposed { ticket: proposal.ticket, index, term: self.hard.term });
+            payloads.push(Payload::Command(proposal.data));
+        }
+        self.append_as_leader(now, payloads, actions);
+    }
+
+    fn compact(&mut self, index: LogIndex, state: Vec<u8>, actions: &mut Vec<Action>) {
+        if index <= self.log.snapshot_index() || index > self.applied {
+            return;
+        }
+        let Some(term) = self.log.term_at(index) else { return };
+        let (_, configuration) = self.log.configuration_at(index);
+        let state = std::sync::Arc::new(state.into());
+        let snapshot = Snapshot { index, term, configuration, state };
+        self.log.compact(snapshot.clone());
+        let keep = self.log.from(index.next(), usize::MAX).to_vec();
+        actions.push(Action::SaveSnapshot { snapshot, keep });
+    }
+
+    fn found(&mut self, now: Millis, configuration: Configuration, actions: &mut Vec<Action>) {
+        let untouched = self.configuration.is_empty() && self.log.last_index() == LogIndex(0);
+        if !untouched || !configuration.is_voter(self.id) {
+            return;
+        }
+        let state = std::sync::Arc::default();
+        let snapshot = Snapshot { index: LogIndex(1), term: Term(0), configuration, state };
+        self.adopt_snapshot(snapshot, actions);
+        self.reset_election(now);
+    }
+
+    /// Makes `snapshot` the whole of the log and of the applied state.
+    pub(crate) fn adopt_snapshot(&mut self, snapshot: Snapshot, actions: &mut Vec<Action>) {
+        self.commit = snapshot.index;
+        self.applied = snapshot.index;
+        self.log.compact(snapshot.clone());
+        self.reload_configuration();
+        let keep = self.log.from(snapshot.index.next(), usize::MAX).to_vec();
+        actions.push(Action::SaveSnapshot { snapshot: snapshot.clone(), keep });
+        actions.push(Action::Restore(snapshot));
+    }
+
+    pub(crate) fn reload_configuration(&mut self) {
+        let (index, configuration) = self.log.configuration_at(LogIndex(u64::MAX));
+        self.configuration_index = index;
+        self.configuration = configuration;
+    }
+
+    pub(crate) fn reset_election(&mut self, now: Millis) {
+        let span = self.timing.election_min_ms..=self.timing.election_max_ms;
+        self.election_due = now + self.random.random_range(span);
+    }
+
+    pub(crate) fn send(&self, to: MemberId, message: Message, actions: &mut Vec<Action>) {
+        if let Some(info) = self.configuration.members.get(&to) {
+            actions.push(Action::Send { to: info.clone(), message });
+        }
+    }
+
+    /// Whether this member leads its term.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// The current term.
+    pub fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// Last committed position.
+    pub fn commit_index(&self) -> LogIndex {
+        self.commit
+    }
+
+    /// Entries kept in memory after the snapshot.
+    pub fn entries_since_snapshot(&self) -> usize {
+        self.log.entry_count()
+    }
+
+    /// The latest configuration in the log.
+    pub fn configuration(&self) -> &Configuration {
+        &self.configuration
+    }
+
+    /// The leader of this term, if it is known.
+    pub fn leader_info(&self) -> Option<&MemberInfo> {
+        self.leader.and_then(|id| self.configuration.members.get(&id))
+    }
+
+    /// Until when this leader may act on its own; `None` when it may not.
+    ///
+    /// The span starts when the messages were *sent* that a majority has
+    /// answered, and the leader must have committed an entry of its own term.
+    /// Check it again between deciding and sending each order.
+    pub fn lease_until(&self) -> Option<Millis> {
+        let Role::Leader(state) = &self.role else { return None };
+        if self.commit < state.opened_at {
+            return None;
+        }
+        let echoed = |id: MemberId| {
+            if id == self.id {
+                return Some(Millis(u64::MAX / 2));
+            }
+            state.progress.get(&id).and_then(|progress| progress.echoed)
+        };
+        self.configuration.quorum_value(echoed).flatten().map(|sent| sent + self.timing.lease_ms)
+    }
+
+    /// Whether this member leads under a lease at `now`.
+    pub fn holds_lease(&self, now: Millis) -> bool {
+        self.lease_until().is_some_and(|until| now < until)
+    }
+
+    /// The group as this member sees it.
+    pub fn status(&self, now: Millis) -> ReplicaStatus {
+        let members = self.configuration.members.values();
+        ReplicaStatus {
+            id: self.id,
+            term: self.hard.term,
+            leader: self.leader,
+            commit: self.commit,
+            last_index: self.log.last_index(),
+            changing_members: self.configuration.is_joint(),
+            losses_tolerated: self.losses_tolerated(now),
+            members: members.map(|info| self.member_status(info, now)).collect(),
+        }
+    }
+
+    fn member_status(&self, info: &MemberInfo, now: Millis) -> MemberStatus {
+        let (durable, silent_ms) = match &self.role {
+            Role::Leader(_) if info.id == self.id => (Some(self.log.last_index()), Some(0)),
+            Role::Leader(state) => match state.progress.get(&info.id) {
+                Some(progress) => (Some(progress.matched), Some(now.since(progress.heard_at))),
+                None => (None, None),
+            },
+            _ => (None, None),
+        };
+        let voter = self.configuration.is_voter(info.id);
+        MemberStatus { info: info.clone(), voter, durable, silent_ms }
+    }
+}
