--- /dev/null
+++ b/crates/moleroad_routing/src/router.rs
@@ -0,0 +1,220 @@
+//! Chooses the target of a request.
+
+use crate::load::{Finish, TargetLoad};
+use moleroad_types::prelude::*;
+use moleroad_types::target::{Destination, Served};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// How a target is chosen; all but the last exist for comparison.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Policy {
+    /// Any target.
+    Random,
+    /// The target with the least of this entry's work in flight.
+    LeastInFlight,
+    /// The better of two by expected work, with data hall cost and affinity.
+    #[default]
+    ExpectedWork,
+}
+
+/// Weights of the choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RouterSettings {
+    /// How a target is chosen.
+    pub policy: Policy,
+    /// Work, in tokens, that the way to another data hall counts as.
+    pub hall_cost: u64,
+    /// Work above the least loaded one at which a target loses its affinity.
+    pub affinity_slack: u64,
+    /// Time over which a new replica's share grows to full.
+    pub slow_start_ms: u64,
+}
+
+impl Default for RouterSettings {
+    fn default() -> Self {
+        Self { policy: Policy::ExpectedWork, hall_cost: 96, affinity_slack: 256, slow_start_ms: 2_000 }
+    }
+}
+
+/// What the choice needs to know of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestShape {
+    /// What it is for.
+    pub destination: Destination,
+    /// Expected work, in tokens; 1 for a plain service.
+    pub work: u64,
+    /// Hash of the prompt's beginning; equal ones profit from one target.
+    pub prefix: Option<u64>,
+}
+
+impl RequestShape {
+    /// A request without a prompt prefix.
+    pub fn new(destination: Destination, work: u64) -> Self {
+        Self { destination, work, prefix: None }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Target {
+    route: TargetRoute,
+    load: TargetLoad,
+}
+
+/// The targets that one entry may use, and their load.
+#[derive(Clone, Debug)]
+pub struct Router {
+    settings: RouterSettings,
+    data_hall: DataHall,
+    random: SmallRng,
+    targets: BTreeMap<InstanceId, Target>,
+    /// Instances by what they answer for.
+    by_destination: BTreeMap<Destination, Vec<InstanceId>>,
+}
+
+impl Router {
+    /// A router of an entry in `data_hall`.
+    pub fn new(settings: RouterSettings, data_hall: DataHall, seed: u64) -> Self {
+        Self {
+            settings,
+            data_hall,
+            random: SmallRng::seed_from_u64(seed),
+            targets: BTreeMap::new(),
+            by_destination: BTreeMap::new(),
+        }
+    }
+
+    /// Sets or removes the route of `instance`.
+    ///
+    /// Load and health stay as long as the incarnation and what is served stay
+    /// the same, and start fresh otherwise.
+    pub fn set_route(&mut self, now: Millis, instance: InstanceId, route: Option<TargetRoute>) {
+        let old = self.targets.remove(&instance);
+        if let Some(old) = &old {
+            let destination = destination_of(&old.route.serves);
+            if let Some(list) = self.by_destination.get_mut(&destination) {
+                list.retain(|listed| *listed != instance);
+            }
+        }
+        let Some(route) = route else { return };
+        let kept = old.filter(|old| {
+            old.route.incarnation == route.incarnation && old.route.serves == route.serves
+        });
+        let load = kept.map_or_else(|| TargetLoad::new(now), |old| old.load);
+        self.by_destination.entry(destination_of(&route.serves)).or_default().push(instance.clone());
+        self.targets.insert(instance, Target { route, load });
+    }
+
+    /// Instances that have a route.
+    pub fn instances(&self) -> Vec<InstanceId> {
+        self.targets.keys().cloned().collect()
+    }
+
+    /// Whether any target answers for `destination`.
+    pub fn knows(&self, destination: &Destination) -> bool {
+        self.by_destination.get(destination).is_some_and(|list| !list.is_empty())
+    }
+
+    /// The target for a request, without those already tried.
+    pub fn choose(&mut self, now: Millis, shape: &RequestShape, tried: &[InstanceId]) -> Option<TargetRoute> {
+        let listed = self.by_destination.get(&shape.destination)?;
+        let untried = listed.iter().filter(|instance| !tried.contains(instance));
+        let sound = |instance: &&InstanceId| !self.targets[*instance].load.is_ejected(now);
+        let mut candidates: Vec<&InstanceId> = untried.clone().filter(sound).collect();
+        if candidates.is_empty() {
+            // All failed lately: trying one beats refusing without a try.
+            candidates = untried.collect();
+        }
+        let chosen = match self.settings.policy {
+            _ if candidates.len() <= 1 => candidates.first().copied().cloned()?,
+            Policy::Random => candidates[self.random.random_range(0..candidates.len())].clone(),
+            Policy::LeastInFlight => {
+                let least = candidates.iter().min_by_key(|i| self.targets[**i].load.own_work());
+                (**least?).clone()
+            }
+            Policy::ExpectedWork => {
+                let first = self.random.random_range(0..candidates.len());
+                let second = (first + self.random.random_range(1..candidates.len())) % candidates.len();
+                let affine = shape.prefix.and_then(|prefix| rendezvous(prefix, &candidates));
+                self.best_of(now, candidates[first], candidates[second], affine)
+            }
+        };
+        Some(self.targets[&chosen].route.clone())
+    }
+
+    /// The better of two, unless the target with affinity is not much worse.
+    fn best_of(&self, now: Millis, first: &InstanceId, second: &InstanceId, affine: Option<&InstanceId>) -> InstanceId {
+        let better = if self.cost(now, second) < self.cost(now, first) { second } else { first };
+        match affine {
+            Some(affine) if self.cost(now, affine) <= self.cost(now, better) + self.settings.affinity_slack => {
+                affine.clone()
+            }
+            _ => better.clone(),
+        }
+    }
+
+    fn cost(&self, now: Millis, instance: &InstanceId) -> u64 {
+        let target = &self.targets[instance];
+        let way = if target.route.data_hall == self.data_hall { 0 } else { self.settings.hall_cost };
+        target.load.expected_work(now, self.settings.slow_start_ms) + way
+    }
+
+    /// Counts a request as in flight at `instance`.
+    pub fn started(&mut self, instance: &InstanceId, work: u64) {
+        if let Some(target) = self.targets.get_mut(instance) {
+            target.load.started(work);
+        }
+    }
+
+    /// Takes a request off that was sent to `incarnation` of `instance`.
+    pub fn finished(
+        &mut self,
+        now: Millis,
+        instance: &InstanceId,
+        incarnation: Incarnation,
+        work: u64,
+        finish: Finish,
+    ) {
+        if let Some(target) = self.targets.get_mut(instance)
+            && target.route.incarnation == incarnation
+        {
+            target.load.finished(now, work, finish);
+        }
+    }
+
+    /// Takes the load that a target reported with an answer.
+    pub fn reported(&mut self, instance: &InstanceId, incarnation: Incarnation, work: u64) {
+        if let Some(target) = self.targets.get_mut(instance)
+            && target.route.incarnation == incarnation
+        {
+            target.load.reported(work);
+        }
+    }
+
+    /// Least expected work ahead of a new request for `destination`.
+    pub fn least_work(&self, now: Millis, destination: &Destination) -> Option<u64> {
+        let listed = self.by_destination.get(destination)?;
+        let loads = listed.iter().map(|instance| &self.targets[instance].load);
+        loads.map(|load| load.expected_work(now, 0)).min()
+    }
+}
+
+fn destination_of(serves: &Served) -> Destination {
+    match serves {
+        Served::Weights(id) => Destination::Model(id.account.clone(), id.model.clone()),
+        Served::Service(name) => Destination::Service(name.clone()),
+    }
+}
+
+/// The candidate that `prefix` belongs to by highest random weight, so that a
+/// target that comes or goes moves only its own share of prefixes.
+fn rendezvous<'a>(prefix: u64, candidates: &[&'a InstanceId]) -> Option<&'a InstanceId> {
+    let weight = |instance: &InstanceId| {
+        let mut hasher = DefaultHasher::new();
+        (prefix, instance.as_str()).hash(&mut hasher);
+        hasher.finish()
+    };
+    candidates.iter().copied().max_by_key(|instance| weight(instance))
+}
