--- a/crates/moleroad_consensus/src/election.rs
+++ b/crates/moleroad_consensus/src/election.rs
@@ -25,7 +25,16 @@
         let last_term = self.log.last_term();
         for voter in self.configuration.everyone() {
             if voter != self.id && self.configuration.is_voter(voter) {
-                self.send(voter, Message::VoteRequest { term, pre, last_index, last_term }, actions);
+                self.send(
+                    voter,
+                    Message::VoteRequest {
+                        term,
+                        pre,
+                        last_index,
+                        last_term,
+                    },
+                    actions,
+                );
             }
         }
     }
@@ -49,7 +58,11 @@
         }
         let log_is_current = candidate_log >= (self.log.last_term(), self.log.last_index());
         let vote_is_free = pre || self.hard.voted_for.is_none_or(|voted| voted == from);
-        let term_is_current = if pre { term > self.hard.term } else { term == self.hard.term };
+        let term_is_current = if pre {
+            term > self.hard.term
+        } else {
+            term == self.hard.term
+        };
         let granted = log_is_current && vote_is_free && term_is_current;
         if granted && !pre {
             self.hard.voted_for = Some(from);
@@ -67,7 +80,14 @@
         now.since(self.leader_heard_at) < self.timing.election_min_ms
     }
 
-    fn reply_vote(&self, to: MemberId, term: Term, pre: bool, granted: bool, actions: &mut Vec<Action>) {
+    fn reply_vote(
+        &self,
+        to: MemberId,
+        term: Term,
+        pre: bool,
+        granted: bool,
+        actions: &mut Vec<Action>,
+    ) {
         self.send(to, Message::VoteReply { term, pre, granted }, actions);
     }
 
@@ -87,7 +107,9 @@
             return;
         }
         match &mut self.role {
-            Role::PreCandidate(grants) if pre && term.0 == self.hard.term.0 + 1 => grants.insert(from),
+            Role::PreCandidate(grants) if pre && term.0 == self.hard.term.0 + 1 => {
+                grants.insert(from)
+            }
             Role::Candidate(grants) if !pre && term == self.hard.term => grants.insert(from),
             _ => return,
         };
@@ -96,7 +118,9 @@
 
     fn proceed_if_elected(&mut self, now: Millis, actions: &mut Vec<Action>) {
         match &self.role {
-            Role::PreCandidate(grants) if self.configuration.has_quorum(|id| grants.contains(&id)) => {
+            Role::PreCandidate(grants)
+                if self.configuration.has_quorum(|id| grants.contains(&id)) =>
+            {
                 self.become_candidate(now, actions);
             }
             Role::Candidate(grants) if self.configuration.has_quorum(|id| grants.contains(&id)) => {
@@ -135,7 +159,9 @@
         let everyone = self.configuration.everyone();
         let next = self.log.last_index().next();
         let own_id = self.id;
-        let Role::Leader(state) = &mut self.role else { return };
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
         state.progress.retain(|id, _| everyone.contains(id));
         for id in everyone.into_iter().filter(|id| *id != own_id) {
             state.progress.entry(id).or_insert(Progress {
@@ -150,7 +176,10 @@
 
     /// Becomes a follower in a later `term`.
     pub(crate) fn enter_term(&mut self, now: Millis, term: Term, actions: &mut Vec<Action>) {
-        self.hard = crate::entry::HardState { term, voted_for: None };
+        self.hard = crate::entry::HardState {
+            term,
+            voted_for: None,
+        };
         actions.push(Action::SaveHardState(self.hard));
         self.step_down(now, actions);
     }
--- a/crates/moleroad_consensus/src/log.rs
+++ b/crates/moleroad_consensus/src/log.rs
@@ -37,7 +37,9 @@
 
     /// Position of the last entry.
     pub fn last_index(&self) -> LogIndex {
-        self.entries.last().map_or(self.snapshot_index(), |e| e.index)
+        self.entries
+            .last()
+            .map_or(self.snapshot_index(), |e| e.index)
     }
 
     /// Term of the last entry.
@@ -80,28 +82,45 @@
     /// Appends entries that follow the last one.
     pub fn append(&mut self, entries: &[Entry]) {
         for entry in entries {
-            assert_eq!(entry.index, self.last_index().next(), "append must not leave a gap");
+            assert_eq!(
+                entry.index,
+                self.last_index().next(),
+                "append must not leave a gap"
+            );
             self.entries.push(entry.clone());
         }
     }
 
     /// Drops the entry at `first` and all after it.
     pub fn truncate_from(&mut self, first: LogIndex) {
-        assert!(first > self.snapshot_index(), "the snapshot is committed and stays");
-        self.entries.truncate((first.0 - self.snapshot_index().0 - 1) as usize);
+        assert!(
+            first > self.snapshot_index(),
+            "the snapshot is committed and stays"
+        );
+        self.entries
+            .truncate((first.0 - self.snapshot_index().0 - 1) as usize);
     }
 
     /// Makes `snapshot` the start of the log, keeping entries that follow it.
     pub fn compact(&mut self, snapshot: Snapshot) {
         let follows = self.term_at(snapshot.index) == Some(snapshot.term);
-        let kept = if follows { self.from(snapshot.index.next(), usize::MAX).to_vec() } else { Vec::new() };
+        let kept = if follows {
+            self.from(snapshot.index.next(), usize::MAX).to_vec()
+        } else {
+            Vec::new()
+        };
         self.entries = kept;
         self.snapshot = Some(snapshot);
     }
 
     /// The latest configuration at or before `limit`, and where it stands.
     pub fn configuration_at(&self, limit: LogIndex) -> (LogIndex, Configuration) {
-        for entry in self.entries.iter().rev().filter(|entry| entry.index <= limit) {
+        for entry in self
+            .entries
+            .iter()
+            .rev()
+            .filter(|entry| entry.index <= limit)
+        {
             if let Payload::Configuration(configuration) = &entry.payload {
                 return (entry.index, configuration.clone());
             }
--- a/crates/moleroad_consensus/src/member.rs
+++ b/crates/moleroad_consensus/src/member.rs
@@ -34,7 +34,11 @@
 impl MemberInfo {
     /// Describes a member.
     pub fn new(id: MemberId, instance: impl Into<InstanceId>, address: SocketAddr) -> Self {
-        Self { id, instance: instance.into(), address }
+        Self {
+            id,
+            instance: instance.into(),
+            address,
+        }
     }
 }
 
@@ -55,7 +59,11 @@
     /// A configuration in which all `members` vote.
     pub fn of_voters(members: impl IntoIterator<Item = MemberInfo>) -> Self {
         let members: BTreeMap<_, _> = members.into_iter().map(|m| (m.id, m)).collect();
-        Self { voters: members.keys().copied().collect(), members, ..Self::default() }
+        Self {
+            voters: members.keys().copied().collect(),
+            members,
+            ..Self::default()
+        }
     }
 
     /// Whether a change from one set of voters to another is under way.
--- a/crates/moleroad_consensus/src/repair.rs
+++ b/crates/moleroad_consensus/src/repair.rs
@@ -38,7 +38,9 @@
     }
 
     fn next_configuration(&self, now: Millis) -> Option<Configuration> {
-        let Role::Leader(state) = &self.role else { return None };
+        let Role::Leader(state) = &self.role else {
+            return None;
+        };
         let settled = self.commit >= self.configuration_index && self.commit >= state.opened_at;
         if !settled || self.configuration.is_joint() {
             return None;
@@ -58,9 +60,15 @@
     /// A voter that is silent for too long, or whose instance came back with
     /// another disk.
     fn lost_voter(&self, state: &LeaderState, now: Millis) -> Option<MemberId> {
-        let others = self.configuration.voters.iter().filter(|id| **id != self.id);
+        let others = self
+            .configuration
+            .voters
+            .iter()
+            .filter(|id| **id != self.id);
         others.copied().find(|id| {
-            let Some(progress) = state.progress.get(id) else { return false };
+            let Some(progress) = state.progress.get(id) else {
+                return false;
+            };
             let silent_ms = now.since(progress.heard_at);
             let replaced = self.instance_has_other_disk(state, now, *id);
             silent_ms >= self.timing.repair_after_ms
@@ -69,18 +77,28 @@
     }
 
     fn instance_has_other_disk(&self, state: &LeaderState, now: Millis, id: MemberId) -> bool {
-        let Some(info) = self.configuration.members.get(&id) else { return false };
+        let Some(info) = self.configuration.members.get(&id) else {
+            return false;
+        };
         let spare = |(spare, seen): &(MemberInfo, Millis)| {
             spare.instance == info.instance && now.since(*seen) < SPARE_FRESH_MS
         };
         let learner = |learner: &MemberId| {
-            self.configuration.members.get(learner).is_some_and(|l| l.instance == info.instance)
+            self.configuration
+                .members
+                .get(learner)
+                .is_some_and(|l| l.instance == info.instance)
         };
         state.spares.values().any(spare) || self.configuration.learners.iter().any(learner)
     }
 
     /// A learner that is heard and holds all that is committed.
-    fn ready_learner(&self, state: &LeaderState, now: Millis, lost: &MemberInfo) -> Option<MemberId> {
+    fn ready_learner(
+        &self,
+        state: &LeaderState,
+        now: Millis,
+        lost: &MemberInfo,
+    ) -> Option<MemberId> {
         let ready = self.configuration.learners.iter().copied().filter(|id| {
             state.progress.get(id).is_some_and(|progress| {
                 progress.matched >= self.commit
@@ -110,7 +128,12 @@
         })
     }
 
-    fn best_spare<'a>(&self, state: &'a LeaderState, now: Millis, lost: &MemberInfo) -> Option<&'a MemberInfo> {
+    fn best_spare<'a>(
+        &self,
+        state: &'a LeaderState,
+        now: Millis,
+        lost: &MemberInfo,
+    ) -> Option<&'a MemberInfo> {
         let fresh = state.spares.values().filter(|(info, seen)| {
             now.since(*seen) < SPARE_FRESH_MS && !self.configuration.members.contains_key(&info.id)
         });
@@ -121,7 +144,9 @@
     /// Voters that may be lost at once: those beyond a majority that are heard
     /// and hold all that is committed. `None` when this member does not lead.
     pub(crate) fn losses_tolerated(&self, now: Millis) -> Option<usize> {
-        let Role::Leader(state) = &self.role else { return None };
+        let Role::Leader(state) = &self.role else {
+            return None;
+        };
         if self.configuration.is_joint() {
             return Some(0);
         }
--- a/crates/moleroad_consensus/src/replica.rs
+++ b/crates/moleroad_consensus/src/replica.rs
@@ -78,8 +78,8 @@
     Tick,
     /// A message came in.
     Receive {
-        /// Who sent it.
-        from: MemberId,
+        /// Who sent it, and where answers go.
+        from: MemberInfo,
         /// The message.
         message: Message,
     },
@@ -195,6 +195,9 @@
     pub(crate) leader: Option<MemberId>,
     pub(crate) leader_heard_at: Millis,
     pub(crate) election_due: Millis,
+    /// Sender of the message in hand: a member that is in no configuration
+    /// yet can answer only there.
+    pub(crate) correspondent: Option<MemberInfo>,
 }
 
 impl Replica {
@@ -203,7 +206,10 @@
     /// It counts as having heard a leader at `now`, so that a restart cannot
     /// break the promise behind a lease. `seed` spreads election times.
     pub fn new(id: MemberId, timing: Timing, seed: u64, restored: Restored, now: Millis) -> Self {
-        assert!(timing.is_safe(), "the lease must end before an election can succeed");
+        assert!(
+            timing.is_safe(),
+            "the lease must end before an election can succeed"
+        );
         let log = Log::new(restored.snapshot, restored.entries);
         let (configuration_index, configuration) = log.configuration_at(LogIndex(u64::MAX));
         let covered = log.snapshot_index();
@@ -221,6 +227,7 @@
             leader: None,
             leader_heard_at: now,
             election_due: now,
+            correspondent: None,
         };
         replica.reset_election(now);
         replica
@@ -231,7 +238,11 @@
         let mut actions = Vec::new();
         match event {
             Event::Tick => self.tick(now, &mut actions),
-            Event::Receive { from, message } => self.receive(now, from, message, &mut actions),
+            Event::Receive { from, message } => {
+                let id = from.id;
+                self.correspondent = Some(from);
+                self.receive(now, id, message, &mut actions);
+            }
             Event::Propose(proposals) => self.propose(now, proposals, &mut actions),
             Event::Compact { index, state } => self.compact(index, state, &mut actions),
             Event::SpareSeen(info) => self.note_spare(now, info),
@@ -248,25 +259,59 @@
         }
     }
 
-    fn receive(&mut self, now: Millis, from: MemberId, message: Message, actions: &mut Vec<Action>) {
+    fn receive(
+        &mut self,
+        now: Millis,
+        from: MemberId,
+        message: Message,
+        actions: &mut Vec<Action>,
+    ) {
         match message {
-            Message::VoteRequest { term, pre, last_index, last_term } => {
+            Message::VoteRequest {
+                term,
+                pre,
+                last_index,
+                last_term,
+            } => {
                 self.answer_vote(now, from, term, pre, (last_term, last_index), actions);
             }
             Message::VoteReply { term, pre, granted } => {
                 self.count_vote(now, from, term, pre, granted, actions);
             }
-            Message::Append { term, prev_index, prev_term, entries, commit, sent_at } => {
+            Message::Append {
+                term,
+                prev_index,
+                prev_term,
+                entries,
+                commit,
+                sent_at,
+            } => {
                 if self.follow(now, from, term, actions) {
-                    self.take_entries(from, (prev_index, prev_term), entries, commit, sent_at, actions);
+                    self.take_entries(
+                        from,
+                        (prev_index, prev_term),
+                        entries,
+                        commit,
+                        sent_at,
+                        actions,
+                    );
                 } else {
                     self.reply_append(from, false, LogIndex(0), sent_at, actions);
                 }
             }
-            Message::AppendReply { term, accepted, position, sent_at } => {
+            Message::AppendReply {
+                term,
+                accepted,
+                position,
+                sent_at,
+            } => {
                 self.count_append(now, from, term, accepted, position, sent_at, actions);
             }
-            Message::Install { term, snapshot, sent_at } => {
+            Message::Install {
+                term,
+                snapshot,
+                sent_at,
+            } => {
                 if self.follow(now, from, term, actions) {
                     self.take_snapshot(from, snapshot, sent_at, actions);
                 } else {
@@ -280,7 +325,10 @@
         if !self.is_leader() {
             let leader = self.leader_info().cloned();
             for proposal in proposals {
-                actions.push(Action::Refused { ticket: proposal.ticket, leader: leader.clone() });
+                actions.push(Action::Refused {
+                    ticket: proposal.ticket,
+                    leader: leader.clone(),
+                });
             }
             return;
         }
@@ -288,7 +336,11 @@
         let mut index = self.log.last_index();
         for proposal in proposals {
             index = index.next();
-            actions.push(Action::Proposed { ticket: proposal.ticket, index, term: self.hard.term });
+            actions.push(Action::Proposed {
+                ticket: proposal.ticket,
+                index,
+                term: self.hard.term,
+            });
             payloads.push(Payload::Command(proposal.data));
         }
         self.append_as_leader(now, payloads, actions);
@@ -298,10 +350,17 @@
         if index <= self.log.snapshot_index() || index > self.applied {
             return;
         }
-        let Some(term) = self.log.term_at(index) else { return };
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
         let (_, configuration) = self.log.configuration_at(index);
         let state = std::sync::Arc::new(state.into());
-        let snapshot = Snapshot { index, term, configuration, state };
+        let snapshot = Snapshot {
+            index,
+            term,
+            configuration,
+            state,
+        };
         self.log.compact(snapshot.clone());
         let keep = self.log.from(index.next(), usize::MAX).to_vec();
         actions.push(Action::SaveSnapshot { snapshot, keep });
@@ -313,7 +372,12 @@
             return;
         }
         let state = std::sync::Arc::default();
-        let snapshot = Snapshot { index: LogIndex(1), term: Term(0), configuration, state };
+        let snapshot = Snapshot {
+            index: LogIndex(1),
+            term: Term(0),
+            configuration,
+            state,
+        };
         self.adopt_snapshot(snapshot, actions);
         self.reset_election(now);
     }
@@ -325,7 +389,10 @@
         self.log.compact(snapshot.clone());
         self.reload_configuration();
         let keep = self.log.from(snapshot.index.next(), usize::MAX).to_vec();
-        actions.push(Action::SaveSnapshot { snapshot: snapshot.clone(), keep });
+        actions.push(Action::SaveSnapshot {
+            snapshot: snapshot.clone(),
+            keep,
+        });
         actions.push(Action::Restore(snapshot));
     }
 
@@ -341,8 +408,12 @@
     }
 
     pub(crate) fn send(&self, to: MemberId, message: Message, actions: &mut Vec<Action>) {
-        if let Some(info) = self.configuration.members.get(&to) {
-            actions.push(Action::Send { to: info.clone(), message });
+        let correspondent = self.correspondent.as_ref().filter(|info| info.id == to);
+        if let Some(info) = self.configuration.members.get(&to).or(correspondent) {
+            actions.push(Action::Send {
+                to: info.clone(),
+                message,
+            });
         }
     }
 
@@ -361,6 +432,11 @@
         self.commit
     }
 
+    /// Last position given out in [`Action::Apply`] or [`Action::Restore`].
+    pub fn applied_index(&self) -> LogIndex {
+        self.applied
+    }
+
     /// Entries kept in memory after the snapshot.
     pub fn entries_since_snapshot(&self) -> usize {
         self.log.entry_count()
@@ -373,7 +449,8 @@
 
     /// The leader of this term, if it is known.
     pub fn leader_info(&self) -> Option<&MemberInfo> {
-        self.leader.and_then(|id| self.configuration.members.get(&id))
+        self.leader
+            .and_then(|id| self.configuration.members.get(&id))
     }
 
     /// Until when this leader may act on its own; `None` when it may not.
@@ -382,7 +459,9 @@
     /// answered, and the leader must have committed an entry of its own term.
     /// Check it again between deciding and sending each order.
     pub fn lease_until(&self) -> Option<Millis> {
-        let Role::Leader(state) = &self.role else { return None };
+        let Role::Leader(state) = &self.role else {
+            return None;
+        };
         if self.commit < state.opened_at {
             return None;
         }
@@ -392,7 +471,10 @@
             }
             state.progress.get(&id).and_then(|progress| progress.echoed)
         };
-        self.configuration.quorum_value(echoed).flatten().map(|sent| sent + self.timing.lease_ms)
+        self.configuration
+            .quorum_value(echoed)
+            .flatten()
+            .map(|sent| sent + self.timing.lease_ms)
     }
 
     /// Whether this member leads under a lease at `now`.
@@ -425,6 +507,11 @@
             _ => (None, None),
         };
         let voter = self.configuration.is_voter(info.id);
-        MemberStatus { info: info.clone(), voter, durable, silent_ms }
+        MemberStatus {
+            info: info.clone(),
+            voter,
+            durable,
+            silent_ms,
+        }
     }
 }
--- a/crates/moleroad_consensus/src/replication.rs
+++ b/crates/moleroad_consensus/src/replication.rs
@@ -12,7 +12,9 @@
         if self.lost_majority(now) {
             return self.step_down(now, actions);
         }
-        let Role::Leader(state) = &mut self.role else { return };
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
         if now >= state.heartbeat_due {
             state.heartbeat_due = now + self.timing.heartbeat_ms;
             self.send_to_all(now, actions);
@@ -21,7 +23,9 @@
     }
 
     fn lost_majority(&self, now: Millis) -> bool {
-        let Role::Leader(state) = &self.role else { return false };
+        let Role::Leader(state) = &self.role else {
+            return false;
+        };
         let heard = |id: MemberId| {
             id == self.id
                 || state
@@ -29,19 +33,31 @@
                     .get(&id)
                     .is_some_and(|p| now.since(p.heard_at) <= self.timing.election_max_ms)
         };
-        now.since(state.led_since) > self.timing.election_max_ms && !self.configuration.has_quorum(heard)
+        now.since(state.led_since) > self.timing.election_max_ms
+            && !self.configuration.has_quorum(heard)
     }
 
     /// Puts `payloads` at the end of the log, stores and sends them.
-    pub(crate) fn append_as_leader(&mut self, now: Millis, payloads: Vec<Payload>, actions: &mut Vec<Action>) {
+    pub(crate) fn append_as_leader(
+        &mut self,
+        now: Millis,
+        payloads: Vec<Payload>,
+        actions: &mut Vec<Action>,
+    ) {
         let mut index = self.log.last_index();
         let mut entries = Vec::with_capacity(payloads.len());
         for payload in payloads {
             index = index.next();
-            entries.push(Entry { index, term: self.hard.term, payload });
+            entries.push(Entry {
+                index,
+                term: self.hard.term,
+                payload,
+            });
         }
         self.log.append(&entries);
-        let changes_members = entries.iter().any(|e| matches!(e.payload, Payload::Configuration(_)));
+        let changes_members = entries
+            .iter()
+            .any(|e| matches!(e.payload, Payload::Configuration(_)));
         actions.push(Action::Append(entries));
         if changes_members {
             self.reload_configuration();
@@ -64,35 +80,66 @@
         let term = self.hard.term;
         let commit = self.commit;
         let retry_ms = self.timing.election_max_ms;
-        let Role::Leader(state) = &mut self.role else { return };
-        let Some(progress) = state.progress.get_mut(&to) else { return };
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = state.progress.get_mut(&to) else {
+            return;
+        };
         let prev_index = progress.next.previous();
         let message = match self.log.term_at(prev_index) {
             Some(prev_term) if progress.next > self.log.snapshot_index() => {
                 progress.snapshot_sent_at = None;
-                let entries = self.log.from(progress.next, MAX_ENTRIES_PER_APPEND).to_vec();
+                let entries = self
+                    .log
+                    .from(progress.next, MAX_ENTRIES_PER_APPEND)
+                    .to_vec();
                 progress.next = LogIndex(progress.next.0 + entries.len() as u64);
-                Message::Append { term, prev_index, prev_term, entries, commit, sent_at: now }
+                Message::Append {
+                    term,
+                    prev_index,
+                    prev_term,
+                    entries,
+                    commit,
+                    sent_at: now,
+                }
+            }
+            _ if progress
+                .snapshot_sent_at
+                .is_some_and(|at| now.since(at) < retry_ms) =>
+            {
+                Message::Append {
+                    term,
+                    prev_index: LogIndex(0),
+                    prev_term: Term(0),
+                    entries: Vec::new(),
+                    commit: LogIndex(0),
+                    sent_at: now,
+                }
             }
-            _ if progress.snapshot_sent_at.is_some_and(|at| now.since(at) < retry_ms) => Message::Append {
-                term,
-                prev_index: LogIndex(0),
-                prev_term: Term(0),
-                entries: Vec::new(),
-                commit: LogIndex(0),
-                sent_at: now,
-            },
             _ => {
                 progress.snapshot_sent_at = Some(now);
-                let Some(snapshot) = self.log.snapshot().cloned() else { return };
-                Message::Install { term, snapshot, sent_at: now }
+                let Some(snapshot) = self.log.snapshot().cloned() else {
+                    return;
+                };
+                Message::Install {
+                    term,
+                    snapshot,
+                    sent_at: now,
+                }
             }
         };
         self.send(to, message, actions);
     }
 
     /// Follows the leader `from` of `term`; false when the term is over.
-    pub(crate) fn follow(&mut self, now: Millis, from: MemberId, term: Term, actions: &mut Vec<Action>) -> bool {
+    pub(crate) fn follow(
+        &mut self,
+        now: Millis,
+        from: MemberId,
+        term: Term,
+        actions: &mut Vec<Action>,
+    ) -> bool {
         if term < self.hard.term {
             return false;
         }
@@ -120,7 +167,10 @@
         let (prev_index, prev_term) = previous;
         let covered = prev_index < self.log.snapshot_index();
         if !covered && self.log.term_at(prev_index) != Some(prev_term) {
-            let hint = prev_index.previous().min(self.log.last_index()).max(self.commit);
+            let hint = prev_index
+                .previous()
+                .min(self.log.last_index())
+                .max(self.commit);
             return self.reply_append(from, false, hint, sent_at, actions);
         }
         let matched = LogIndex(prev_index.0 + entries.len() as u64);
@@ -132,7 +182,8 @@
     /// Stores those of `entries` that the log does not hold yet.
     fn store_new(&mut self, entries: Vec<Entry>, actions: &mut Vec<Action>) {
         let first_new = entries.iter().position(|entry| {
-            entry.index > self.log.snapshot_index() && self.log.term_at(entry.index) != Some(entry.term)
+            entry.index > self.log.snapshot_index()
+                && self.log.term_at(entry.index) != Some(entry.term)
         });
         let Some(first_new) = first_new else { return };
         let fresh = entries[first_new..].to_vec();
@@ -169,7 +220,12 @@
         sent_at: Millis,
         actions: &mut Vec<Action>,
     ) {
-        let reply = Message::AppendReply { term: self.hard.term, accepted, position, sent_at };
+        let reply = Message::AppendReply {
+            term: self.hard.term,
+            accepted,
+            position,
+            sent_at,
+        };
         self.send(to, reply, actions);
     }
 
@@ -187,8 +243,12 @@
             return self.enter_term(now, term, actions);
         }
         let last_index = self.log.last_index();
-        let Role::Leader(state) = &mut self.role else { return };
-        let Some(progress) = state.progress.get_mut(&from) else { return };
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = state.progress.get_mut(&from) else {
+            return;
+        };
         if term < self.hard.term {
             return;
         }
@@ -210,14 +270,21 @@
 
     /// Commits what a majority holds, if it is of this term.
     fn advance_commit(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let Role::Leader(state) = &self.role else { return };
+        let Role::Leader(state) = &self.role else {
+            return;
+        };
         let matched = |id: MemberId| {
             if id == self.id {
                 return self.log.last_index();
             }
-            state.progress.get(&id).map_or(LogIndex(0), |progress| progress.matched)
+            state
+                .progress
+                .get(&id)
+                .map_or(LogIndex(0), |progress| progress.matched)
+        };
+        let Some(held) = self.configuration.quorum_value(matched) else {
+            return;
         };
-        let Some(held) = self.configuration.quorum_value(matched) else { return };
         if held > self.commit && self.log.term_at(held) == Some(self.hard.term) {
             self.commit_to(held, actions);
             self.after_commit(now, actions);
--- a/crates/moleroad_events/src/event.rs
+++ b/crates/moleroad_events/src/event.rs
@@ -170,7 +170,9 @@
             EventKind::PlacementSet { target, .. }
             | EventKind::RequestDispatched { target, .. }
             | EventKind::TargetWithdrawn { target } => Some(target.as_str()),
-            EventKind::ChunkFetched { source, .. } | EventKind::ChunkCorrupt { source, .. } => Some(source),
+            EventKind::ChunkFetched { source, .. } | EventKind::ChunkCorrupt { source, .. } => {
+                Some(source)
+            }
             _ => None,
         }
     }
--- a/crates/moleroad_events/src/timeline.rs
+++ b/crates/moleroad_events/src/timeline.rs
@@ -21,14 +21,23 @@
 impl EventFilter {
     /// Whether `event` passes.
     pub fn passes(&self, event: &Event) -> bool {
-        let request = self.request.as_ref().is_none_or(|wanted| event.kind.request() == Some(wanted));
+        let request = self
+            .request
+            .as_ref()
+            .is_none_or(|wanted| event.kind.request() == Some(wanted));
         let root = self.root.as_ref().is_none_or(|wanted| {
-            event.kind.root().is_some_and(|root| root.to_hex().starts_with(wanted.as_str()))
+            event
+                .kind
+                .root()
+                .is_some_and(|root| root.to_hex().starts_with(wanted.as_str()))
         });
         let instance = self.instance.as_ref().is_none_or(|wanted| {
             event.instance == *wanted || event.kind.other_instance() == Some(wanted.as_str())
         });
-        let account = self.account.as_ref().is_none_or(|wanted| event.kind.account() == Some(wanted));
+        let account = self
+            .account
+            .as_ref()
+            .is_none_or(|wanted| event.kind.account() == Some(wanted));
         request && root && instance && account
     }
 }
@@ -48,7 +57,11 @@
     for event in events {
         let offset_ms = event.at.unix_ms - start;
         let fields = fields_of(event);
-        let _ = writeln!(text, "{offset_ms:>8} ms  {:<16} {fields}", event.instance.as_str());
+        let _ = writeln!(
+            text,
+            "{offset_ms:>8} ms  {:<16} {fields}",
+            event.instance.as_str()
+        );
     }
     text
 }
@@ -58,7 +71,11 @@
     let Ok(serde_json::Value::Object(fields)) = serde_json::to_value(&event.kind) else {
         return String::new();
     };
-    let mut text = fields.get("event").and_then(|name| name.as_str()).unwrap_or("").to_string();
+    let mut text = fields
+        .get("event")
+        .and_then(|name| name.as_str())
+        .unwrap_or("")
+        .to_string();
     for (key, value) in fields.iter().filter(|(key, _)| *key != "event") {
         let value = match value {
             serde_json::Value::String(text) if text.len() == 64 => text[..8].to_string(),
--- a/crates/moleroad_routing/src/load.rs
+++ b/crates/moleroad_routing/src/load.rs
@@ -102,7 +102,11 @@
     /// reported, corrected by what this entry has started and ended since.
     pub fn expected_work(&self, now: Millis, slow_start_ms: u64) -> u64 {
         let others = self.reported_work.saturating_sub(self.own_work_at_report);
-        let unproven = if self.answered == 0 { UNPROVEN_WORK.min(self.own_work * 2) } else { 0 };
+        let unproven = if self.answered == 0 {
+            UNPROVEN_WORK.min(self.own_work * 2)
+        } else {
+            0
+        };
         let work = others + self.own_work + unproven;
         let age_ms = now.since(self.since);
         if age_ms >= slow_start_ms {
--- a/crates/moleroad_routing/src/router.rs
+++ b/crates/moleroad_routing/src/router.rs
@@ -35,7 +35,12 @@
 
 impl Default for RouterSettings {
     fn default() -> Self {
-        Self { policy: Policy::ExpectedWork, hall_cost: 96, affinity_slack: 256, slow_start_ms: 2_000 }
+        Self {
+            policy: Policy::ExpectedWork,
+            hall_cost: 96,
+            affinity_slack: 256,
+            slow_start_ms: 2_000,
+        }
     }
 }
 
@@ -53,7 +58,11 @@
 impl RequestShape {
     /// A request without a prompt prefix.
     pub fn new(destination: Destination, work: u64) -> Self {
-        Self { destination, work, prefix: None }
+        Self {
+            destination,
+            work,
+            prefix: None,
+        }
     }
 }
 
@@ -103,7 +112,10 @@
             old.route.incarnation == route.incarnation && old.route.serves == route.serves
         });
         let load = kept.map_or_else(|| TargetLoad::new(now), |old| old.load);
-        self.by_destination.entry(destination_of(&route.serves)).or_default().push(instance.clone());
+        self.by_destination
+            .entry(destination_of(&route.serves))
+            .or_default()
+            .push(instance.clone());
         self.targets.insert(instance, Target { route, load });
     }
 
@@ -114,11 +126,18 @@
 
     /// Whether any target answers for `destination`.
     pub fn knows(&self, destination: &Destination) -> bool {
-        self.by_destination.get(destination).is_some_and(|list| !list.is_empty())
+        self.by_destination
+            .get(destination)
+            .is_some_and(|list| !list.is_empty())
     }
 
     /// The target for a request, without those already tried.
-    pub fn choose(&mut self, now: Millis, shape: &RequestShape, tried: &[InstanceId]) -> Option<TargetRoute> {
+    pub fn choose(
+        &mut self,
+        now: Millis,
+        shape: &RequestShape,
+        tried: &[InstanceId],
+    ) -> Option<TargetRoute> {
         let listed = self.by_destination.get(&shape.destination)?;
         let untried = listed.iter().filter(|instance| !tried.contains(instance));
         let sound = |instance: &&InstanceId| !self.targets[*instance].load.is_ejected(now);
@@ -131,13 +150,18 @@
             _ if candidates.len() <= 1 => candidates.first().copied().cloned()?,
             Policy::Random => candidates[self.random.random_range(0..candidates.len())].clone(),
             Policy::LeastInFlight => {
-                let least = candidates.iter().min_by_key(|i| self.targets[**i].load.own_work());
+                let least = candidates
+                    .iter()
+                    .min_by_key(|i| self.targets[**i].load.own_work());
                 (**least?).clone()
             }
             Policy::ExpectedWork => {
                 let first = self.random.random_range(0..candidates.len());
-                let second = (first + self.random.random_range(1..candidates.len())) % candidates.len();
-                let affine = shape.prefix.and_then(|prefix| rendezvous(prefix, &candidates));
+                let second =
+                    (first + self.random.random_range(1..candidates.len())) % candidates.len();
+                let affine = shape
+                    .prefix
+                    .and_then(|prefix| rendezvous(prefix, &candidates));
                 self.best_of(now, candidates[first], candidates[second], affine)
             }
         };
@@ -145,10 +169,23 @@
     }
 
     /// The better of two, unless the target with affinity is not much worse.
-    fn best_of(&self, now: Millis, first: &InstanceId, second: &InstanceId, affine: Option<&InstanceId>) -> InstanceId {
-        let better = if self.cost(now, second) < self.cost(now, first) { second } else { first };
+    fn best_of(
+        &self,
+        now: Millis,
+        first: &InstanceId,
+        second: &InstanceId,
+        affine: Option<&InstanceId>,
+    ) -> InstanceId {
+        let better = if self.cost(now, second) < self.cost(now, first) {
+            second
+        } else {
+            first
+        };
         match affine {
-            Some(affine) if self.cost(now, affine) <= self.cost(now, better) + self.settings.affinity_slack => {
+            Some(affine)
+                if self.cost(now, affine)
+                    <= self.cost(now, better) + self.settings.affinity_slack =>
+            {
                 affine.clone()
             }
             _ => better.clone(),
@@ -157,7 +194,11 @@
 
     fn cost(&self, now: Millis, instance: &InstanceId) -> u64 {
         let target = &self.targets[instance];
-        let way = if target.route.data_hall == self.data_hall { 0 } else { self.settings.hall_cost };
+        let way = if target.route.data_hall == self.data_hall {
+            0
+        } else {
+            self.settings.hall_cost
+        };
         target.load.expected_work(now, self.settings.slow_start_ms) + way
     }
 
@@ -216,5 +257,8 @@
         (prefix, instance.as_str()).hash(&mut hasher);
         hasher.finish()
     };
-    candidates.iter().copied().max_by_key(|instance| weight(instance))
+    candidates
+        .iter()
+        .copied()
+        .max_by_key(|instance| weight(instance))
 }
--- a/crates/moleroad_rpc/src/client.rs
+++ b/crates/moleroad_rpc/src/client.rs
@@ -32,7 +32,11 @@
 impl Connection {
     /// A connection, not yet made, to the daemon at `address`.
     pub fn new(address: SocketAddr, key: ClusterKey) -> Self {
-        Self { address, key, client: tokio::sync::Mutex::new(None) }
+        Self {
+            address,
+            key,
+            client: tokio::sync::Mutex::new(None),
+        }
     }
 
     /// Where the daemon is.
@@ -88,10 +92,13 @@
 
 async fn connect(address: SocketAddr, key: &ClusterKey) -> io::Result<DaemonServiceClient> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let mut stream = connecting.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    let mut stream = connecting
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
     as_client(&mut stream, key).await?;
-    let transport = tarpc::serde_transport::new(frames().new_framed(stream), MessagePack::default());
+    let transport =
+        tarpc::serde_transport::new(frames().new_framed(stream), MessagePack::default());
     Ok(DaemonServiceClient::new(tarpc::client::Config::default(), transport).spawn())
 }
 
@@ -109,9 +116,18 @@
     /// # Panics
     /// Without addresses.
     pub fn new(addresses: &[SocketAddr], key: ClusterKey) -> Self {
-        assert!(!addresses.is_empty(), "there is at least one control member");
-        let members = addresses.iter().map(|address| Connection::new(*address, key)).collect();
-        Self { members, leader: Mutex::new(0) }
+        assert!(
+            !addresses.is_empty(),
+            "there is at least one control member"
+        );
+        let members = addresses
+            .iter()
+            .map(|address| Connection::new(*address, key))
+            .collect();
+        Self {
+            members,
+            leader: Mutex::new(0),
+        }
     }
 
     /// Connections to all members.
@@ -137,7 +153,10 @@
             let position = self.leader_position();
             let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                return Err(MoleroadError::new(ResultCode::ControlUnavailable, "no member leads"));
+                return Err(MoleroadError::new(
+                    ResultCode::ControlUnavailable,
+                    "no member leads",
+                ));
             }
             let member = &self.members[position];
             let Ok(client) = member.client().await else {
@@ -151,18 +170,27 @@
                 Err(error) => {
                     member.reset().await;
                     self.advance(position);
-                    return Err(MoleroadError::new(ResultCode::AcceptanceUnknown, error.to_string()));
+                    return Err(MoleroadError::new(
+                        ResultCode::AcceptanceUnknown,
+                        error.to_string(),
+                    ));
                 }
             }
         }
     }
 
     fn leader_position(&self) -> usize {
-        *self.leader.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        *self
+            .leader
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
     fn set_leader(&self, position: usize) {
-        *self.leader.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = position;
+        *self
+            .leader
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner()) = position;
     }
 
     fn advance(&self, from: usize) {
@@ -176,7 +204,11 @@
 
     /// Turns to the named leader, or to the next member if none is named.
     async fn follow(&self, from: usize, leader: Option<SocketAddr>) {
-        let named = leader.and_then(|at| self.members.iter().position(|member| member.address() == at));
+        let named = leader.and_then(|at| {
+            self.members
+                .iter()
+                .position(|member| member.address() == at)
+        });
         match named {
             Some(position) if position != from => self.set_leader(position),
             _ => self.try_next(from).await,
--- a/crates/moleroad_rpc/src/message.rs
+++ b/crates/moleroad_rpc/src/message.rs
@@ -96,6 +96,8 @@
     pub grants: Vec<Grant>,
     /// Agents to exchange chunks with.
     pub peers: Vec<PeerAddress>,
+    /// Agents that grants name; nothing but granted chunks is drawn there.
+    pub sources: Vec<PeerAddress>,
     /// Sealed ticket for those agents.
     pub ticket: String,
 }
@@ -152,8 +154,8 @@
     pub objects: ObjectUpdate,
     /// Routes that changed; `None` while a new leader is still collecting.
     pub routes: Option<RouteUpdate>,
-    /// All entries that callers may use.
-    pub entries: Vec<EntryAddress>,
+    /// All entries that callers may use, if the list is new to the entry.
+    pub entries: Option<Vec<EntryAddress>>,
 }
 
 /// Routes that changed since the version the entry knew.
--- a/crates/moleroad_rpc/src/server.rs
+++ b/crates/moleroad_rpc/src/server.rs
@@ -22,7 +22,9 @@
 pub async fn serve(listener: TcpListener, key: ClusterKey, service: CallServer) {
     let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
-        let Ok((stream, peer)) = listener.accept().await else { continue };
+        let Ok((stream, peer)) = listener.accept().await else {
+            continue;
+        };
         let Ok(place) = places.clone().try_acquire_owned() else {
             log::warn!(peer:% = peer; "too many connections");
             continue;
@@ -37,13 +39,19 @@
     }
 }
 
-async fn serve_connection(mut stream: TcpStream, key: &ClusterKey, service: CallServer) -> std::io::Result<()> {
+async fn serve_connection(
+    mut stream: TcpStream,
+    key: &ClusterKey,
+    service: CallServer,
+) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     as_server(&mut stream, key).await?;
     let framed = frames().new_framed(stream);
     let transport = tarpc::serde_transport::new(framed, MessagePack::default());
     let requests = BaseChannel::with_defaults(transport).execute(service.serve());
-    requests.for_each(|answer| async { drop(tokio::spawn(answer)) }).await;
+    requests
+        .for_each(|answer| async { drop(tokio::spawn(answer)) })
+        .await;
     Ok(())
 }
 
--- a/crates/moleroad_settings/src/lib.rs
+++ b/crates/moleroad_settings/src/lib.rs
@@ -34,7 +34,7 @@
 pub mod prelude {
     pub use crate::error::SettingsError;
     pub use crate::settings::{
-        AgentSettings, ControlSettings, EntrySettings, OperatorSettings, OriginSettings, Role, Settings,
-        TargetSettings,
+        AgentSettings, ControlSettings, EntrySettings, OperatorSettings, OriginSettings, Role,
+        Settings, TargetSettings,
     };
 }
--- a/crates/moleroad_settings/src/settings.rs
+++ b/crates/moleroad_settings/src/settings.rs
@@ -268,7 +268,9 @@
     /// Where the target takes requests.
     pub fn address(&self) -> SocketAddr {
         match self {
-            TargetSettings::Engine { address } | TargetSettings::PlainService { address, .. } => *address,
+            TargetSettings::Engine { address } | TargetSettings::PlainService { address, .. } => {
+                *address
+            }
         }
     }
 
@@ -298,14 +300,20 @@
     /// # Errors
     /// [`SettingsError`] with the place of the first fault.
     pub fn from_yaml(file: &str, text: &str) -> Result<Self, SettingsError> {
-        let read: SettingsFile =
-            serde_saphyr::from_str(text).map_err(|error| SettingsError::from_parser(file, &error))?;
-        let out_of_range =
-            |key, reason: &str| SettingsError::OutOfRange(file.to_string(), key, reason.to_string());
+        let read: SettingsFile = serde_saphyr::from_str(text)
+            .map_err(|error| SettingsError::from_parser(file, &error))?;
+        let out_of_range = |key, reason: &str| {
+            SettingsError::OutOfRange(file.to_string(), key, reason.to_string())
+        };
         let role = match (read.entry, read.control, read.agent) {
             (entry, control, None) => Role::Entry(entry.unwrap_or_default(), control.map(Box::new)),
             (None, None, Some(agent)) => Role::Agent(Box::new(agent)),
-            _ => return Err(out_of_range("agent", "cannot stand beside entry or control")),
+            _ => {
+                return Err(out_of_range(
+                    "agent",
+                    "cannot stand beside entry or control",
+                ));
+            }
         };
         let settings = Self {
             instance: read.instance,
@@ -317,7 +325,9 @@
             http_address: read.http_address,
             role,
         };
-        settings.check().map_err(|(key, reason)| out_of_range(key, reason))?;
+        settings
+            .check()
+            .map_err(|(key, reason)| out_of_range(key, reason))?;
         Ok(settings)
     }
 
@@ -387,13 +397,22 @@
 impl ControlSettings {
     fn check(&self) -> Result<(), (&'static str, &'static str)> {
         if self.lease_ms * 11 / 10 >= self.election_min_ms {
-            return Err(("control.lease_ms", "must be a tenth and more below control.election_min_ms"));
+            return Err((
+                "control.lease_ms",
+                "must be a tenth and more below control.election_min_ms",
+            ));
         }
         if self.heartbeat_ms * 2 >= self.lease_ms {
-            return Err(("control.heartbeat_ms", "must be below half of control.lease_ms"));
+            return Err((
+                "control.heartbeat_ms",
+                "must be below half of control.lease_ms",
+            ));
         }
         if self.election_min_ms >= self.election_max_ms {
-            return Err(("control.election_max_ms", "must be above control.election_min_ms"));
+            return Err((
+                "control.election_max_ms",
+                "must be above control.election_min_ms",
+            ));
         }
         if self.origin.bytes_per_second == 0 || self.origin.link_bytes_per_second == 0 {
             return Err(("control.origin", "rates must be above zero"));
@@ -411,7 +430,10 @@
             return Err(("agent.link_bytes_per_second", "must be above zero"));
         }
         if self.upload_slots == 0 || self.max_requests == 0 {
-            return Err(("agent.upload_slots", "upload_slots and max_requests must be above zero"));
+            return Err((
+                "agent.upload_slots",
+                "upload_slots and max_requests must be above zero",
+            ));
         }
         Ok(())
     }
--- a/crates/moleroad_transfer/src/pacing.rs
+++ b/crates/moleroad_transfer/src/pacing.rs
@@ -21,7 +21,11 @@
     pub fn new(bytes_per_second: u64, burst_bytes: u64) -> Self {
         assert!(bytes_per_second > 0, "a link needs a rate above zero");
         let burst = span(burst_bytes, bytes_per_second);
-        Self { bytes_per_second, burst, busy_until: Duration::ZERO }
+        Self {
+            bytes_per_second,
+            burst,
+            busy_until: Duration::ZERO,
+        }
     }
 
     /// Reserves the link for `bytes` and returns how long to wait first.
--- a/crates/moleroad_transfer/src/planner.rs
+++ b/crates/moleroad_transfer/src/planner.rs
@@ -121,7 +121,9 @@
 
     /// Takes an agent's report of the chunks it holds.
     pub fn report(&mut self, now: Millis, agent: &InstanceId, root: RootDigest, have: &ChunkSet) {
-        let (Some(place), Some(plan)) = (self.places.get(agent), self.roots.get_mut(&root)) else { return };
+        let (Some(place), Some(plan)) = (self.places.get(agent), self.roots.get_mut(&root)) else {
+            return;
+        };
         plan.report(now, agent, &place.region, have);
     }
 
@@ -149,8 +151,13 @@
         self.origin_outstanding_bytes = outstanding.sum();
         let mut blocked = BTreeSet::new();
         while self.origin_outstanding_bytes < self.origin_window_bytes() {
-            let Some(root) = self.next_root(now, &blocked) else { break };
-            let plan = self.roots.get_mut(&root).expect("the next root is one of the roots");
+            let Some(root) = self.next_root(now, &blocked) else {
+                break;
+            };
+            let plan = self
+                .roots
+                .get_mut(&root)
+                .expect("the next root is one of the roots");
             match plan.grant_origin(now, &self.settings, &self.places) {
                 Some(bytes) => {
                     self.origin_outstanding_bytes += bytes;
@@ -167,10 +174,18 @@
     /// busy while reports and grants are on their way, and no more, so that
     /// the first chunks are whole soon.
     fn origin_window_bytes(&self) -> u64 {
-        let largest = self.roots.values().map(|plan| u64::from(plan.wanted().chunk_bytes)).max();
+        let largest = self
+            .roots
+            .values()
+            .map(|plan| u64::from(plan.wanted().chunk_bytes))
+            .max();
         let chunk = largest.unwrap_or(0);
-        let links = self.settings.origin_bytes_per_second.div_ceil(self.settings.link_bytes_per_second);
-        let in_transit = self.settings.origin_bytes_per_second * self.settings.control_latency_ms / 1_000;
+        let links = self
+            .settings
+            .origin_bytes_per_second
+            .div_ceil(self.settings.link_bytes_per_second);
+        let in_transit =
+            self.settings.origin_bytes_per_second * self.settings.control_latency_ms / 1_000;
         chunk * links + in_transit
     }
 
@@ -182,7 +197,9 @@
                 !blocked.contains(*root) && plan.needs_origin(now, &self.settings)
             })
         };
-        let account = self.share.next(open().map(|(_, plan)| &plan.wanted().id.account))?;
+        let account = self
+            .share
+            .next(open().map(|(_, plan)| &plan.wanted().id.account))?;
         let of_account = open().filter(|(_, plan)| plan.wanted().id.account == *account);
         let first = of_account.min_by_key(|(root, plan)| (-plan.wanted().priority, **root));
         first.map(|(root, _)| *root)
@@ -190,7 +207,9 @@
 
     /// Grants that `agent` holds for `root`.
     pub fn grants_of(&self, agent: &InstanceId, root: RootDigest) -> Vec<Grant> {
-        let Some(plan) = self.roots.get(&root) else { return Vec::new() };
+        let Some(plan) = self.roots.get(&root) else {
+            return Vec::new();
+        };
         match self.settings.plan {
             PlanKind::Swarm => plan.grants_of(agent),
             PlanKind::OriginOnly => plan.every_chunk_from_origin(),
@@ -211,9 +230,19 @@
         }
     }
 
+    /// Agents whose grants or peers changed since the last call.
+    pub fn take_changed(&mut self) -> BTreeSet<InstanceId> {
+        self.roots
+            .values_mut()
+            .flat_map(RootPlan::take_changed)
+            .collect()
+    }
+
     /// Bytes of `root` granted from the origin so far.
     pub fn origin_granted_bytes(&self, root: RootDigest) -> u64 {
-        self.roots.get(&root).map_or(0, RootPlan::origin_granted_bytes)
+        self.roots
+            .get(&root)
+            .map_or(0, RootPlan::origin_granted_bytes)
     }
 
     /// Agents of `root` that hold all of it.
--- a/crates/moleroad_transfer/src/root_plan.rs
+++ b/crates/moleroad_transfer/src/root_plan.rs
@@ -53,6 +53,8 @@
     /// Draws so far by agent, so that seeds are spread evenly.
     draws: BTreeMap<InstanceId, u32>,
     rings: Option<PeerRings>,
+    /// Agents whose grants or peers changed since last asked.
+    changed: BTreeSet<InstanceId>,
 }
 
 impl RootPlan {
@@ -68,6 +70,7 @@
             origin_chunks_granted: 0,
             draws: BTreeMap::new(),
             rings: None,
+            changed: wanted.agents.clone(),
             wanted,
         }
     }
@@ -79,9 +82,15 @@
     pub(crate) fn set_wanted(&mut self, wanted: WantedWeights) {
         if wanted.agents != self.wanted.agents {
             self.rings = None;
+            self.changed.extend(wanted.agents.iter().cloned());
             self.importable = (0..wanted.chunk_count as u32).map(ChunkIndex).collect();
         }
-        let dropped: Vec<InstanceId> = self.wanted.agents.difference(&wanted.agents).cloned().collect();
+        let dropped: Vec<InstanceId> = self
+            .wanted
+            .agents
+            .difference(&wanted.agents)
+            .cloned()
+            .collect();
         self.wanted = wanted;
         for agent in dropped {
             self.drop_grants_of(&agent);
@@ -89,9 +98,11 @@
     }
 
     pub(crate) fn remove_agent(&mut self, now: Millis, agent: &InstanceId) {
-        self.rings = None;
+        self.forget_rings_with(agent);
         self.drop_grants_of(agent);
-        let Some((region, have)) = self.have.remove(agent) else { return };
+        let Some((region, have)) = self.have.remove(agent) else {
+            return;
+        };
         for chunk in have.iter() {
             self.lose_holder(now, agent, &region, chunk);
         }
@@ -134,12 +145,22 @@
         }
         if !state.holders.is_empty() {
             self.importable.insert(chunk);
-        } else if !state.grants.iter().any(|grant| grant.source == Source::Origin) {
+        } else if !state
+            .grants
+            .iter()
+            .any(|grant| grant.source == Source::Origin)
+        {
             self.unheld.insert(chunk);
         }
     }
 
-    pub(crate) fn report(&mut self, now: Millis, agent: &InstanceId, region: &Region, have: &ChunkSet) {
+    pub(crate) fn report(
+        &mut self,
+        now: Millis,
+        agent: &InstanceId,
+        region: &Region,
+        have: &ChunkSet,
+    ) {
         if have.chunk_count() != self.wanted.chunk_count {
             return;
         }
@@ -147,7 +168,8 @@
         let known = known.unwrap_or_else(|| ChunkSet::empty(self.wanted.chunk_count));
         let gained: Vec<ChunkIndex> = have.difference(&known).collect();
         let lost: Vec<ChunkIndex> = known.difference(have).collect();
-        self.have.insert(agent.clone(), (region.clone(), have.clone()));
+        self.have
+            .insert(agent.clone(), (region.clone(), have.clone()));
         for chunk in gained {
             self.gain_holder(agent, region, chunk);
         }
@@ -175,15 +197,21 @@
     }
 
     pub(crate) fn grant_failed(&mut self, agent: &InstanceId, grant: &Grant) {
-        let Some(state) = self.chunks.get_mut(grant.chunk.0 as usize) else { return };
+        let Some(state) = self.chunks.get_mut(grant.chunk.0 as usize) else {
+            return;
+        };
         if let Source::Peer(source) = &grant.source
             && state.seed.as_ref() == Some(source)
         {
             // Another holder serves the next import, if there is one.
-            let holders = self.have.iter().filter(|(holder, (_, have))| {
-                *holder != source && have.contains(grant.chunk)
-            });
-            state.seed = holders.map(|(holder, _)| holder.clone()).next().or(state.seed.take());
+            let holders = self
+                .have
+                .iter()
+                .filter(|(holder, (_, have))| *holder != source && have.contains(grant.chunk));
+            state.seed = holders
+                .map(|(holder, _)| holder.clone())
+                .next()
+                .or(state.seed.take());
         }
         state.grants.retain(|held| held.agent != *agent);
         if let Some(grants) = self.grants_by_agent.get_mut(agent) {
@@ -199,21 +227,31 @@
         let slow: Vec<(ChunkIndex, InstanceId)> = self
             .granted
             .iter()
-            .flat_map(|chunk| chunks[chunk.0 as usize].grants.iter().map(move |grant| (*chunk, grant)))
+            .flat_map(|chunk| {
+                chunks[chunk.0 as usize]
+                    .grants
+                    .iter()
+                    .map(move |grant| (*chunk, grant))
+            })
             .filter(|(_, grant)| now.since(grant.granted_at) > limit)
             .map(|(chunk, grant)| (chunk, grant.agent.clone()))
             .collect();
         for (chunk, agent) in slow {
-            self.chunks[chunk.0 as usize].grants.retain(|grant| grant.agent != agent);
+            self.chunks[chunk.0 as usize]
+                .grants
+                .retain(|grant| grant.agent != agent);
             if let Some(grants) = self.grants_by_agent.get_mut(&agent) {
                 grants.remove(&chunk);
             }
+            self.changed.insert(agent);
             self.after_grant_removed(chunk);
         }
     }
 
     fn slow_after_ms(&self, settings: &PlannerSettings) -> u64 {
-        let rate = settings.link_bytes_per_second.min(settings.origin_bytes_per_second);
+        let rate = settings
+            .link_bytes_per_second
+            .min(settings.origin_bytes_per_second);
         let chunk_ms = u64::from(self.wanted.chunk_bytes) * 1_000 / rate;
         let expected = chunk_ms * GRANTS_PER_AGENT as u64 * 2 + settings.control_latency_ms;
         let factor = match settings.objective {
@@ -229,8 +267,10 @@
             return;
         }
         let regions = self.agents_by_region(places);
-        let mut free: BTreeMap<Region, VecDeque<InstanceId>> =
-            regions.into_iter().map(|(region, agents)| (region, self.free_agents(agents))).collect();
+        let mut free: BTreeMap<Region, VecDeque<InstanceId>> = regions
+            .into_iter()
+            .map(|(region, agents)| (region, self.free_agents(agents)))
+            .collect();
         let waiting: Vec<ChunkIndex> = self.importable.iter().copied().collect();
         for chunk in waiting {
             self.import_chunk(now, chunk, &mut free, places);
@@ -254,7 +294,10 @@
         let mut chosen = Vec::new();
         for (region, agents) in free.iter_mut() {
             let held = state.holders.contains_key(region);
-            let drawn = state.grants.iter().any(|grant| region_of(&grant.agent) == Some(region));
+            let drawn = state
+                .grants
+                .iter()
+                .any(|grant| region_of(&grant.agent) == Some(region));
             if held || drawn {
                 continue;
             }
@@ -271,11 +314,17 @@
         }
     }
 
-    fn agents_by_region(&self, places: &BTreeMap<InstanceId, Place>) -> BTreeMap<Region, Vec<InstanceId>> {
+    fn agents_by_region(
+        &self,
+        places: &BTreeMap<InstanceId, Place>,
+    ) -> BTreeMap<Region, Vec<InstanceId>> {
         let mut regions: BTreeMap<Region, Vec<InstanceId>> = BTreeMap::new();
         for agent in &self.wanted.agents {
             if let Some(place) = places.get(agent) {
-                regions.entry(place.region.clone()).or_default().push(agent.clone());
+                regions
+                    .entry(place.region.clone())
+                    .or_default()
+                    .push(agent.clone());
             }
         }
         regions
@@ -298,27 +347,45 @@
 
     fn grant(&mut self, now: Millis, agent: InstanceId, chunk: ChunkIndex, source: Source) {
         *self.draws.entry(agent.clone()).or_default() += 1;
-        self.grants_by_agent.entry(agent.clone()).or_default().insert(chunk);
+        self.changed.insert(agent.clone());
+        self.grants_by_agent
+            .entry(agent.clone())
+            .or_default()
+            .insert(chunk);
         self.granted.insert(chunk);
-        let grant = OutstandingGrant { agent, source, granted_at: now };
+        let grant = OutstandingGrant {
+            agent,
+            source,
+            granted_at: now,
+        };
         self.chunks[chunk.0 as usize].grants.push(grant);
     }
 
     /// Whether some chunk may be drawn from the origin now.
     pub(crate) fn needs_origin(&self, now: Millis, settings: &PlannerSettings) -> bool {
-        self.unheld.iter().any(|chunk| self.may_draw(now, settings, *chunk))
+        self.unheld
+            .iter()
+            .any(|chunk| self.may_draw(now, settings, *chunk))
     }
 
     /// Whether nobody holds or draws the chunk and it is not waited for.
     fn may_draw(&self, now: Millis, settings: &PlannerSettings, chunk: ChunkIndex) -> bool {
         let state = &self.chunks[chunk.0 as usize];
-        let drawn = state.grants.iter().any(|grant| grant.source == Source::Origin);
+        let drawn = state
+            .grants
+            .iter()
+            .any(|grant| grant.source == Source::Origin);
         if !state.holders.is_empty() || drawn {
             return false;
         }
-        let Some(lost_at) = state.lost_at else { return true };
-        let budget = self.wanted.chunk_count as u64 * u64::from(settings.extra_copies_percent) / 100;
-        let extra = self.origin_chunks_granted.saturating_sub(self.wanted.chunk_count as u64);
+        let Some(lost_at) = state.lost_at else {
+            return true;
+        };
+        let budget =
+            self.wanted.chunk_count as u64 * u64::from(settings.extra_copies_percent) / 100;
+        let extra = self
+            .origin_chunks_granted
+            .saturating_sub(self.wanted.chunk_count as u64);
         let draws_at_once = settings.objective == Objective::Time && extra < budget;
         draws_at_once || now.since(lost_at) >= settings.holder_wait_ms
     }
@@ -331,7 +398,9 @@
         places: &BTreeMap<InstanceId, Place>,
     ) -> Option<u64> {
         let mut unheld = self.unheld.iter();
-        let chunk = unheld.find(|chunk| self.may_draw(now, settings, **chunk)).copied()?;
+        let chunk = unheld
+            .find(|chunk| self.may_draw(now, settings, **chunk))
+            .copied()?;
         let agent = self.next_drawer(chunk, places)?;
         self.unheld.remove(&chunk);
         self.grant(now, agent, chunk, Source::Origin);
@@ -340,11 +409,17 @@
     }
 
     /// The agent with the fewest draws that may take another grant.
-    fn next_drawer(&self, chunk: ChunkIndex, places: &BTreeMap<InstanceId, Place>) -> Option<InstanceId> {
+    fn next_drawer(
+        &self,
+        chunk: ChunkIndex,
+        places: &BTreeMap<InstanceId, Place>,
+    ) -> Option<InstanceId> {
         let may_take = |agent: &&InstanceId| {
             let grants = self.grants_by_agent.get(*agent);
             places.contains_key(*agent)
-                && grants.is_none_or(|grants| grants.len() < GRANTS_PER_AGENT && !grants.contains(&chunk))
+                && grants.is_none_or(|grants| {
+                    grants.len() < GRANTS_PER_AGENT && !grants.contains(&chunk)
+                })
         };
         let candidates = self.wanted.agents.iter().filter(may_take);
         let fewest = candidates.min_by_key(|agent| self.draws.get(*agent).copied().unwrap_or(0));
@@ -352,9 +427,14 @@
     }
 
     pub(crate) fn origin_outstanding_bytes(&self) -> u64 {
-        let chunks = self.granted.iter().map(|chunk| &self.chunks[chunk.0 as usize]);
+        let chunks = self
+            .granted
+            .iter()
+            .map(|chunk| &self.chunks[chunk.0 as usize]);
         let grants = chunks.flat_map(|state| &state.grants);
-        let count = grants.filter(|grant| grant.source == Source::Origin).count();
+        let count = grants
+            .filter(|grant| grant.source == Source::Origin)
+            .count();
         count as u64 * u64::from(self.wanted.chunk_bytes)
     }
 
@@ -363,15 +443,25 @@
     }
 
     pub(crate) fn complete_agents(&self) -> usize {
-        let complete = |agent: &&InstanceId| self.have.get(*agent).is_some_and(|(_, have)| have.is_complete());
+        let complete = |agent: &&InstanceId| {
+            self.have
+                .get(*agent)
+                .is_some_and(|(_, have)| have.is_complete())
+        };
         self.wanted.agents.iter().filter(complete).count()
     }
 
     pub(crate) fn grants_of(&self, agent: &InstanceId) -> Vec<Grant> {
         let chunks = self.grants_by_agent.get(agent).into_iter().flatten();
         let grants = chunks.filter_map(|chunk| {
-            let held = self.chunks[chunk.0 as usize].grants.iter().find(|grant| grant.agent == *agent)?;
-            Some(Grant { chunk: *chunk, source: held.source.clone() })
+            let held = self.chunks[chunk.0 as usize]
+                .grants
+                .iter()
+                .find(|grant| grant.agent == *agent)?;
+            Some(Grant {
+                chunk: *chunk,
+                source: held.source.clone(),
+            })
         });
         let mut grants: Vec<Grant> = grants.collect();
         grants.sort_by_key(|grant| !is_origin(grant));
@@ -380,7 +470,12 @@
 
     pub(crate) fn every_chunk_from_origin(&self) -> Vec<Grant> {
         let chunks = (0..self.wanted.chunk_count as u32).map(ChunkIndex);
-        chunks.map(|chunk| Grant { chunk, source: Source::Origin }).collect()
+        chunks
+            .map(|chunk| Grant {
+                chunk,
+                source: Source::Origin,
+            })
+            .collect()
     }
 
     pub(crate) fn peers_of(
@@ -391,16 +486,25 @@
     ) -> Vec<InstanceId> {
         let wanted = &self.wanted;
         let rings = self.rings.get_or_insert_with(|| {
-            let members = wanted.agents.iter().filter_map(|a| places.get(a).map(|place| (a, place)));
+            let members = wanted
+                .agents
+                .iter()
+                .filter_map(|a| places.get(a).map(|place| (a, place)));
             PeerRings::new(wanted.id.root, members)
         });
         rings.peers_of(wanted.id.root, agent, place)
     }
 
+    /// Agents whose grants or peers changed since the last call.
+    pub(crate) fn take_changed(&mut self) -> BTreeSet<InstanceId> {
+        std::mem::take(&mut self.changed)
+    }
+
     /// Forgets the rings, which are built again when next asked for.
     pub(crate) fn forget_rings_with(&mut self, agent: &InstanceId) {
         if self.wanted.agents.contains(agent) {
             self.rings = None;
+            self.changed.extend(self.wanted.agents.iter().cloned());
         }
     }
 
--- a/crates/moleroad_transfer/src/swarm.rs
+++ b/crates/moleroad_transfer/src/swarm.rs
@@ -173,8 +173,12 @@
 
     /// Replaces the grants.
     pub fn set_grants(&mut self, grants: &[Grant]) {
-        let missing = grants.iter().filter(|grant| !self.have.contains(grant.chunk));
-        self.grants = missing.map(|grant| (grant.chunk, grant.source.clone())).collect();
+        let missing = grants
+            .iter()
+            .filter(|grant| !self.have.contains(grant.chunk));
+        self.grants = missing
+            .map(|grant| (grant.chunk, grant.source.clone()))
+            .collect();
     }
 
     /// Grants that could not be carried out since the last call.
@@ -193,7 +197,9 @@
 
     /// Takes the end of a fetch; true when it brought a chunk that was missing.
     pub fn finished(&mut self, now: Millis, attempt: AttemptId, outcome: FetchOutcome) -> bool {
-        let Some(attempt) = self.attempts.remove(&attempt) else { return false };
+        let Some(attempt) = self.attempts.remove(&attempt) else {
+            return false;
+        };
         if let Source::Peer(peer) = &attempt.source {
             self.note_peer_outcome(now, peer.clone(), &attempt, outcome);
         }
@@ -214,13 +220,24 @@
     fn give_up_grant(&mut self, attempt: &Attempt) {
         if self.grants.get(&attempt.chunk) == Some(&attempt.source) {
             self.grants.remove(&attempt.chunk);
-            self.failed_grants.push(Grant { chunk: attempt.chunk, source: attempt.source.clone() });
+            self.failed_grants.push(Grant {
+                chunk: attempt.chunk,
+                source: attempt.source.clone(),
+            });
         }
     }
 
-    fn note_peer_outcome(&mut self, now: Millis, peer: InstanceId, attempt: &Attempt, outcome: FetchOutcome) {
+    fn note_peer_outcome(
+        &mut self,
+        now: Millis,
+        peer: InstanceId,
+        attempt: &Attempt,
+        outcome: FetchOutcome,
+    ) {
         let settings = self.settings;
-        let Some(peer) = self.peers.get_mut(&peer) else { return };
+        let Some(peer) = self.peers.get_mut(&peer) else {
+            return;
+        };
         peer.in_flight = peer.in_flight.saturating_sub(1);
         match outcome {
             FetchOutcome::Verified => peer.failures = 0,
@@ -274,7 +291,8 @@
                 && let Some(peer) = self.peers.get_mut(peer)
             {
                 peer.failures += 1;
-                peer.not_before = now + settings.failure_wait_ms * u64::from(peer.failures.min(8)) * 4;
+                peer.not_before =
+                    now + settings.failure_wait_ms * u64::from(peer.failures.min(8)) * 4;
             }
         }
         for attempt in stalled_grants {
@@ -289,13 +307,19 @@
 
     fn start_draws(&mut self, now: Millis, actions: &mut Vec<SwarmAction>) {
         let mut running = self.running_draws();
-        let waiting: Vec<(ChunkIndex, Source)> =
-            self.grants.iter().map(|(chunk, source)| (*chunk, source.clone())).collect();
+        let waiting: Vec<(ChunkIndex, Source)> = self
+            .grants
+            .iter()
+            .map(|(chunk, source)| (*chunk, source.clone()))
+            .collect();
         for (chunk, source) in waiting {
             if running >= self.settings.max_draws {
                 break;
             }
-            if self.is_being_fetched(chunk) || self.have.contains(chunk) || !self.is_open(now, &source) {
+            if self.is_being_fetched(chunk)
+                || self.have.contains(chunk)
+                || !self.is_open(now, &source)
+            {
                 continue;
             }
             running += 1;
@@ -305,21 +329,33 @@
 
     fn running_draws(&self) -> usize {
         let live = self.attempts.values().filter(|attempt| !attempt.given_up);
-        live.filter(|attempt| self.grants.get(&attempt.chunk) == Some(&attempt.source)).count()
+        live.filter(|attempt| self.grants.get(&attempt.chunk) == Some(&attempt.source))
+            .count()
     }
 
     fn is_open(&self, now: Millis, source: &Source) -> bool {
         match source {
             Source::Origin => true,
-            Source::Peer(peer) => self.peers.get(peer).is_none_or(|peer| now >= peer.not_before),
+            Source::Peer(peer) => self
+                .peers
+                .get(peer)
+                .is_none_or(|peer| now >= peer.not_before),
         }
     }
 
     fn is_being_fetched(&self, chunk: ChunkIndex) -> bool {
-        self.attempts.values().any(|attempt| attempt.chunk == chunk && !attempt.given_up)
+        self.attempts
+            .values()
+            .any(|attempt| attempt.chunk == chunk && !attempt.given_up)
     }
 
-    fn start(&mut self, now: Millis, chunk: ChunkIndex, source: Source, actions: &mut Vec<SwarmAction>) {
+    fn start(
+        &mut self,
+        now: Millis,
+        chunk: ChunkIndex,
+        source: Source,
+        actions: &mut Vec<SwarmAction>,
+    ) {
         self.next_attempt += 1;
         let attempt = AttemptId(self.next_attempt);
         if let Source::Peer(peer) = &source
@@ -327,16 +363,34 @@
         {
             peer.in_flight += 1;
         }
-        let record = Attempt { chunk, source: source.clone(), started: now, given_up: false };
+        let record = Attempt {
+            chunk,
+            source: source.clone(),
+            started: now,
+            given_up: false,
+        };
         self.attempts.insert(attempt, record);
-        actions.push(SwarmAction::Start(Fetch { attempt, chunk, source }));
+        actions.push(SwarmAction::Start(Fetch {
+            attempt,
+            chunk,
+            source,
+        }));
     }
 
     fn start_fetches(&mut self, now: Millis, actions: &mut Vec<SwarmAction>) {
-        let live = self.attempts.values().filter(|attempt| !attempt.given_up).count();
-        let mut free = self.settings.max_in_flight.saturating_sub(live.saturating_sub(self.running_draws()));
+        let live = self
+            .attempts
+            .values()
+            .filter(|attempt| !attempt.given_up)
+            .count();
+        let mut free = self
+            .settings
+            .max_in_flight
+            .saturating_sub(live.saturating_sub(self.running_draws()));
         while free > 0 {
-            let Some((chunk, peer)) = self.next_fetch(now) else { break };
+            let Some((chunk, peer)) = self.next_fetch(now) else {
+                break;
+            };
             self.start(now, chunk, Source::Peer(peer), actions);
             free -= 1;
         }
@@ -345,13 +399,22 @@
     /// The rarest missing chunk that a free peer holds, and that peer.
     fn next_fetch(&mut self, now: Millis) -> Option<(ChunkIndex, InstanceId)> {
         let settings = self.settings;
-        let is_free = |peer: &Peer| now >= peer.not_before && peer.in_flight < settings.max_per_peer;
-        let free: Vec<(&InstanceId, &Peer)> = self.peers.iter().filter(|(_, peer)| is_free(peer)).collect();
+        let is_free =
+            |peer: &Peer| now >= peer.not_before && peer.in_flight < settings.max_per_peer;
+        let free: Vec<(&InstanceId, &Peer)> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| is_free(peer))
+            .collect();
         if free.is_empty() {
             return None;
         }
-        let in_flight: BTreeSet<ChunkIndex> =
-            self.attempts.values().filter(|a| !a.given_up).map(|a| a.chunk).collect();
+        let in_flight: BTreeSet<ChunkIndex> = self
+            .attempts
+            .values()
+            .filter(|a| !a.given_up)
+            .map(|a| a.chunk)
+            .collect();
         let missing_count = self.have.chunk_count() - self.have.len();
         let doubling = missing_count <= settings.end_game_chunks;
         let mut best: Option<(usize, u32, ChunkIndex)> = None;
@@ -360,13 +423,23 @@
             if taken && !(doubling && self.attempts_of(chunk) == 1) {
                 continue;
             }
-            let holders = free.iter().filter(|(id, peer)| peer.have.contains(chunk) && !self.fetches_from(chunk, id));
+            let holders = free
+                .iter()
+                .filter(|(id, peer)| peer.have.contains(chunk) && !self.fetches_from(chunk, id));
             if holders.count() == 0 {
                 continue;
             }
-            let rarity = self.peers.values().filter(|peer| peer.have.contains(chunk)).count();
+            let rarity = self
+                .peers
+                .values()
+                .filter(|peer| peer.have.contains(chunk))
+                .count();
             // Doubled fetches come after all chunks that nobody sends yet.
-            let rank = if taken { rarity + self.peers.len() } else { rarity };
+            let rank = if taken {
+                rarity + self.peers.len()
+            } else {
+                rarity
+            };
             let candidate = (rank, self.random.random::<u32>(), chunk);
             if best.is_none_or(|best| candidate < best) {
                 best = Some(candidate);
@@ -383,17 +456,27 @@
     }
 
     fn attempts_of(&self, chunk: ChunkIndex) -> usize {
-        self.attempts.values().filter(|attempt| attempt.chunk == chunk && !attempt.given_up).count()
+        self.attempts
+            .values()
+            .filter(|attempt| attempt.chunk == chunk && !attempt.given_up)
+            .count()
     }
 
     fn fetches_from(&self, chunk: ChunkIndex, peer: &InstanceId) -> bool {
-        let from = |attempt: &Attempt| matches!(&attempt.source, Source::Peer(source) if source == peer);
-        self.attempts.values().any(|attempt| attempt.chunk == chunk && !attempt.given_up && from(attempt))
+        let from =
+            |attempt: &Attempt| matches!(&attempt.source, Source::Peer(source) if source == peer);
+        self.attempts
+            .values()
+            .any(|attempt| attempt.chunk == chunk && !attempt.given_up && from(attempt))
     }
 
     /// Asks peers what they hold, when nothing more can be fetched.
     fn poll_peers(&mut self, now: Millis, actions: &mut Vec<SwarmAction>) {
-        let live = self.attempts.values().filter(|attempt| !attempt.given_up).count();
+        let live = self
+            .attempts
+            .values()
+            .filter(|attempt| !attempt.given_up)
+            .count();
         if live >= self.settings.max_in_flight {
             return;
         }
@@ -401,7 +484,9 @@
         let due = self.peers.iter_mut().filter(|(_, peer)| {
             now >= peer.poll_due && now >= peer.not_before && !peer.have.is_complete()
         });
-        let Some((id, peer)) = due.min_by_key(|(_, peer)| peer.poll_due) else { return };
+        let Some((id, peer)) = due.min_by_key(|(_, peer)| peer.poll_due) else {
+            return;
+        };
         peer.poll_due = now + poll_ms;
         actions.push(SwarmAction::Poll(id.clone()));
     }
