--- a/crates/moleroad_fakes/src/deployment.rs
+++ b/crates/moleroad_fakes/src/deployment.rs
@@ -1,6 +1,7 @@
 //! Starts a whole system as separate processes on loopback.
 
 use crate::address::{AddressPool, free_port};
+use crate::engine::FakeEngine;
 use crate::process::{Process, Signal, program_folder};
 use crate::shape::{DeploymentShape, HallShape};
 use crate::wait::until;
@@ -29,6 +30,7 @@
     entries: Vec<(InstanceId, SocketAddr)>,
     agents: BTreeMap<InstanceId, SocketAddr>,
     targets: BTreeMap<InstanceId, SocketAddr>,
+    engines: BTreeMap<InstanceId, FakeEngine>,
     control: Vec<SocketAddr>,
     origin: SocketAddr,
     membership: SocketAddr,
@@ -68,6 +70,7 @@
             entries: Vec::new(),
             agents: BTreeMap::new(),
             targets: BTreeMap::new(),
+            engines: BTreeMap::new(),
             control,
             origin,
             membership,
@@ -219,6 +222,11 @@
         let ip = self.pool.next_ip();
         let address = free_port(ip);
         let name = format!("engine-{position}");
+        if self.shape.engines_in_harness {
+            let engine = FakeEngine::start(address, self.shape.token_time);
+            self.engines.insert(InstanceId::new(&name), engine);
+            return self.start_agent(&name, ip, position, TargetSettings::Engine { address });
+        }
         let token_ms = self.shape.token_time.as_millis().to_string();
         let at = address.to_string();
         self.start_stand_in(
@@ -343,6 +351,17 @@
         self.targets[&InstanceId::new(instance)]
     }
 
+    /// Engines that run in the harness.
+    pub fn engines(&self) -> &BTreeMap<InstanceId, FakeEngine> {
+        &self.engines
+    }
+
+    /// Region of the instance `name`, from its settings.
+    pub fn region_of(&self, name: &str) -> Option<Region> {
+        let settings = Settings::from_file(&self.settings_path(name)).ok()?;
+        Some(settings.region)
+    }
+
     /// The process named `name`: an instance, or an instance with `-target`.
     ///
     /// # Panics
--- a/crates/moleroad_fakes/src/shape.rs
+++ b/crates/moleroad_fakes/src/shape.rs
@@ -23,6 +23,8 @@
     pub control_members: usize,
     /// Model engines, each with its agent.
     pub engines: usize,
+    /// Whether the engines run as threads of the harness, to save processes.
+    pub engines_in_harness: bool,
     /// Plain services by name, with the number of instances of each.
     pub services: Vec<(&'static str, usize)>,
     /// Rate of an instance's link, each way.
@@ -68,6 +70,7 @@
             entries: 3,
             control_members: 3,
             engines: 12,
+            engines_in_harness: false,
             services: vec![("depot-api", 3), ("member-portal", 1)],
             link_bytes_per_second: 1 << 20,
             origin_bytes_per_second: 2 << 20,
