Answer requests whole and truthfully through kills, freezes and floods

A target that refuses its connection was reported as "may have run": the HTTP client's own conversion into an input or output error hides the kind. Work that could not end in time was held until its deadline had passed.

Ruled out: a race between the kill and the connection, by reading the client's conversion.

Change: the kind is taken from inside the client's error, so such requests go to another target; agents keep a fair queue of accounts before their target and refuse at once what would wait too long; streams that break go on at another replica of the same root after the last whole event; a target that moved on costs no retry budget.

--- a/crates/moleroad_daemon/src/agent/mod.rs
+++ b/crates/moleroad_daemon/src/agent/mod.rs
@@ -62,7 +62,10 @@
         let shared = Arc::new(AgentShared {
             context: Arc::clone(context),
             settings: settings.clone(),
-            admission: Arc::new(Admission::new(settings.max_requests)),
+            admission: Arc::new(Admission::new(
+                settings.target_places,
+                settings.max_waiting_per_account,
+            )),
             staging: Staging::open(&settings.staging_folder)?,
             links: Links::new(context.clock, settings.link_bytes_per_second),
         });
--- a/crates/moleroad_daemon/src/entry/caller.rs
+++ b/crates/moleroad_daemon/src/entry/caller.rs
@@ -161,6 +161,7 @@
         destination,
         work,
         prefix: Some(hasher.finish()),
+        root: None,
     })
 }
 
--- a/crates/moleroad_daemon/src/entry/forward.rs
+++ b/crates/moleroad_daemon/src/entry/forward.rs
@@ -31,13 +31,15 @@
 }
 
 /// Sends `request` along `route` and waits for the beginning of the answer.
+/// With `resume_events` a streamed answer goes on after that many events.
 pub(crate) fn forward(
     state: &EntryState,
     request: &CallerRequest,
     route: &TargetRoute,
+    resume_events: u64,
 ) -> Forwarded {
     let left_ms = request.deadline.since(state.context.clock.now());
-    match send(state, request, route, left_ms) {
+    match send(state, request, route, resume_events, left_ms) {
         Ok(response) => sort_answer(state, route, response),
         Err(error) if client::never_connected(&error) => Forwarded::NotRun(MoleroadError::new(
             ResultCode::TargetRefused,
@@ -54,6 +56,7 @@
     state: &EntryState,
     request: &CallerRequest,
     route: &TargetRoute,
+    resume_events: u64,
     left_ms: u64,
 ) -> io::Result<Response> {
     let url = format!("http://{}{RUN_PATH}{}", route.address, request.target_path);
@@ -68,6 +71,7 @@
         (header::PROOF, proof.to_hex().to_string()),
         (header::STAMP, state.context.events.stamp().to_string()),
     ];
+    headers.extend((resume_events > 0).then(|| (header::RESUME_EVENTS, resume_events.to_string())));
     headers.extend(root.map(|root| (header::ROOT, root.to_hex())));
     headers.extend(
         request
@@ -80,7 +84,7 @@
     for (name, value) in headers {
         builder = builder.try_header(name, value).map_err(io::Error::from)?;
     }
-    builder.bytes(&request.body).send().map_err(io::Error::from)
+    client::send(builder.bytes(&request.body))
 }
 
 fn sort_answer(state: &EntryState, route: &TargetRoute, response: Response) -> Forwarded {
--- a/crates/moleroad_daemon/src/entry/mod.rs
+++ b/crates/moleroad_daemon/src/entry/mod.rs
@@ -7,9 +7,11 @@
 
 mod caller;
 mod claims;
+mod dispatch;
 mod forward;
 mod operators;
 mod requests;
+mod stream;
 mod sync;
 mod view;
 
--- a/crates/moleroad_daemon/src/entry/requests.rs
+++ b/crates/moleroad_daemon/src/entry/requests.rs
@@ -1,24 +1,23 @@
 //! Takes a caller's request from its first check to its answer.
 
-use crate::agent_wire::StreamTail;
 use crate::entry::caller::CallerRequest;
 use crate::entry::claims::{self, Claimed, HeldClaim};
+use crate::entry::dispatch::Dispatch;
 use crate::entry::forward::{Forwarded, TargetAnswer, forward};
+use crate::entry::stream::{BegunStream, EventSplitter, Passed, pass_events};
 use crate::entry::view::EntryState;
 use crate::http::exchange::{WholeAnswer, error_json};
 use crate::http::{Exchange, header};
-use attohttpc::Response;
 use moleroad_events::prelude::EventKind;
-use moleroad_routing::prelude::Finish;
+use moleroad_routing::prelude::{Finish, RequestShape};
 use moleroad_state::claim::StoredAnswer;
 use moleroad_state::prelude::Outcome;
 use moleroad_types::prelude::*;
 use moleroad_types::target::Destination;
-use std::io::Read;
 use std::sync::Arc;
 
-/// Bytes read from a stream at a time.
-const PIECE_BYTES: usize = 16 * 1024;
+/// Targets that may be tried without taking from the retry budget.
+const MAX_FREE_TRIES: usize = 4;
 /// When a caller may come back who found no replica.
 const NO_REPLICA_RETRY_MS: u64 = 1_000;
 
@@ -42,29 +41,10 @@
     }
 }
 
-/// A request at a target; ends as failed unless told otherwise.
-struct Dispatch {
-    state: Arc<EntryState>,
-    route: TargetRoute,
-    work: u64,
-    finish: Finish,
-}
-
-impl Drop for Dispatch {
-    fn drop(&mut self) {
-        let now = self.state.context.clock.now();
-        let (instance, incarnation) = (&self.route.instance, self.route.incarnation);
-        self.state
-            .view()
-            .router
-            .finished(now, instance, incarnation, self.work, self.finish);
-    }
-}
-
 /// What a target gave for a request.
 enum Answered {
     Whole(TargetAnswer),
-    Stream(u16, String, Box<Response>, Dispatch),
+    Stream(BegunStream),
 }
 
 impl RequestApi {
@@ -137,16 +117,7 @@
     fn run_plain(&self, exchange: Exchange, request: &CallerRequest) {
         match self.dispatch(request) {
             Ok(Answered::Whole(answer)) => self.answer(exchange, request, answer),
-            Ok(Answered::Stream(status, content_type, response, dispatch)) => {
-                self.pass_stream(
-                    exchange,
-                    request,
-                    status,
-                    &content_type,
-                    *response,
-                    dispatch,
-                );
-            }
+            Ok(Answered::Stream(begun)) => self.pass_stream(exchange, request, begun),
             Err(error) => self.refuse(exchange, Some(request), &error),
         }
     }
@@ -166,20 +137,12 @@
                 claim.settle(&self.state, claims::stored(&answer));
                 self.answer(exchange, request, answer);
             }
-            Ok(Answered::Stream(status, content_type, response, dispatch)) => {
+            Ok(Answered::Stream(begun)) => {
                 claim.settle(&self.state, Outcome::Unknown);
-                self.pass_stream(
-                    exchange,
-                    request,
-                    status,
-                    &content_type,
-                    *response,
-                    dispatch,
-                );
+                self.pass_stream(exchange, request, begun);
             }
             Err(error) => {
-                let not_run =
-                    error.code.execution() == moleroad_types::result_code::ExecutionStatus::NotRun;
+                let not_run = error.code.execution() == ExecutionStatus::NotRun;
                 claim.settle(
                     &self.state,
                     if not_run {
@@ -226,7 +189,7 @@
     fn dispatch(&self, request: &CallerRequest) -> Result<Answered, MoleroadError> {
         let mut tried = Vec::new();
         loop {
-            let dispatch = self.choose(request, &tried)?;
+            let dispatch = self.choose(request, &request.shape, &tried)?;
             let (request_id, target) = (request.request.clone(), dispatch.route.instance.clone());
             tried.push(target.clone());
             self.state
@@ -236,38 +199,51 @@
                     request: request_id,
                     target,
                 });
-            let error = match self.attempt(request, dispatch) {
+            let error = match self.attempt(request, dispatch, 0) {
                 Ok(answered) => return Ok(answered),
                 Err(error) => error,
             };
-            let not_run =
-                error.code.execution() == moleroad_types::result_code::ExecutionStatus::NotRun;
-            if !(not_run || request.repeatable) || !self.may_retry(request) {
+            if !self.may_try_again(request, &error, tried.len()) {
                 return Err(error);
             }
             self.state.context.metrics.retries.inc();
         }
     }
 
+    /// Whether another target may be tried after `error`.
+    ///
+    /// A target that moved on or is gone refuses at no cost, so trying the next
+    /// one is free up to a few; everything else takes from the retry budget.
+    fn may_try_again(&self, request: &CallerRequest, error: &MoleroadError, tries: usize) -> bool {
+        let not_run = error.code.execution() == ExecutionStatus::NotRun;
+        let moved_on = matches!(
+            error.code,
+            ResultCode::Leaving | ResultCode::ReplicaChanged | ResultCode::TargetRefused
+        );
+        if moved_on && tries < MAX_FREE_TRIES {
+            return true;
+        }
+        (not_run || request.repeatable) && self.may_retry(request)
+    }
+
     fn choose(
         &self,
         request: &CallerRequest,
+        shape: &RequestShape,
         tried: &[InstanceId],
     ) -> Result<Dispatch, MoleroadError> {
         let now = self.state.context.clock.now();
         if now >= request.deadline {
-            return Err(MoleroadError::new(
-                ResultCode::DeadlineTooShort,
-                "the deadline has passed",
-            ));
+            let late = MoleroadError::new(ResultCode::DeadlineTooShort, "the deadline has passed");
+            return Err(late.retry_after(NO_REPLICA_RETRY_MS));
         }
         let mut view = self.state.view();
-        let Some(route) = view.router.choose(now, &request.shape, tried) else {
+        let Some(route) = view.router.choose(now, shape, tried) else {
             return Err(
                 MoleroadError::new(ResultCode::NoReplica, "").retry_after(NO_REPLICA_RETRY_MS)
             );
         };
-        let work = request.shape.work;
+        let work = shape.work;
         view.router.started(&route.instance, work);
         Ok(Dispatch {
             state: Arc::clone(&self.state),
@@ -281,14 +257,20 @@
         &self,
         request: &CallerRequest,
         mut dispatch: Dispatch,
+        resume_events: u64,
     ) -> Result<Answered, MoleroadError> {
-        match forward(&self.state, request, &dispatch.route) {
+        match forward(&self.state, request, &dispatch.route, resume_events) {
             Forwarded::Whole(answer) => {
                 dispatch.finish = Finish::Answered;
                 Ok(Answered::Whole(answer))
             }
             Forwarded::Stream(status, content_type, response) => {
-                Ok(Answered::Stream(status, content_type, response, dispatch))
+                Ok(Answered::Stream(BegunStream {
+                    status,
+                    content_type,
+                    response,
+                    dispatch,
+                }))
             }
             Forwarded::NotRun(error) => {
                 if error.code != ResultCode::TargetRefused {
@@ -328,44 +310,69 @@
 
     /// Passes a streamed answer on. It gets its end mark only if the target's
     /// last event came; otherwise an error event and a broken end follow.
-    fn pass_stream(
-        &self,
-        exchange: Exchange,
-        request: &CallerRequest,
-        status: u16,
-        content_type: &str,
-        mut response: Response,
-        mut dispatch: Dispatch,
-    ) {
+    fn pass_stream(&self, exchange: Exchange, request: &CallerRequest, begun: BegunStream) {
+        let status = begun.status;
         let headers = [(header::REQUEST_ID.to_string(), request.request.to_string())];
-        let Ok(mut stream) = exchange.stream(status, content_type, &headers) else {
-            dispatch.finish = Finish::Answered;
+        let Ok(mut stream) = exchange.stream(status, &begun.content_type, &headers) else {
             return;
         };
-        let mut piece = [0; PIECE_BYTES];
-        let mut tail = StreamTail::default();
-        let reason = loop {
-            match response.read(&mut piece) {
-                Ok(0) if tail.is_whole() => {
-                    dispatch.finish = Finish::Answered;
+        let root = begun.dispatch.route.serves.root();
+        let mut events = EventSplitter::default();
+        let mut begun = begun;
+        loop {
+            let reason = match pass_events(&mut begun, &mut events, &mut stream) {
+                Passed::Whole => {
                     self.ended(Some(request), status, None);
                     return stream.finish();
                 }
-                Ok(0) => break "the stream ended without its last event".to_string(),
-                Ok(count) => {
-                    tail.push(&piece[..count]);
-                    if stream.send(&piece[..count]).is_err() {
-                        // The caller is gone; dropping the response cancels.
-                        dispatch.finish = Finish::Answered;
-                        return;
-                    }
+                // Dropping the target's answer cancels the request there.
+                Passed::CallerGone => return,
+                Passed::Broken(reason) => reason,
+            };
+            let tried = [begun.dispatch.route.instance.clone()];
+            drop(begun);
+            match self.resume(request, root, events.passed(), &tried) {
+                Some(resumed) => begun = resumed,
+                None => {
+                    let error = MoleroadError::new(ResultCode::AnswerIncomplete, reason);
+                    self.ended(Some(request), status, Some(error.code));
+                    let event = format!("event: error\ndata: {}\n\n", error_json(&error));
+                    let _ = stream.send(event.as_bytes());
+                    return;
                 }
-                Err(error) => break error.to_string(),
             }
+        }
+    }
+
+    /// Has another replica of the same weights go on with a broken stream.
+    fn resume(
+        &self,
+        request: &CallerRequest,
+        root: Option<RootDigest>,
+        passed: u64,
+        tried: &[InstanceId],
+    ) -> Option<BegunStream> {
+        if !request.repeatable || root.is_none() || !self.may_retry(request) {
+            return None;
+        }
+        let shape = RequestShape {
+            root,
+            ..request.shape.clone()
         };
-        let error = MoleroadError::new(ResultCode::AnswerIncomplete, reason);
-        self.ended(Some(request), status, Some(error.code));
-        let _ = stream.send(format!("event: error\ndata: {}\n\n", error_json(&error)).as_bytes());
+        let dispatch = self.choose(request, &shape, tried).ok()?;
+        let (request_id, target) = (request.request.clone(), dispatch.route.instance.clone());
+        self.state
+            .context
+            .events
+            .record(EventKind::RequestDispatched {
+                request: request_id,
+                target,
+            });
+        self.state.context.metrics.retries.inc();
+        match self.attempt(request, dispatch, passed) {
+            Ok(Answered::Stream(begun)) => Some(begun),
+            _ => None,
+        }
     }
 
     fn ended(&self, request: Option<&CallerRequest>, status: u16, code: Option<ResultCode>) {
--- a/crates/moleroad_fakes/src/deployment.rs
+++ b/crates/moleroad_fakes/src/deployment.rs
@@ -126,6 +126,7 @@
             let http_address = free_port(rpc_address.ip());
             let entry = EntrySettings {
                 entries_keep_ms: self.shape.entries_keep_ms,
+                routing_policy: self.shape.routing_policy,
                 ..EntrySettings::default()
             };
             let control = control.then(|| Box::new(self.control_settings(&instance)));
@@ -223,15 +224,24 @@
         let address = free_port(ip);
         let name = format!("engine-{position}");
         if self.shape.engines_in_harness {
-            let engine = FakeEngine::start(address, self.shape.token_time);
+            let engine = FakeEngine::start(address, self.shape.token_time, self.shape.engine_slots);
             self.engines.insert(InstanceId::new(&name), engine);
             return self.start_agent(&name, ip, position, TargetSettings::Engine { address });
         }
         let token_ms = self.shape.token_time.as_millis().to_string();
+        let slots = self.shape.engine_slots.to_string();
         let at = address.to_string();
         self.start_stand_in(
             &format!("{name}-target"),
-            &["engine", "--address", &at, "--token-ms", &token_ms],
+            &[
+                "engine",
+                "--address",
+                &at,
+                "--token-ms",
+                &token_ms,
+                "--slots",
+                &slots,
+            ],
         )?;
         self.start_agent(&name, ip, position, TargetSettings::Engine { address })
     }
@@ -269,7 +279,9 @@
             link_bytes_per_second: self.shape.link_bytes_per_second,
             target,
             upload_slots: 3,
-            max_requests: 128,
+            max_requests: 256,
+            target_places: self.shape.target_places,
+            max_waiting_per_account: 64,
             probe_ms: 100,
         };
         let settings = self.settings(
--- a/crates/moleroad_fakes/src/shape.rs
+++ b/crates/moleroad_fakes/src/shape.rs
@@ -1,6 +1,6 @@
 //! What a deployment consists of.
 
-use moleroad_settings::settings::{ObjectiveSetting, PlanSetting};
+use moleroad_settings::settings::{ObjectiveSetting, PlanSetting, RoutingPolicySetting};
 use std::time::Duration;
 
 /// A data hall.
@@ -39,6 +39,12 @@
     pub holder_wait_ms: u64,
     /// Time an engine takes for a token.
     pub token_time: Duration,
+    /// Requests that an engine runs at a time; the others wait in it.
+    pub engine_slots: usize,
+    /// Requests that an agent lets its target have at a time.
+    pub target_places: usize,
+    /// How entries choose targets.
+    pub routing_policy: RoutingPolicySetting,
     /// Time a plain service takes for an answer.
     pub service_time: Duration,
     /// How long callers may keep the answer about entries.
@@ -78,6 +84,9 @@
             plan: PlanSetting::Swarm,
             holder_wait_ms: 3_000,
             token_time: Duration::from_millis(5),
+            engine_slots: 32,
+            target_places: 32,
+            routing_policy: RoutingPolicySetting::ExpectedWork,
             service_time: Duration::from_millis(1),
             entries_keep_ms: 1_000,
             snapshot_entries: 1_000,
--- a/crates/moleroad_routing/src/lib.rs
+++ b/crates/moleroad_routing/src/lib.rs
@@ -29,6 +29,7 @@
 //! ```
 #![warn(missing_docs)]
 
+pub mod fair_queue;
 pub mod limits;
 pub mod load;
 pub mod retry;
@@ -37,6 +38,7 @@
 
 /// The types most users of the crate need.
 pub mod prelude {
+    pub use crate::fair_queue::{FairQueue, QueueTicket, Queued};
     pub use crate::limits::{AccountLimits, LimitShare};
     pub use crate::load::{Finish, TargetLoad};
     pub use crate::retry::RetryBudget;
--- a/crates/moleroad_routing/src/router.rs
+++ b/crates/moleroad_routing/src/router.rs
@@ -53,6 +53,8 @@
     pub work: u64,
     /// Hash of the prompt's beginning; equal ones profit from one target.
     pub prefix: Option<u64>,
+    /// Weights that the answer must come from, once it has begun.
+    pub root: Option<RootDigest>,
 }
 
 impl RequestShape {
@@ -62,6 +64,7 @@
             destination,
             work,
             prefix: None,
+            root: None,
         }
     }
 }
@@ -139,7 +142,11 @@
         tried: &[InstanceId],
     ) -> Option<TargetRoute> {
         let listed = self.by_destination.get(&shape.destination)?;
-        let untried = listed.iter().filter(|instance| !tried.contains(instance));
+        let fits = |instance: &&InstanceId| {
+            shape.root.is_none() || self.targets[*instance].route.serves.root() == shape.root
+        };
+        let listed = listed.iter().filter(fits);
+        let untried = listed.filter(|instance| !tried.contains(instance));
         let sound = |instance: &&InstanceId| !self.targets[*instance].load.is_ejected(now);
         let mut candidates: Vec<&InstanceId> = untried.clone().filter(sound).collect();
         if candidates.is_empty() {
--- a/crates/moleroad_settings/src/settings.rs
+++ b/crates/moleroad_settings/src/settings.rs
@@ -77,6 +77,21 @@
     pub default_deadline_ms: u64,
     /// Share of an account's requests that may be sent a second time.
     pub retry_budget_percent: u32,
+    /// How targets are chosen; all but `expected_work` exist for comparison.
+    pub routing_policy: RoutingPolicySetting,
+}
+
+/// How targets are chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RoutingPolicySetting {
+    /// Any target.
+    Random,
+    /// The target with the least of this entry's work in flight.
+    LeastInFlight,
+    /// The better of two by expected work, with data hall cost and affinity.
+    #[default]
+    ExpectedWork,
 }
 
 impl Default for EntrySettings {
@@ -88,6 +103,7 @@
             max_requests: 256,
             default_deadline_ms: 30_000,
             retry_budget_percent: 10,
+            routing_policy: RoutingPolicySetting::default(),
         }
     }
 }
@@ -228,9 +244,15 @@
     /// Chunks sent to peers at a time.
     #[serde(default = "default_upload_slots")]
     pub upload_slots: usize,
-    /// Requests handled at a time.
+    /// Requests handled at a time, those that wait for their turn included.
     #[serde(default = "default_agent_max_requests")]
     pub max_requests: usize,
+    /// Requests at the target at a time; the others wait for their turn.
+    #[serde(default = "default_target_places")]
+    pub target_places: usize,
+    /// Requests of one account that may wait for their turn.
+    #[serde(default = "default_max_waiting_per_account")]
+    pub max_waiting_per_account: usize,
     /// Time between looks at the target.
     #[serde(default = "default_probe_ms")]
     pub probe_ms: u64,
@@ -240,7 +262,13 @@
     3
 }
 fn default_agent_max_requests() -> usize {
-    128
+    256
+}
+fn default_target_places() -> usize {
+    32
+}
+fn default_max_waiting_per_account() -> usize {
+    64
 }
 fn default_probe_ms() -> u64 {
     200
@@ -429,10 +457,10 @@
         if self.link_bytes_per_second == 0 {
             return Err(("agent.link_bytes_per_second", "must be above zero"));
         }
-        if self.upload_slots == 0 || self.max_requests == 0 {
+        if self.upload_slots == 0 || self.max_requests == 0 || self.target_places == 0 {
             return Err((
                 "agent.upload_slots",
-                "upload_slots and max_requests must be above zero",
+                "upload_slots, max_requests and target_places must be above zero",
             ));
         }
         Ok(())
