--- a/crates/moleroad_daemon/src/agent/mod.rs
+++ b/crates/moleroad_daemon/src/agent/mod.rs
@@ -33,6 +33,8 @@
 
 /// Threads beyond the requests' own that chunks and probes may take.
 const EXTRA_HTTP_PLACES: usize = 64;
+/// How often the main thread looks whether it was asked to stop.
+const STOP_POLL: Duration = Duration::from_millis(100);
 /// How often a leaving agent looks whether its work is done.
 const LEAVE_POLL: Duration = Duration::from_millis(20);
 /// Time in which entries learn that the target is leaving, at the most.
@@ -99,7 +101,7 @@
     /// Serves until asked to stop and the last request has ended.
     pub fn run(self) {
         while !self.shared.context.is_leaving() {
-            thread::sleep(LEAVE_POLL);
+            thread::sleep(STOP_POLL);
         }
         self.shared.admission.leave();
         // Entries that still route here are answered "not run" meanwhile.
--- a/crates/moleroad_daemon/src/agent/worker.rs
+++ b/crates/moleroad_daemon/src/agent/worker.rs
@@ -18,8 +18,10 @@
 use std::thread;
 use std::time::Duration;
 
-/// Longest wait for an event before time is looked at.
-const TICK: Duration = Duration::from_millis(10);
+/// Longest wait for an event while chunks are fetched or weights switched.
+const BUSY_TICK: Duration = Duration::from_millis(10);
+/// Longest wait for an event otherwise.
+const IDLE_TICK: Duration = Duration::from_millis(100);
 /// Shortest time between two reports of mere progress.
 const PROGRESS_REPORT_MS: u64 = 100;
 /// Wait after a report that failed.
@@ -113,7 +115,7 @@
 
     pub(crate) fn run(mut self) {
         loop {
-            match self.events.recv_timeout(TICK) {
+            match self.events.recv_timeout(self.tick()) {
                 Ok(event) => self.take(event),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
@@ -127,6 +129,20 @@
         }
     }
 
+    fn tick(&self) -> Duration {
+        let fetching = self
+            .holds
+            .values()
+            .any(|hold| hold.order.is_some() && !hold.swarm.is_complete());
+        let switching = self.switch.is_under_way();
+        let unreported = self.outstanding == 0 || self.progress_unreported;
+        if fetching || switching || unreported {
+            BUSY_TICK
+        } else {
+            IDLE_TICK
+        }
+    }
+
     fn now(&self) -> Millis {
         self.shared.context.clock.now()
     }
--- a/crates/moleroad_daemon/src/control/leadership.rs
+++ b/crates/moleroad_daemon/src/control/leadership.rs
@@ -633,6 +633,11 @@
         })
     }
 
+    /// Whether some agent does not hold yet what it shall hold.
+    pub(super) fn is_transferring(&self) -> bool {
+        self.planner.is_transferring()
+    }
+
     /// The manifest of `root`.
     pub(super) fn manifest(&self, root: RootDigest) -> Option<&Manifest> {
         self.weights
--- a/crates/moleroad_daemon/src/control/member.rs
+++ b/crates/moleroad_daemon/src/control/member.rs
@@ -18,8 +18,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Longest wait for a call before time is looked at.
-const TICK: Duration = Duration::from_millis(10);
+/// Longest wait for a call while weights are on their way.
+const BUSY_TICK: Duration = Duration::from_millis(10);
+/// Longest wait for a call otherwise.
+const IDLE_TICK: Duration = Duration::from_millis(25);
 /// Calls taken before the log is synced once for all of them.
 const MAX_BATCH: usize = 512;
 /// Time between two announcements of a member that is in no group.
@@ -110,7 +112,7 @@
 
     /// Waits for calls and takes those that are there; false at the end.
     fn take_calls(&mut self, calls: &Receiver<InboundCall>) -> bool {
-        match calls.recv_timeout(TICK) {
+        match calls.recv_timeout(self.tick()) {
             Ok(call) => self.take_call(call),
             Err(RecvTimeoutError::Timeout) => return true,
             Err(RecvTimeoutError::Disconnected) => return false,
@@ -118,13 +120,21 @@
         let started = Instant::now();
         for call in calls.try_iter().take(MAX_BATCH) {
             self.take_call(call);
-            if started.elapsed() > TICK {
+            if started.elapsed() > BUSY_TICK {
                 break;
             }
         }
         true
     }
 
+    fn tick(&self) -> Duration {
+        let transferring = self
+            .leadership
+            .as_ref()
+            .is_some_and(Leadership::is_transferring);
+        if transferring { BUSY_TICK } else { IDLE_TICK }
+    }
+
     fn take_call(&mut self, call: InboundCall) {
         match call {
             InboundCall::Replicate(from, message) => self.event(Event::Receive { from, message }),
--- a/crates/moleroad_daemon/src/entry/mod.rs
+++ b/crates/moleroad_daemon/src/entry/mod.rs
@@ -28,6 +28,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// How often the main thread looks whether it was asked to stop.
+const STOP_POLL: Duration = Duration::from_millis(100);
 /// How often a leaving entry looks whether its work is done.
 const LEAVE_POLL: Duration = Duration::from_millis(20);
 /// Time in which the other entries learn that this one is leaving, at the most.
@@ -69,7 +71,7 @@
     /// lapsed, and the last request has ended.
     pub fn run(self) {
         while !self.context.is_leaving() {
-            thread::sleep(LEAVE_POLL);
+            thread::sleep(STOP_POLL);
         }
         let lapsed =
             Instant::now() + WITHDRAWAL + Duration::from_millis(self.settings.entries_keep_ms);
--- a/crates/moleroad_routing/src/router.rs
+++ b/crates/moleroad_routing/src/router.rs
@@ -15,7 +15,7 @@
     Random,
     /// The target with the least of this entry's work in flight.
     LeastInFlight,
-    /// The better of two by expected work, with data hall cost and affinity.
+    /// The best of a few by expected work, with data hall cost and affinity.
     #[default]
     ExpectedWork,
 }
@@ -27,8 +27,8 @@
     pub policy: Policy,
     /// Work, in tokens, that the way to another data hall counts as.
     pub hall_cost: u64,
-    /// Work above the least loaded one at which a target loses its affinity.
-    pub affinity_slack: u64,
+    /// Targets that are compared for each request.
+    pub compared_targets: usize,
     /// Time over which a new replica's share grows to full.
     pub slow_start_ms: u64,
 }
@@ -38,12 +38,23 @@
         Self {
             policy: Policy::ExpectedWork,
             hall_cost: 96,
-            affinity_slack: 256,
+            compared_targets: 4,
             slow_start_ms: 2_000,
         }
     }
 }
 
+/// The beginning of a prompt, as far as it decides affinity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptPrefix {
+    /// Hash over account, model and beginning.
+    pub hash: u64,
+    /// Tokens that a target saves that has the beginning in its cache. A
+    /// target may be loaded by so much more than the best one and still be
+    /// worth going to.
+    pub tokens: u64,
+}
+
 /// What the choice needs to know of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestShape {
@@ -51,8 +62,8 @@
     pub destination: Destination,
     /// Expected work, in tokens; 1 for a plain service.
     pub work: u64,
-    /// Hash of the prompt's beginning; equal ones profit from one target.
-    pub prefix: Option<u64>,
+    /// The prompt's beginning; equal ones profit from one target.
+    pub prefix: Option<PromptPrefix>,
     /// Weights that the answer must come from, once it has begun.
     pub root: Option<RootDigest>,
 }
@@ -141,6 +152,7 @@
         shape: &RequestShape,
         tried: &[InstanceId],
     ) -> Option<TargetRoute> {
+        let draw: u64 = self.random.random();
         let listed = self.by_destination.get(&shape.destination)?;
         let fits = |instance: &&InstanceId| {
             shape.root.is_none() || self.targets[*instance].route.serves.root() == shape.root
@@ -155,7 +167,7 @@
         }
         let chosen = match self.settings.policy {
             _ if candidates.len() <= 1 => candidates.first().copied().cloned()?,
-            Policy::Random => candidates[self.random.random_range(0..candidates.len())].clone(),
+            Policy::Random => candidates[draw as usize % candidates.len()].clone(),
             Policy::LeastInFlight => {
                 let least = candidates
                     .iter()
@@ -163,39 +175,49 @@
                 (**least?).clone()
             }
             Policy::ExpectedWork => {
-                let first = self.random.random_range(0..candidates.len());
-                let second =
-                    (first + self.random.random_range(1..candidates.len())) % candidates.len();
-                let affine = shape
-                    .prefix
-                    .and_then(|prefix| rendezvous(prefix, &candidates));
-                self.best_of(now, candidates[first], candidates[second], affine)
+                let best = self.best_of_sample(now, &candidates, draw);
+                self.affine_or(now, shape.prefix, &candidates, best)
             }
         };
         Some(self.targets[&chosen].route.clone())
     }
 
-    /// The better of two, unless the target with affinity is not much worse.
-    fn best_of(
+    /// The best of a few candidates drawn at random: comparing all would send
+    /// every entry to the same target at once, comparing one balances nothing.
+    fn best_of_sample<'a>(
+        &self,
+        now: Millis,
+        candidates: &[&'a InstanceId],
+        draw: u64,
+    ) -> &'a InstanceId {
+        let count = candidates.len();
+        let start = draw as usize % count;
+        // A stride without a common factor with the count visits each once.
+        let stride = coprime_stride(count, 1 + (draw >> 32) as usize % (count - 1));
+        let sample = (0..self.settings.compared_targets.min(count))
+            .map(|n| candidates[(start + n * stride) % count]);
+        let best = sample.min_by_key(|instance| self.cost(now, instance));
+        best.unwrap_or(candidates[start])
+    }
+
+    /// The target that the prompt's beginning belongs to, unless it is loaded
+    /// by more than having the beginning in its cache would save.
+    fn affine_or(
         &self,
         now: Millis,
-        first: &InstanceId,
-        second: &InstanceId,
-        affine: Option<&InstanceId>,
+        prefix: Option<PromptPrefix>,
+        candidates: &[&InstanceId],
+        best: &InstanceId,
     ) -> InstanceId {
-        let better = if self.cost(now, second) < self.cost(now, first) {
-            second
-        } else {
-            first
-        };
+        let affine = prefix
+            .and_then(|prefix| rendezvous(prefix.hash, candidates).map(|affine| (prefix, affine)));
         match affine {
-            Some(affine)
-                if self.cost(now, affine)
-                    <= self.cost(now, better) + self.settings.affinity_slack =>
+            Some((prefix, affine))
+                if self.cost(now, affine) <= self.cost(now, best) + prefix.tokens =>
             {
                 affine.clone()
             }
-            _ => better.clone(),
+            _ => best.clone(),
         }
     }
 
@@ -256,6 +278,20 @@
     }
 }
 
+/// The first number from `wanted` on that has no common factor with `count`.
+fn coprime_stride(count: usize, wanted: usize) -> usize {
+    let has_common_factor = |stride: usize| {
+        let (mut a, mut b) = (count, stride);
+        while b != 0 {
+            (a, b) = (b, a % b);
+        }
+        a != 1
+    };
+    (wanted..)
+        .find(|stride| !has_common_factor(*stride))
+        .unwrap_or(1)
+}
+
 /// The candidate that `prefix` belongs to by highest random weight, so that a
 /// target that comes or goes moves only its own share of prefixes.
 fn rendezvous<'a>(prefix: u64, candidates: &[&'a InstanceId]) -> Option<&'a InstanceId> {
--- a/crates/moleroad_transfer/src/planner.rs
+++ b/crates/moleroad_transfer/src/planner.rs
@@ -265,6 +265,13 @@
             .map_or(0, RootPlan::origin_granted_bytes)
     }
 
+    /// Whether some agent does not hold yet what it shall hold.
+    pub fn is_transferring(&self) -> bool {
+        self.roots
+            .values()
+            .any(|plan| plan.complete_agents() < plan.wanted().agents.len())
+    }
+
     /// Agents of `root` that hold all of it.
     pub fn complete_agents(&self, root: RootDigest) -> usize {
         self.roots.get(&root).map_or(0, RootPlan::complete_agents)
--- a/crates/moleroad_transfer/src/root_plan.rs
+++ b/crates/moleroad_transfer/src/root_plan.rs
@@ -51,6 +51,8 @@
     wanted: WantedWeights,
     chunks: Vec<ChunkState>,
     have: BTreeMap<InstanceId, (Region, ChunkSet)>,
+    /// Agents that hold every chunk.
+    complete: BTreeSet<InstanceId>,
     /// Chunks that nobody holds and nobody draws from the origin.
     unheld: BTreeSet<ChunkIndex>,
     /// Chunks with grants that are not carried out.
@@ -74,6 +76,7 @@
         Self {
             chunks: vec![ChunkState::default(); count],
             have: BTreeMap::new(),
+            complete: BTreeSet::new(),
             unheld: (0..count as u32).map(ChunkIndex).collect(),
             granted: BTreeSet::new(),
             importable: BTreeSet::new(),
@@ -114,6 +117,7 @@
         self.drop_grants_of(agent);
         self.distrusted
             .retain(|(distrusted, _)| distrusted != agent);
+        self.complete.remove(agent);
         let Some((region, have)) = self.have.remove(agent) else {
             return;
         };
@@ -184,6 +188,11 @@
         for chunk in self.distrusted_chunks(agent) {
             have.remove(chunk);
         }
+        if have.is_complete() {
+            self.complete.insert(agent.clone());
+        } else {
+            self.complete.remove(agent);
+        }
         let gained: Vec<ChunkIndex> = have.difference(&known).collect();
         let lost: Vec<ChunkIndex> = known.difference(&have).collect();
         self.have
@@ -490,12 +499,7 @@
     }
 
     pub(crate) fn complete_agents(&self) -> usize {
-        let complete = |agent: &&InstanceId| {
-            self.have
-                .get(*agent)
-                .is_some_and(|(_, have)| have.is_complete())
-        };
-        self.wanted.agents.iter().filter(complete).count()
+        self.complete.intersection(&self.wanted.agents).count()
     }
 
     pub(crate) fn grants_of(&self, agent: &InstanceId) -> Vec<Grant> {
