--- a/crates/moleroad_daemon/src/entry/dispatch.rs
+++ b/crates/moleroad_daemon/src/entry/dispatch.rs
@@ -11,6 +11,7 @@
     pub(crate) route: TargetRoute,
     /// Expected work, in tokens.
     pub(crate) work: u64,
+    pub(crate) started: Millis,
     pub(crate) finish: Finish,
 }
 
@@ -18,9 +19,13 @@
     fn drop(&mut self) {
         let now = self.state.context.clock.now();
         let (instance, incarnation) = (&self.route.instance, self.route.incarnation);
-        self.state
-            .view()
-            .router
-            .finished(now, instance, incarnation, self.work, self.finish);
+        self.state.view().router.finished(
+            now,
+            self.started,
+            instance,
+            incarnation,
+            self.work,
+            self.finish,
+        );
     }
 }
--- a/crates/moleroad_daemon/src/entry/forward.rs
+++ b/crates/moleroad_daemon/src/entry/forward.rs
@@ -90,10 +90,12 @@
 fn sort_answer(state: &EntryState, route: &TargetRoute, response: Response) -> Forwarded {
     let work = client::header(&response, header::WORK).and_then(|text| text.parse().ok());
     if let Some(work) = work {
-        state
-            .view()
-            .router
-            .reported(&route.instance, route.incarnation, work);
+        state.view().router.reported(
+            state.context.clock.now(),
+            &route.instance,
+            route.incarnation,
+            work,
+        );
     }
     if let Some(code) = client::header(&response, header::RESULT_CODE).and_then(code_of) {
         let retry_after_ms = client::header(&response, header::RETRY_AFTER)
--- a/crates/moleroad_daemon/src/entry/requests.rs
+++ b/crates/moleroad_daemon/src/entry/requests.rs
@@ -249,6 +249,7 @@
             state: Arc::clone(&self.state),
             route,
             work,
+            started: now,
             finish: Finish::Failed,
         })
     }
--- a/crates/moleroad_routing/src/load.rs
+++ b/crates/moleroad_routing/src/load.rs
@@ -21,10 +21,9 @@
 pub struct TargetLoad {
     /// Work that this entry has in flight there, in tokens.
     own_work: u64,
-    /// Work that the target reported in its last answer, from all entries.
-    reported_work: u64,
-    /// The part of the reported work that was this entry's own.
-    own_work_at_report: u64,
+    /// The part of the reported work that was other entries'.
+    others_at_report: u64,
+    reported_at: Millis,
     /// Failures in a row.
     failures: u32,
     /// Until when the target gets no requests after failures.
@@ -50,8 +49,8 @@
     pub fn new(now: Millis) -> Self {
         Self {
             own_work: 0,
-            reported_work: 0,
-            own_work_at_report: 0,
+            others_at_report: 0,
+            reported_at: now,
             failures: 0,
             ejected_until: Millis(0),
             since: now,
@@ -88,9 +87,9 @@
     }
 
     /// Takes the work that the target reports with an answer.
-    pub fn reported(&mut self, work: u64) {
-        self.reported_work = work;
-        self.own_work_at_report = self.own_work;
+    pub fn reported(&mut self, now: Millis, work: u64) {
+        self.others_at_report = work.saturating_sub(self.own_work);
+        self.reported_at = now;
     }
 
     /// Whether the target is left out because it failed.
@@ -98,10 +97,15 @@
         now < self.ejected_until
     }
 
-    /// Work expected ahead of a new request, in tokens: what the target
-    /// reported, corrected by what this entry has started and ended since.
-    pub fn expected_work(&self, now: Millis, slow_start_ms: u64) -> u64 {
-        let others = self.reported_work.saturating_sub(self.own_work_at_report);
+    /// Work expected ahead of a new request, in tokens: what others had there
+    /// when the target last reported, and what this entry has there now.
+    ///
+    /// The others' part fades over `fade_ms`, the usual time of a request:
+    /// kept up, it would keep this entry from a target that is long idle and
+    /// from which it would therefore never hear better.
+    pub fn expected_work(&self, now: Millis, slow_start_ms: u64, fade_ms: u64) -> u64 {
+        let age_ms = now.since(self.reported_at).min(fade_ms);
+        let others = self.others_at_report * (fade_ms - age_ms) / fade_ms.max(1);
         let unproven = if self.answered == 0 {
             UNPROVEN_WORK.min(self.own_work * 2)
         } else {
--- a/crates/moleroad_routing/src/router.rs
+++ b/crates/moleroad_routing/src/router.rs
@@ -8,6 +8,9 @@
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+/// Time that requests are taken to need until some have ended.
+const FIRST_USUAL_MS: u64 = 500;
+
 /// How a target is chosen; all but the last exist for comparison.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Policy {
@@ -25,7 +28,8 @@
 pub struct RouterSettings {
     /// How a target is chosen.
     pub policy: Policy,
-    /// Work, in tokens, that the way to another data hall counts as.
+    /// Work, in tokens, that the way to another data hall counts as. A few
+    /// milliseconds of way are less than one token takes.
     pub hall_cost: u64,
     /// Targets that are compared for each request.
     pub compared_targets: usize,
@@ -37,7 +41,7 @@
     fn default() -> Self {
         Self {
             policy: Policy::ExpectedWork,
-            hall_cost: 96,
+            hall_cost: 2,
             compared_targets: 4,
             slow_start_ms: 2_000,
         }
@@ -93,6 +97,8 @@
     data_hall: DataHall,
     random: SmallRng,
     targets: BTreeMap<InstanceId, Target>,
+    /// Usual time of a request, a moving average in milliseconds.
+    usual_ms: u64,
     /// Instances by what they answer for.
     by_destination: BTreeMap<Destination, Vec<InstanceId>>,
 }
@@ -105,6 +111,7 @@
             data_hall,
             random: SmallRng::seed_from_u64(seed),
             targets: BTreeMap::new(),
+            usual_ms: FIRST_USUAL_MS,
             by_destination: BTreeMap::new(),
         }
     }
@@ -228,7 +235,10 @@
         } else {
             self.settings.hall_cost
         };
-        target.load.expected_work(now, self.settings.slow_start_ms) + way
+        target
+            .load
+            .expected_work(now, self.settings.slow_start_ms, self.usual_ms)
+            + way
     }
 
     /// Counts a request as in flight at `instance`.
@@ -238,15 +248,20 @@
         }
     }
 
-    /// Takes a request off that was sent to `incarnation` of `instance`.
+    /// Takes a request off that was sent to `incarnation` of `instance` at
+    /// `started`.
     pub fn finished(
         &mut self,
         now: Millis,
+        started: Millis,
         instance: &InstanceId,
         incarnation: Incarnation,
         work: u64,
         finish: Finish,
     ) {
+        if finish == Finish::Answered {
+            self.usual_ms = (self.usual_ms * 15 + now.since(started)).div_ceil(16);
+        }
         if let Some(target) = self.targets.get_mut(instance)
             && target.route.incarnation == incarnation
         {
@@ -255,11 +270,17 @@
     }
 
     /// Takes the load that a target reported with an answer.
-    pub fn reported(&mut self, instance: &InstanceId, incarnation: Incarnation, work: u64) {
+    pub fn reported(
+        &mut self,
+        now: Millis,
+        instance: &InstanceId,
+        incarnation: Incarnation,
+        work: u64,
+    ) {
         if let Some(target) = self.targets.get_mut(instance)
             && target.route.incarnation == incarnation
         {
-            target.load.reported(work);
+            target.load.reported(now, work);
         }
     }
 
@@ -267,7 +288,9 @@
     pub fn least_work(&self, now: Millis, destination: &Destination) -> Option<u64> {
         let listed = self.by_destination.get(destination)?;
         let loads = listed.iter().map(|instance| &self.targets[instance].load);
-        loads.map(|load| load.expected_work(now, 0)).min()
+        loads
+            .map(|load| load.expected_work(now, 0, self.usual_ms))
+            .min()
     }
 }
 
