--- a/crates/moleroad_daemon/src/entry/requests.rs
+++ b/crates/moleroad_daemon/src/entry/requests.rs
@@ -244,7 +244,7 @@
             );
         };
         let work = shape.work;
-        view.router.started(&route.instance, work);
+        view.router.started(&route, work);
         Ok(Dispatch {
             state: Arc::clone(&self.state),
             route,
--- a/crates/moleroad_routing/src/router.rs
+++ b/crates/moleroad_routing/src/router.rs
@@ -8,6 +8,9 @@
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+/// Most candidates among which affinity goes by highest random weight.
+const MAX_RENDEZVOUS: usize = 64;
+
 /// Time that requests are taken to need until some have ended.
 const FIRST_USUAL_MS: u64 = 500;
 
@@ -18,7 +21,8 @@
     Random,
     /// The target with the least of this entry's work in flight.
     LeastInFlight,
-    /// The best of a few by expected work, with data hall cost and affinity.
+    /// The better of two of those with the least work, with data hall cost and
+    /// affinity.
     #[default]
     ExpectedWork,
 }
@@ -31,8 +35,9 @@
     /// Work, in tokens, that the way to another data hall counts as. A few
     /// milliseconds of way are less than one token takes.
     pub hall_cost: u64,
-    /// Targets that are compared for each request.
-    pub compared_targets: usize,
+    /// Share of other entries' work that counts beside this entry's own, as its
+    /// divisor. Their work is old news; its own is known exactly.
+    pub others_divisor: u64,
     /// Time over which a new replica's share grows to full.
     pub slow_start_ms: u64,
 }
@@ -42,7 +47,7 @@
         Self {
             policy: Policy::ExpectedWork,
             hall_cost: 2,
-            compared_targets: 4,
+            others_divisor: 8,
             slow_start_ms: 2_000,
         }
     }
@@ -90,17 +95,22 @@
     load: TargetLoad,
 }
 
+/// Position of a target in the router's list.
+type Slot = usize;
+
 /// The targets that one entry may use, and their load.
 #[derive(Clone, Debug)]
 pub struct Router {
     settings: RouterSettings,
     data_hall: DataHall,
     random: SmallRng,
-    targets: BTreeMap<InstanceId, Target>,
+    /// Targets by slot; a slot that came free is used again.
+    targets: Vec<Option<Target>>,
+    slots: BTreeMap<InstanceId, Slot>,
     /// Usual time of a request, a moving average in milliseconds.
     usual_ms: u64,
-    /// Instances by what they answer for.
-    by_destination: BTreeMap<Destination, Vec<InstanceId>>,
+    /// Slots by what they answer for, in a steady order.
+    by_destination: BTreeMap<Destination, Vec<Slot>>,
 }
 
 impl Router {
@@ -110,7 +120,8 @@
             settings,
             data_hall,
             random: SmallRng::seed_from_u64(seed),
-            targets: BTreeMap::new(),
+            targets: Vec::new(),
+            slots: BTreeMap::new(),
             usual_ms: FIRST_USUAL_MS,
             by_destination: BTreeMap::new(),
         }
@@ -121,35 +132,49 @@
     /// Load and health stay as long as the incarnation and what is served stay
     /// the same, and start fresh otherwise.
     pub fn set_route(&mut self, now: Millis, instance: InstanceId, route: Option<TargetRoute>) {
-        let old = self.targets.remove(&instance);
-        if let Some(old) = &old {
-            let destination = destination_of(&old.route.serves);
-            if let Some(list) = self.by_destination.get_mut(&destination) {
-                list.retain(|listed| *listed != instance);
-            }
-        }
+        let old = self.take_out(&instance);
         let Some(route) = route else { return };
         let kept = old.filter(|old| {
             old.route.incarnation == route.incarnation && old.route.serves == route.serves
         });
         let load = kept.map_or_else(|| TargetLoad::new(now), |old| old.load);
+        let slot = match self.targets.iter().position(Option::is_none) {
+            Some(free) => free,
+            None => {
+                self.targets.push(None);
+                self.targets.len() - 1
+            }
+        };
         self.by_destination
             .entry(destination_of(&route.serves))
             .or_default()
-            .push(instance.clone());
-        self.targets.insert(instance, Target { route, load });
+            .push(slot);
+        self.slots.insert(instance, slot);
+        self.targets[slot] = Some(Target { route, load });
+    }
+
+    fn take_out(&mut self, instance: &InstanceId) -> Option<Target> {
+        let slot = self.slots.remove(instance)?;
+        let old = self.targets[slot].take()?;
+        if let Some(listed) = self
+            .by_destination
+            .get_mut(&destination_of(&old.route.serves))
+        {
+            listed.retain(|other| *other != slot);
+        }
+        Some(old)
     }
 
     /// Instances that have a route.
     pub fn instances(&self) -> Vec<InstanceId> {
-        self.targets.keys().cloned().collect()
+        self.slots.keys().cloned().collect()
     }
 
     /// Whether any target answers for `destination`.
     pub fn knows(&self, destination: &Destination) -> bool {
         self.by_destination
             .get(destination)
-            .is_some_and(|list| !list.is_empty())
+            .is_some_and(|listed| !listed.is_empty())
     }
 
     /// The target for a request, without those already tried.
@@ -161,137 +186,136 @@
     ) -> Option<TargetRoute> {
         let draw: u64 = self.random.random();
         let listed = self.by_destination.get(&shape.destination)?;
-        let fits = |instance: &&InstanceId| {
-            shape.root.is_none() || self.targets[*instance].route.serves.root() == shape.root
-        };
-        let listed = listed.iter().filter(fits);
-        let untried = listed.filter(|instance| !tried.contains(instance));
-        let sound = |instance: &&InstanceId| !self.targets[*instance].load.is_ejected(now);
-        let mut candidates: Vec<&InstanceId> = untried.clone().filter(sound).collect();
-        if candidates.is_empty() {
-            // All failed lately: trying one beats refusing without a try.
-            candidates = untried.collect();
-        }
+        let fits =
+            |target: &Target| shape.root.is_none() || target.route.serves.root() == shape.root;
+        let untried = |target: &Target| !tried.contains(&target.route.instance);
+        let targets = listed
+            .iter()
+            .filter_map(|slot| self.targets[*slot].as_ref());
+        let open: Vec<&Target> = targets
+            .filter(|target| fits(target) && untried(target))
+            .collect();
+        let sound: Vec<&Target> = open
+            .iter()
+            .copied()
+            .filter(|target| !target.load.is_ejected(now))
+            .collect();
+        // All failed lately: trying one beats refusing without a try.
+        let candidates = if sound.is_empty() { open } else { sound };
         let chosen = match self.settings.policy {
-            _ if candidates.len() <= 1 => candidates.first().copied().cloned()?,
-            Policy::Random => candidates[draw as usize % candidates.len()].clone(),
-            Policy::LeastInFlight => {
-                let least = candidates
-                    .iter()
-                    .min_by_key(|i| self.targets[**i].load.own_work());
-                (**least?).clone()
-            }
+            _ if candidates.len() <= 1 => *candidates.first()?,
+            Policy::Random => candidates[draw as usize % candidates.len()],
+            Policy::LeastInFlight => candidates
+                .iter()
+                .copied()
+                .min_by_key(|target| target.load.own_work())?,
             Policy::ExpectedWork => {
-                let best = self.best_of_sample(now, &candidates, draw);
+                let best = self.best_of(now, &candidates, draw);
                 self.affine_or(now, shape.prefix, &candidates, best)
             }
         };
-        Some(self.targets[&chosen].route.clone())
+        Some(chosen.route.clone())
     }
 
-    /// The best of a few candidates drawn at random: comparing all would send
-    /// every entry to the same target at once, comparing one balances nothing.
-    fn best_of_sample<'a>(
-        &self,
-        now: Millis,
-        candidates: &[&'a InstanceId],
-        draw: u64,
-    ) -> &'a InstanceId {
-        let count = candidates.len();
-        let start = draw as usize % count;
-        // A stride without a common factor with the count visits each once.
-        let stride = coprime_stride(count, 1 + (draw >> 32) as usize % (count - 1));
-        let sample = (0..self.settings.compared_targets.min(count))
-            .map(|n| candidates[(start + n * stride) % count]);
-        let best = sample.min_by_key(|instance| self.cost(now, instance));
-        best.unwrap_or(candidates[start])
+    /// The better of two drawn from the candidates that cost least here.
+    ///
+    /// What this entry has in flight is exact and decides first. What others
+    /// have there is old news; going by it alone would send every entry to the
+    /// same target at once, so it only decides between two.
+    fn best_of<'a>(&self, now: Millis, candidates: &[&'a Target], draw: u64) -> &'a Target {
+        let least = candidates
+            .iter()
+            .map(|target| self.cost(now, target))
+            .min()
+            .unwrap_or(0);
+        let limit = least + self.settings.hall_cost;
+        let near = candidates
+            .iter()
+            .copied()
+            .filter(|target| self.cost(now, target) <= limit);
+        let near: Vec<&Target> = near.collect();
+        let first = near[draw as u32 as usize % near.len()];
+        let second = near[(draw >> 32) as usize % near.len()];
+        let others = |target: &Target| target.load.others_work(now, self.usual_ms);
+        if others(second) < others(first) {
+            second
+        } else {
+            first
+        }
     }
 
     /// The target that the prompt's beginning belongs to, unless it is loaded
     /// by more than having the beginning in its cache would save.
-    fn affine_or(
+    fn affine_or<'a>(
         &self,
         now: Millis,
         prefix: Option<PromptPrefix>,
-        candidates: &[&InstanceId],
-        best: &InstanceId,
-    ) -> InstanceId {
-        let affine = prefix
-            .and_then(|prefix| rendezvous(prefix.hash, candidates).map(|affine| (prefix, affine)));
-        match affine {
-            Some((prefix, affine))
-                if self.cost(now, affine) <= self.cost(now, best) + prefix.tokens =>
-            {
-                affine.clone()
-            }
-            _ => best.clone(),
+        candidates: &[&'a Target],
+        best: &'a Target,
+    ) -> &'a Target {
+        let Some(prefix) = prefix else { return best };
+        let affine = affine_to(prefix.hash, candidates);
+        if self.cost(now, affine) <= self.cost(now, best) + prefix.tokens {
+            affine
+        } else {
+            best
         }
     }
 
-    fn cost(&self, now: Millis, instance: &InstanceId) -> u64 {
-        let target = &self.targets[instance];
+    fn cost(&self, now: Millis, target: &Target) -> u64 {
         let way = if target.route.data_hall == self.data_hall {
             0
         } else {
             self.settings.hall_cost
         };
-        target
+        let own = target
             .load
-            .expected_work(now, self.settings.slow_start_ms, self.usual_ms)
-            + way
+            .weighed_own_work(now, self.settings.slow_start_ms);
+        let others = target.load.others_work(now, self.usual_ms) / self.settings.others_divisor;
+        own + others + way
+    }
+
+    fn target_mut(
+        &mut self,
+        instance: &InstanceId,
+        incarnation: Incarnation,
+    ) -> Option<&mut Target> {
+        let slot = *self.slots.get(instance)?;
+        self.targets[slot]
+            .as_mut()
+            .filter(|target| target.route.incarnation == incarnation)
     }
 
-    /// Counts a request as in flight at `instance`.
-    pub fn started(&mut self, instance: &InstanceId, work: u64) {
-        if let Some(target) = self.targets.get_mut(instance) {
+    /// Counts a request as in flight along `route`.
+    pub fn started(&mut self, route: &TargetRoute, work: u64) {
+        if let Some(target) = self.target_mut(&route.instance, route.incarnation) {
             target.load.started(work);
         }
     }
 
-    /// Takes a request off that was sent to `incarnation` of `instance` at
-    /// `started`.
+    /// Takes a request off that was sent along `route` at `started`.
     pub fn finished(
         &mut self,
         now: Millis,
         started: Millis,
-        instance: &InstanceId,
-        incarnation: Incarnation,
+        route: &TargetRoute,
         work: u64,
         finish: Finish,
     ) {
         if finish == Finish::Answered {
             self.usual_ms = (self.usual_ms * 15 + now.since(started)).div_ceil(16);
         }
-        if let Some(target) = self.targets.get_mut(instance)
-            && target.route.incarnation == incarnation
-        {
+        if let Some(target) = self.target_mut(&route.instance, route.incarnation) {
             target.load.finished(now, work, finish);
         }
     }
 
-    /// Takes the load that a target reported with an answer.
-    pub fn reported(
-        &mut self,
-        now: Millis,
-        instance: &InstanceId,
-        incarnation: Incarnation,
-        work: u64,
-    ) {
-        if let Some(target) = self.targets.get_mut(instance)
-            && target.route.incarnation == incarnation
-        {
+    /// Takes the work that a target reported with an answer.
+    pub fn reported(&mut self, now: Millis, route: &TargetRoute, work: u64) {
+        if let Some(target) = self.target_mut(&route.instance, route.incarnation) {
             target.load.reported(now, work);
         }
     }
-
-    /// Least expected work ahead of a new request for `destination`.
-    pub fn least_work(&self, now: Millis, destination: &Destination) -> Option<u64> {
-        let listed = self.by_destination.get(destination)?;
-        let loads = listed.iter().map(|instance| &self.targets[instance].load);
-        loads
-            .map(|load| load.expected_work(now, 0, self.usual_ms))
-            .min()
-    }
 }
 
 fn destination_of(serves: &Served) -> Destination {
@@ -301,30 +325,23 @@
     }
 }
 
-/// The first number from `wanted` on that has no common factor with `count`.
-fn coprime_stride(count: usize, wanted: usize) -> usize {
-    let has_common_factor = |stride: usize| {
-        let (mut a, mut b) = (count, stride);
-        while b != 0 {
-            (a, b) = (b, a % b);
-        }
-        a != 1
-    };
-    (wanted..)
-        .find(|stride| !has_common_factor(*stride))
-        .unwrap_or(1)
-}
-
-/// The candidate that `prefix` belongs to by highest random weight, so that a
-/// target that comes or goes moves only its own share of prefixes.
-fn rendezvous<'a>(prefix: u64, candidates: &[&'a InstanceId]) -> Option<&'a InstanceId> {
-    let weight = |instance: &InstanceId| {
+/// The candidate that a prompt's beginning belongs to.
+///
+/// Up to [`MAX_RENDEZVOUS`] candidates it is the one of highest random weight,
+/// so that a target that comes or goes moves only its own share; beyond that
+/// weighing all would cost more than it saves.
+fn affine_to<'a>(hash: u64, candidates: &[&'a Target]) -> &'a Target {
+    if candidates.len() > MAX_RENDEZVOUS {
+        return candidates[hash as usize % candidates.len()];
+    }
+    let weight = |target: &Target| {
         let mut hasher = DefaultHasher::new();
-        (prefix, instance.as_str()).hash(&mut hasher);
+        (hash, target.route.instance.as_str()).hash(&mut hasher);
         hasher.finish()
     };
     candidates
         .iter()
         .copied()
-        .max_by_key(|instance| weight(instance))
+        .max_by_key(|target| weight(target))
+        .unwrap_or(candidates[0])
 }
