--- a/crates/moleroad_settings/src/settings.rs
+++ b/crates/moleroad_settings/src/settings.rs
@@ -259,7 +259,7 @@
 }
 
 fn default_upload_slots() -> usize {
-    3
+    4
 }
 fn default_agent_max_requests() -> usize {
     256
--- a/crates/moleroad_transfer/src/swarm.rs
+++ b/crates/moleroad_transfer/src/swarm.rs
@@ -401,11 +401,17 @@
         }
     }
 
+    /// With few peers each sends more at a time, so that the link stays full.
+    fn max_per_peer(&self) -> usize {
+        let share = self.settings.max_in_flight.div_ceil(self.peers.len().max(1));
+        share.max(self.settings.max_per_peer)
+    }
+
     /// The rarest missing chunk that a free peer holds, and that peer.
     fn next_fetch(&mut self, now: Millis) -> Option<(ChunkIndex, InstanceId)> {
         let settings = self.settings;
-        let is_free =
-            |peer: &Peer| now >= peer.not_before && peer.in_flight < settings.max_per_peer;
+        let per_peer = self.max_per_peer();
+        let is_free = |peer: &Peer| now >= peer.not_before && peer.in_flight < per_peer;
         let free: Vec<(&InstanceId, &Peer)> = self
             .peers
             .iter()
