--- a/crates/moleroad_transfer/src/swarm.rs
+++ b/crates/moleroad_transfer/src/swarm.rs
@@ -403,7 +403,10 @@
 
     /// With few peers each sends more at a time, so that the link stays full.
     fn max_per_peer(&self) -> usize {
-        let share = self.settings.max_in_flight.div_ceil(self.peers.len().max(1));
+        let share = self
+            .settings
+            .max_in_flight
+            .div_ceil(self.peers.len().max(1));
         share.max(self.settings.max_per_peer)
     }
 
