--- a/crates/moleroad_consensus/src/repair.rs
+++ b/crates/moleroad_consensus/src/repair.rs
@@ -1,8 +1,9 @@
 //! Replacing lost voters, so that the group can stand the next loss.
 
 use crate::entry::{LogIndex, Payload};
+use crate::event::Action;
 use crate::member::{Configuration, MemberId, MemberInfo};
-use crate::replica::{Action, LeaderState, Replica, Role};
+use crate::replica::{LeaderState, Replica, Role};
 use moleroad_types::prelude::Millis;
 
 /// How long a spare member counts after it was last seen, in milliseconds.
--- a/crates/moleroad_consensus/src/replica.rs
+++ b/crates/moleroad_consensus/src/replica.rs
@@ -1,6 +1,7 @@
 //! One member's part in the agreement: the pure core.
 
-use crate::entry::{Entry, HardState, LogIndex, Payload, Snapshot};
+use crate::entry::{HardState, LogIndex, Payload, Snapshot};
+use crate::event::{Action, Event, Proposal};
 use crate::log::Log;
 use crate::member::{Configuration, MemberId, MemberInfo};
 use crate::message::Message;
@@ -58,96 +59,6 @@
     }
 }
 
-/// Names a proposal towards the caller that made it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ProposalTicket(pub u64);
-
-/// A command that the caller wants in the log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Proposal {
-    /// The caller's name for it.
-    pub ticket: ProposalTicket,
-    /// The encoded command.
-    pub data: Vec<u8>,
-}
-
-/// Something that happened.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// Time passed.
-    Tick,
-    /// A message came in.
-    Receive {
-        /// Who sent it, and where answers go.
-        from: MemberInfo,
-        /// The message.
-        message: Message,
-    },
-    /// Callers want commands in the log; one sync covers all of them.
-    Propose(Vec<Proposal>),
-    /// The applied state was encoded and may replace the log up to `index`.
-    Compact {
-        /// Last applied position that the state includes.
-        index: LogIndex,
-        /// The encoded state.
-        state: Vec<u8>,
-    },
-    /// A member with a data folder that is in no configuration is reachable.
-    SpareSeen(MemberInfo),
-    /// The founding members were named by an operator.
-    Found(Configuration),
-}
-
-/// Something the caller must do, in the order given.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Write and sync the voting state.
-    SaveHardState(HardState),
-    /// Drop stored entries from this position on.
-    Truncate(LogIndex),
-    /// Write and sync entries.
-    Append(Vec<Entry>),
-    /// Write and sync a snapshot, and with it only the entries that follow it.
-    SaveSnapshot {
-        /// The snapshot.
-        snapshot: Snapshot,
-        /// Entries after it that stay in the log.
-        keep: Vec<Entry>,
-    },
-    /// Send a message to a member.
-    Send {
-        /// Receiver.
-        to: MemberInfo,
-        /// Message.
-        message: Message,
-    },
-    /// Replace the applied state by a snapshot's.
-    Restore(Snapshot),
-    /// Apply committed entries to the state.
-    Apply(Vec<Entry>),
-    /// A proposal is in the log at this position and term; it counts only
-    /// when [`Action::Apply`] brings that position with that term.
-    Proposed {
-        /// The proposal.
-        ticket: ProposalTicket,
-        /// Its position.
-        index: LogIndex,
-        /// Its term.
-        term: Term,
-    },
-    /// A proposal was not taken because this member does not lead.
-    Refused {
-        /// The proposal.
-        ticket: ProposalTicket,
-        /// The leader, if one is known.
-        leader: Option<MemberInfo>,
-    },
-    /// This member now leads.
-    BecameLeader(Term),
-    /// This member led and does not any more; pending proposals are unknown.
-    LostLeadership,
-}
-
 /// What a leader knows of another member.
 #[derive(Clone, Debug)]
 pub(crate) struct Progress {
