--- /dev/null
+++ b/crates/moleroad_config/src/lib.rs
@@ -0,0 +1,31 @@
+//! Whole configurations: the routes, services, client accounts and limits
+//! that an operator sends as one document with one version.
+//!
+//! [`Configuration`](configuration::Configuration) is plain data.
+//! [`check`](check::check) refuses what may never be in force, and
+//! [`RouteTable`](route_table::RouteTable) is the form that requests are
+//! looked up in.
+//!
+//! ```
+//! use moleroad_config::prelude::*;
+//!
+//! let configuration = Configuration { version: ConfigVersion(7), ..Default::default() };
+//! assert!(check(&configuration).is_ok());
+//! let table = RouteTable::compile(&configuration);
+//! assert!(table.find("a.example", "/x/").is_none());
+//! ```
+#![warn(missing_docs)]
+
+pub mod check;
+pub mod configuration;
+pub mod route_table;
+
+/// The types most users of the crate need.
+pub mod prelude {
+    pub use crate::check::{ConfigurationError, check};
+    pub use crate::configuration::{
+        Backend, ConfigVersion, Configuration, EngineModel, Limits, OriginService, Repeatability,
+        Route, Service, StepModel, Tenant,
+    };
+    pub use crate::route_table::RouteTable;
+}
--- /dev/null
+++ b/crates/moleroad_config/tests/config.rs
@@ -0,0 +1,129 @@
+//! Checks of configurations, and look-ups in them.
+
+use moleroad_config::prelude::*;
+
+fn route(host: &str, prefix: &str, service: &str) -> Route {
+    Route {
+        name: format!("{host}{prefix}"),
+        host: host.into(),
+        prefix: prefix.into(),
+        backends: vec![Backend {
+            service: service.into(),
+            weight: 1,
+        }],
+        repeatability: Repeatability::Idempotent,
+        streaming: false,
+        resumable: false,
+        timeout_ms: 800,
+        target_latency_ms: 100,
+        target_pause_ms: 0,
+        max_attempts: 2,
+        priority: 1,
+        public: false,
+    }
+}
+
+fn service(name: &str) -> Service {
+    Service {
+        name: name.into(),
+        max_connections: 10,
+        slots: 0,
+        models: Vec::new(),
+        steps: None,
+        origin: None,
+        hall: None,
+    }
+}
+
+fn tenant(name: &str, keys: &[&str]) -> Tenant {
+    Tenant {
+        name: name.into(),
+        keys: keys.iter().map(|key| key.to_string()).collect(),
+        priority: None,
+    }
+}
+
+fn sound() -> Configuration {
+    Configuration {
+        version: ConfigVersion(3),
+        routes: vec![
+            route("a.example", "/x/", "one"),
+            route("a.example", "/x/y/", "two"),
+        ],
+        services: vec![service("one"), service("two")],
+        limits: Limits::default(),
+        tenants: vec![tenant("first", &["k1", "k2"]), tenant("second", &["k3"])],
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = RouteTable::compile(&sound());
+    let service_at = |host: &str, path: &str| {
+        let route = table.find(host, path)?;
+        Some(route.backends[0].service.clone())
+    };
+    assert_eq!(service_at("a.example", "/x/1").as_deref(), Some("one"));
+    assert_eq!(service_at("A.example:80", "/x/y/1").as_deref(), Some("two"));
+    assert_eq!(service_at("a.example", "/x"), None);
+    assert_eq!(service_at("b.example", "/x/1"), None);
+}
+
+/// Puts one fault into a sound configuration.
+type Spoil = Box<dyn Fn(&mut Configuration)>;
+
+#[test]
+fn each_kind_of_fault_is_refused_under_its_number() {
+    let faults: Vec<(&str, Spoil)> = vec![
+        ("MR-6102", Box::new(|c| c.services.truncate(1))),
+        ("MR-6103", Box::new(|c| c.routes[1].prefix = "/x/".into())),
+        ("MR-6104", Box::new(|c| c.routes[0].backends[0].weight = 0)),
+        ("MR-6104", Box::new(|c| c.routes[0].backends.clear())),
+        ("MR-6105", Box::new(|c| c.routes[1].timeout_ms = 0)),
+        ("MR-6106", Box::new(|c| c.tenants[1].keys[0] = "k2".into())),
+        ("MR-6107", Box::new(|c| c.services.push(service("one")))),
+        ("MR-6108", Box::new(|c| c.routes[0].prefix = "/x".into())),
+        ("MR-6109", Box::new(|c| c.version = ConfigVersion(0))),
+    ];
+    assert_eq!(check(&sound()), Ok(()));
+    for (number, spoil) in faults {
+        let mut configuration = sound();
+        spoil(&mut configuration);
+        let error = check(&configuration).expect_err(number).to_string();
+        assert!(error.starts_with(number), "{number}: {error}");
+    }
+}
+
+#[test]
+fn backends_are_drawn_by_weight() {
+    let mut split = route("a.example", "/", "one");
+    split.backends = vec![
+        Backend {
+            service: "one".into(),
+            weight: 90,
+        },
+        Backend {
+            service: "none".into(),
+            weight: 0,
+        },
+        Backend {
+            service: "two".into(),
+            weight: 10,
+        },
+    ];
+    let drawn = |draw| RouteTable::backend_of(&split, draw).map(|b| b.service.as_str());
+    let ones = (0..1000).filter(|draw| drawn(*draw) == Some("one")).count();
+    let twos = (0..1000).filter(|draw| drawn(*draw) == Some("two")).count();
+    assert_eq!((ones, twos), (900, 100));
+}
+
+#[test]
+fn a_key_names_its_tenant() {
+    let table = RouteTable::compile(&sound());
+    assert_eq!(
+        table.tenant_of("k3").map(|tenant| tenant.name.as_str()),
+        Some("second")
+    );
+    assert!(table.tenant_of("k4").is_none());
+    assert!(table.needs_key());
+}
--- a/crates/moleroad_consensus/src/member.rs
+++ b/crates/moleroad_consensus/src/member.rs
@@ -116,6 +116,15 @@
         next
     }
 
+    /// The joint configuration that makes the learner `joining` a voter.
+    pub fn adding(&self, joining: MemberId) -> Self {
+        let mut next = self.clone();
+        next.outgoing = self.voters.clone();
+        next.voters.insert(joining);
+        next.learners.remove(&joining);
+        next
+    }
+
     /// The configuration after the change: the outgoing set is dropped.
     pub fn leaving_joint(&self) -> Self {
         let mut next = self.clone();
--- a/crates/moleroad_consensus/src/repair.rs
+++ b/crates/moleroad_consensus/src/repair.rs
@@ -46,7 +46,9 @@
         if !settled || self.configuration.is_joint() {
             return None;
         }
-        let lost = self.lost_voter(state, now)?;
+        let Some(lost) = self.lost_voter(state, now) else {
+            return self.grown_configuration(state, now);
+        };
         let lost_info = self.configuration.members.get(&lost)?;
         if let Some(replacement) = self.ready_learner(state, now, lost_info) {
             return Some(self.configuration.replacing(lost, replacement));
@@ -58,6 +60,25 @@
         Some(self.configuration.with_learner(spare.clone()))
     }
 
+    /// The next step towards the wanted number of voters, if there are fewer.
+    fn grown_configuration(&self, state: &LeaderState, now: Millis) -> Option<Configuration> {
+        if self.configuration.voters.len() >= self.wanted_voters {
+            return None;
+        }
+        let own = self.configuration.members.get(&self.id)?;
+        if let Some(learner) = self.ready_learner(state, now, own) {
+            return Some(self.configuration.adding(learner));
+        }
+        if let Some(stale) = self.silent_learner(state, now) {
+            return Some(self.configuration.without_learner(stale));
+        }
+        if !self.configuration.learners.is_empty() {
+            return None;
+        }
+        let spare = self.best_spare(state, now, own)?;
+        Some(self.configuration.with_learner(spare.clone()))
+    }
+
     /// A voter that is silent for too long, or whose instance came back with
     /// another disk.
     fn lost_voter(&self, state: &LeaderState, now: Millis) -> Option<MemberId> {
@@ -73,7 +94,7 @@
             let silent_ms = now.since(progress.heard_at);
             let replaced = self.instance_has_other_disk(state, now, *id);
             silent_ms >= self.timing.repair_after_ms
-                || (replaced && silent_ms > self.timing.election_max_ms)
+                || (replaced && silent_ms > self.timing.lease_ms)
         })
     }
 
--- a/crates/moleroad_consensus/src/replica.rs
+++ b/crates/moleroad_consensus/src/replica.rs
@@ -109,6 +109,8 @@
     /// Sender of the message in hand: a member that is in no configuration
     /// yet can answer only there.
     pub(crate) correspondent: Option<MemberInfo>,
+    /// Voters to grow to when spare members are seen; 0 never grows.
+    pub(crate) wanted_voters: usize,
 }
 
 impl Replica {
@@ -139,11 +141,19 @@
             leader_heard_at: now,
             election_due: now,
             correspondent: None,
+            wanted_voters: 0,
         };
         replica.reset_election(now);
         replica
     }
 
+    /// The same replica, which as leader makes spare members voters until
+    /// there are `wanted` of them.
+    pub fn with_wanted_voters(mut self, wanted: usize) -> Self {
+        self.wanted_voters = wanted;
+        self
+    }
+
     /// Takes one event and returns what must be done, in order.
     pub fn on_event(&mut self, now: Millis, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
--- /dev/null
+++ b/crates/moleroad_directory/src/daemon.rs
@@ -0,0 +1,117 @@
+//! What a daemon says of itself.
+
+use crate::target::Holding;
+use moleroad_types::prelude::InstanceId;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// What a daemon does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DaemonRole {
+    /// Takes callers' requests.
+    Entry,
+    /// Brings weights to the engine of its instance.
+    Agent,
+}
+
+/// Whether a daemon goes on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DaemonState {
+    /// Has no configuration yet.
+    Starting,
+    /// Works.
+    #[default]
+    Ready,
+    /// Was asked to stop.
+    Leaving,
+}
+
+/// Which pieces of one version of a model an agent can give to others.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PieceMap {
+    /// Name of the model.
+    pub model: String,
+    /// Version of the weights.
+    pub version: u64,
+    /// One bit for each piece, lowest first.
+    pub bits: Vec<u64>,
+}
+
+impl PieceMap {
+    /// A map without pieces.
+    pub fn empty(model: impl Into<String>, version: u64, pieces: u32) -> Self {
+        Self {
+            model: model.into(),
+            version,
+            bits: vec![0; pieces.div_ceil(64) as usize],
+        }
+    }
+
+    /// Whether `piece` is held.
+    pub fn has(&self, piece: u32) -> bool {
+        let word = self.bits.get(piece as usize / 64);
+        word.is_some_and(|word| word >> (piece % 64) & 1 == 1)
+    }
+
+    /// Marks `piece` as held or not.
+    pub fn set(&mut self, piece: u32, held: bool) {
+        let Some(word) = self.bits.get_mut(piece as usize / 64) else {
+            return;
+        };
+        let bit = 1 << (piece % 64);
+        *word = if held { *word | bit } else { *word & !bit };
+    }
+
+    /// Number of pieces held.
+    pub fn count(&self) -> u32 {
+        self.bits.iter().map(|word| word.count_ones()).sum()
+    }
+}
+
+/// What an agent last read from its engine.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait at the engine.
+    pub queued: u32,
+    /// Layers the engine holds.
+    pub holdings: Vec<Holding>,
+    /// Whether the agent asks for no new requests: a change of weights is due.
+    pub switching: bool,
+    /// How much slower than published the engine is; 1 is as published.
+    pub pace: f32,
+}
+
+/// What a daemon last said of itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DaemonRecord {
+    /// Instance it runs on.
+    pub instance: InstanceId,
+    /// Drawn at each start.
+    pub incarnation: u64,
+    /// Rises with each change within an incarnation.
+    pub sequence: u64,
+    /// What it does.
+    pub role: DaemonRole,
+    /// Whether it goes on.
+    pub state: DaemonState,
+    /// Address that takes calls of other daemons.
+    pub peer: SocketAddr,
+    /// Address that takes callers' requests.
+    pub frontend: Option<SocketAddr>,
+    /// Address that takes targets' and operators' calls.
+    pub control: Option<SocketAddr>,
+    /// Data hall.
+    pub hall: String,
+    /// Region.
+    pub region: String,
+    /// The engine of its instance.
+    pub engine: Option<SocketAddr>,
+    /// Service of that engine.
+    pub service: Option<String>,
+    /// Pieces it can give.
+    pub pieces: Option<PieceMap>,
+    /// What it last read from the engine.
+    pub report: Option<EngineReport>,
+}
--- /dev/null
+++ b/crates/moleroad_directory/src/directory.rs
@@ -0,0 +1,243 @@
+//! The tables of targets and daemons, and how they are merged.
+
+use crate::daemon::{DaemonRecord, DaemonRole, DaemonState};
+use crate::target::{TargetId, TargetLife, TargetRecord};
+use moleroad_types::prelude::{InstanceId, Millis};
+use std::collections::BTreeMap;
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+
+/// Silence after which a daemon is not named to callers, in milliseconds.
+pub const DAEMON_QUIET_MS: u64 = 2_500;
+/// Silence after which a daemon is forgotten, in milliseconds.
+pub const DAEMON_FORGOTTEN_MS: u64 = 60_000;
+/// How long a target that is gone is remembered, in milliseconds: longer than
+/// any call of it can be late.
+pub const GONE_REMEMBERED_MS: u64 = 60_000;
+/// Silence after which a target is forgotten, in milliseconds.
+pub const TARGET_FORGOTTEN_MS: u64 = 45_000;
+/// Most targets that are kept; further ones are not taken.
+pub const MAX_TARGETS: usize = 8_192;
+/// Most daemons that are kept; further ones are not taken.
+pub const MAX_DAEMONS: usize = 4_096;
+/// Fewest entries named to a caller, if there are that many.
+const FEWEST_NAMED: usize = 2;
+/// Most entries named to a caller.
+const MOST_NAMED: usize = 64;
+
+/// A record and when its subject last spoke, by this process's clock.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Heard<T> {
+    /// What was said.
+    pub record: T,
+    /// When it was last said.
+    pub at: Millis,
+}
+
+/// What hearing of a target changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetChange {
+    /// Nothing: it was older than what is known.
+    Stale,
+    /// Only the time at which it was last heard.
+    Renewed,
+    /// What is known of it.
+    Changed,
+}
+
+/// All that one daemon knows of targets and daemons.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    daemons: BTreeMap<InstanceId, Heard<DaemonRecord>>,
+    targets: BTreeMap<TargetId, Heard<TargetRecord>>,
+}
+
+impl Directory {
+    /// Knows nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes what a target said `age_ms` ago.
+    pub fn hear_target(&mut self, now: Millis, record: TargetRecord, age_ms: u64) -> TargetChange {
+        let at = Millis(now.0.saturating_sub(age_ms));
+        let Some(known) = self.targets.get_mut(&record.id) else {
+            return self.add_target(at, record);
+        };
+        let life = known.record.life.max(record.life);
+        if record.sequence < known.record.sequence {
+            // A late call can still tell that the target leaves.
+            let changed = life > known.record.life;
+            known.record.life = life;
+            return if changed {
+                TargetChange::Changed
+            } else {
+                TargetChange::Stale
+            };
+        }
+        known.at = known.at.max(at);
+        let next = TargetRecord { life, ..record };
+        let mut renewed = next.clone();
+        renewed.sequence = known.record.sequence;
+        renewed.cold_left_ms = known.record.cold_left_ms;
+        let change = if renewed == known.record {
+            TargetChange::Renewed
+        } else {
+            TargetChange::Changed
+        };
+        known.record = next;
+        change
+    }
+
+    fn add_target(&mut self, at: Millis, record: TargetRecord) -> TargetChange {
+        if self.targets.len() >= MAX_TARGETS {
+            return TargetChange::Stale;
+        }
+        // An address has one life at a time: the one that was heard last.
+        let others = self.targets.values_mut().filter(|other| {
+            other.record.address == record.address && other.record.life != TargetLife::Gone
+        });
+        let mut life = record.life;
+        for other in others {
+            if other.at <= at {
+                other.record.life = TargetLife::Gone;
+            } else {
+                life = TargetLife::Gone;
+            }
+        }
+        let record = TargetRecord { life, ..record };
+        self.targets.insert(record.id.clone(), Heard { record, at });
+        TargetChange::Changed
+    }
+
+    /// Marks a target as gone; true if that is news.
+    pub fn target_gone(&mut self, now: Millis, id: &TargetId) -> bool {
+        match self.targets.get_mut(id) {
+            Some(known) => {
+                let news = known.record.life != TargetLife::Gone;
+                known.record.life = TargetLife::Gone;
+                known.at = known.at.max(now);
+                news
+            }
+            None => false,
+        }
+    }
+
+    /// Takes what a daemon said `age_ms` ago; true if that is more than a
+    /// sign of life.
+    pub fn hear_daemon(&mut self, now: Millis, record: DaemonRecord, age_ms: u64) -> bool {
+        let at = Millis(now.0.saturating_sub(age_ms));
+        let Some(known) = self.daemons.get_mut(&record.instance) else {
+            if self.daemons.len() < MAX_DAEMONS {
+                let instance = record.instance.clone();
+                self.daemons.insert(instance, Heard { record, at });
+            }
+            return true;
+        };
+        let same_life = known.record.incarnation == record.incarnation;
+        let older = if same_life {
+            record.sequence < known.record.sequence
+        } else {
+            at < known.at
+        };
+        if older {
+            return false;
+        }
+        known.at = known.at.max(at);
+        let changed = known.record != record;
+        known.record = record;
+        changed
+    }
+
+    /// Drops what was not renewed for long.
+    pub fn expire(&mut self, now: Millis) {
+        self.daemons
+            .retain(|_, daemon| now.since(daemon.at) < DAEMON_FORGOTTEN_MS);
+        self.targets.retain(|_, target| {
+            let limit = match target.record.life {
+                TargetLife::Gone => GONE_REMEMBERED_MS,
+                _ => TARGET_FORGOTTEN_MS,
+            };
+            now.since(target.at) < limit
+        });
+    }
+
+    /// All targets, also those that are gone.
+    pub fn targets(&self) -> impl Iterator<Item = &Heard<TargetRecord>> {
+        self.targets.values()
+    }
+
+    /// The target of that identity.
+    pub fn target(&self, id: &TargetId) -> Option<&Heard<TargetRecord>> {
+        self.targets.get(id)
+    }
+
+    /// All daemons.
+    pub fn daemons(&self) -> impl Iterator<Item = &Heard<DaemonRecord>> {
+        self.daemons.values()
+    }
+
+    /// The daemon of that instance.
+    pub fn daemon(&self, instance: &InstanceId) -> Option<&Heard<DaemonRecord>> {
+        self.daemons.get(instance)
+    }
+
+    /// The agent beside the engine at `address`.
+    pub fn agent_of(&self, address: SocketAddr) -> Option<&Heard<DaemonRecord>> {
+        self.daemons
+            .values()
+            .find(|daemon| daemon.record.engine == Some(address))
+    }
+
+    /// Entries that were heard lately and are not leaving.
+    pub fn ready_entries(&self, now: Millis) -> impl Iterator<Item = &DaemonRecord> {
+        let ready = move |daemon: &&Heard<DaemonRecord>| {
+            daemon.record.role == DaemonRole::Entry
+                && daemon.record.state == DaemonState::Ready
+                && now.since(daemon.at) < DAEMON_QUIET_MS
+        };
+        self.daemons
+            .values()
+            .filter(ready)
+            .map(|heard| &heard.record)
+    }
+
+    /// Addresses for a caller in `hall` and `region`: those of its own data
+    /// hall, with the region's and then all others where there are too few.
+    pub fn addresses_for(&self, now: Millis, hall: &str, region: &str) -> Vec<SocketAddr> {
+        let mut ranked: Vec<(u8, SocketAddr)> = self
+            .ready_entries(now)
+            .filter_map(|entry| Some((distance(entry, hall, region), entry.frontend?)))
+            .collect();
+        ranked.sort();
+        let enough = |rank: u8| ranked.iter().filter(|(r, _)| *r <= rank).count() >= FEWEST_NAMED;
+        let limit = (0..2).find(|rank| enough(*rank)).unwrap_or(2);
+        let named = ranked.iter().filter(|(rank, _)| *rank <= limit);
+        named
+            .map(|(_, address)| *address)
+            .take(MOST_NAMED)
+            .collect()
+    }
+
+    /// Changes with the set of daemons, their lives and their states.
+    pub fn daemons_digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        for daemon in self.daemons.values() {
+            daemon.record.instance.hash(&mut hasher);
+            daemon.record.incarnation.hash(&mut hasher);
+            (daemon.record.state == DaemonState::Leaving).hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+}
+
+fn distance(entry: &DaemonRecord, hall: &str, region: &str) -> u8 {
+    if entry.hall == hall {
+        0
+    } else if entry.region == region {
+        1
+    } else {
+        2
+    }
+}
--- /dev/null
+++ b/crates/moleroad_directory/src/lib.rs
@@ -0,0 +1,27 @@
+//! What a daemon knows of the targets and of the other daemons.
+//!
+//! Soft state: targets and daemons tell of themselves, daemons pass on what
+//! they heard together with its age, and what is not renewed expires. Merging
+//! two views gives the same result in any order.
+//!
+//! ```
+//! use moleroad_directory::prelude::*;
+//! use moleroad_types::prelude::*;
+//!
+//! let mut directory = Directory::new();
+//! let record = TargetRecord::new(TargetId::new("i-1"), "chat", "127.0.0.1:80".parse().unwrap());
+//! assert_eq!(directory.hear_target(Millis(5), record, 0), TargetChange::Changed);
+//! assert_eq!(directory.targets().count(), 1);
+//! ```
+#![warn(missing_docs)]
+
+pub mod daemon;
+pub mod directory;
+pub mod target;
+
+/// The types most users of the crate need.
+pub mod prelude {
+    pub use crate::daemon::{DaemonRecord, DaemonRole, DaemonState, EngineReport, PieceMap};
+    pub use crate::directory::{Directory, Heard, TargetChange};
+    pub use crate::target::{Holding, TargetId, TargetLife, TargetRecord};
+}
--- /dev/null
+++ b/crates/moleroad_directory/tests/directory.rs
@@ -0,0 +1,160 @@
+//! Merging what targets and daemons say.
+
+use moleroad_directory::prelude::*;
+use moleroad_directory::target::whole_version;
+use moleroad_types::prelude::*;
+
+fn target(id: &str, port: u16, sequence: u64) -> TargetRecord {
+    let address = format!("127.0.0.1:{port}").parse().unwrap();
+    TargetRecord {
+        sequence,
+        ..TargetRecord::new(TargetId::new(id), "chat", address)
+    }
+}
+
+fn entry(name: &str, hall: &str, region: &str, port: u16) -> DaemonRecord {
+    DaemonRecord {
+        instance: InstanceId::new(name),
+        incarnation: 1,
+        sequence: 1,
+        role: DaemonRole::Entry,
+        state: DaemonState::Ready,
+        peer: format!("127.0.0.1:{port}").parse().unwrap(),
+        frontend: Some(format!("127.0.0.1:{}", port + 1000).parse().unwrap()),
+        control: None,
+        hall: hall.into(),
+        region: region.into(),
+        engine: None,
+        service: None,
+        pieces: None,
+        report: None,
+    }
+}
+
+fn life_of(directory: &Directory, id: &str) -> Option<TargetLife> {
+    let heard = directory.target(&TargetId::new(id))?;
+    Some(heard.record.life)
+}
+
+#[test]
+fn a_late_heartbeat_does_not_bring_a_leaving_target_back() {
+    let mut directory = Directory::new();
+    directory.hear_target(Millis(0), target("a", 1, 1), 0);
+    let mut leaving = target("a", 1, 5);
+    leaving.life = TargetLife::Draining;
+    assert_eq!(
+        directory.hear_target(Millis(10), leaving, 0),
+        TargetChange::Changed
+    );
+    assert_eq!(
+        directory.hear_target(Millis(20), target("a", 1, 4), 0),
+        TargetChange::Stale
+    );
+    directory.hear_target(Millis(30), target("a", 1, 6), 0);
+    assert_eq!(life_of(&directory, "a"), Some(TargetLife::Draining));
+}
+
+#[test]
+fn a_new_life_at_an_address_ends_the_old_one() {
+    let mut directory = Directory::new();
+    directory.hear_target(Millis(0), target("old", 1, 9), 0);
+    directory.hear_target(Millis(100), target("new", 1, 1), 0);
+    assert_eq!(life_of(&directory, "old"), Some(TargetLife::Gone));
+    assert_eq!(life_of(&directory, "new"), Some(TargetLife::Ready));
+    // News of the old life that arrives by way of another daemon changes nothing.
+    directory.hear_target(Millis(120), target("old", 1, 10), 90);
+    assert_eq!(life_of(&directory, "old"), Some(TargetLife::Gone));
+}
+
+#[test]
+fn a_target_stays_gone() {
+    let mut directory = Directory::new();
+    directory.hear_target(Millis(0), target("a", 1, 1), 0);
+    assert!(directory.target_gone(Millis(5), &TargetId::new("a")));
+    assert!(!directory.target_gone(Millis(6), &TargetId::new("a")));
+    directory.hear_target(Millis(7), target("a", 1, 2), 0);
+    assert_eq!(life_of(&directory, "a"), Some(TargetLife::Gone));
+}
+
+#[test]
+fn the_same_words_again_are_a_renewal() {
+    let mut directory = Directory::new();
+    directory.hear_target(Millis(0), target("a", 1, 1), 0);
+    let change = directory.hear_target(Millis(1_000), target("a", 1, 2), 0);
+    assert_eq!(change, TargetChange::Renewed);
+}
+
+#[test]
+fn callers_get_the_entries_of_their_hall_first() {
+    let mut directory = Directory::new();
+    for (name, hall, region, port) in [
+        ("a1", "h1", "r1", 1),
+        ("a2", "h1", "r1", 2),
+        ("b1", "h2", "r2", 3),
+    ] {
+        directory.hear_daemon(Millis(0), entry(name, hall, region, port), 0);
+    }
+    assert_eq!(directory.addresses_for(Millis(1), "h1", "r1").len(), 2);
+    assert_eq!(directory.addresses_for(Millis(1), "h2", "r2").len(), 3);
+    let mut leaving = entry("a1", "h1", "r1", 1);
+    leaving.state = DaemonState::Leaving;
+    leaving.sequence = 2;
+    let digest = directory.daemons_digest();
+    assert!(directory.hear_daemon(Millis(2), leaving, 0));
+    assert_ne!(digest, directory.daemons_digest());
+    assert_eq!(directory.addresses_for(Millis(3), "h1", "r1").len(), 2);
+    assert!(
+        directory
+            .addresses_for(Millis(9_000), "h1", "r1")
+            .is_empty()
+    );
+}
+
+#[test]
+fn a_restarted_daemon_replaces_its_earlier_life_in_any_order() {
+    let mut directory = Directory::new();
+    let mut restarted = entry("a", "h", "r", 1);
+    restarted.incarnation = 2;
+    directory.hear_daemon(Millis(1_000), restarted.clone(), 0);
+    // The earlier life, as another daemon remembers it.
+    assert!(!directory.hear_daemon(Millis(1_001), entry("a", "h", "r", 1), 700));
+    let known = directory.daemon(&InstanceId::new("a")).unwrap();
+    assert_eq!(known.record, restarted);
+}
+
+#[test]
+fn only_layers_of_one_version_without_gaps_make_a_whole_model() {
+    let holding = |from, to, version| Holding {
+        model: "m".into(),
+        from,
+        to,
+        version,
+    };
+    assert_eq!(whole_version(&[holding(0, 16, 2)], "m", 16), Some(2));
+    assert_eq!(
+        whole_version(&[holding(8, 16, 2), holding(0, 8, 2)], "m", 16),
+        Some(2)
+    );
+    assert_eq!(
+        whole_version(&[holding(0, 8, 2), holding(8, 16, 1)], "m", 16),
+        None
+    );
+    assert_eq!(
+        whole_version(&[holding(0, 8, 2), holding(9, 16, 2)], "m", 16),
+        None
+    );
+    assert_eq!(whole_version(&[holding(0, 15, 2)], "m", 16), None);
+    assert_eq!(whole_version(&[], "m", 16), None);
+}
+
+#[test]
+fn pieces_are_counted() {
+    let mut pieces = PieceMap::empty("m", 1, 70);
+    pieces.set(0, true);
+    pieces.set(69, true);
+    pieces.set(500, true);
+    assert!(pieces.has(69) && !pieces.has(68) && !pieces.has(500));
+    assert_eq!(pieces.count(), 2);
+    pieces.set(0, false);
+    assert_eq!(pieces.count(), 1);
+}
--- /dev/null
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -0,0 +1,188 @@
+//! Choosing among the targets of a service.
+
+use crate::health::Outcome;
+use crate::load::TargetLoad;
+use moleroad_directory::prelude::TargetId;
+use moleroad_types::prelude::Millis;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// How far a target is from this entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same data hall.
+    SameHall,
+    /// In another data hall of the region.
+    SameRegion,
+    /// In another region.
+    OtherRegion,
+}
+
+impl Distance {
+    /// What the way costs, as a time in milliseconds: its delay, and for
+    /// another region the bytes that cross, which operators pay for.
+    fn cost_ms(self) -> f64 {
+        match self {
+            Distance::SameHall => 0.0,
+            Distance::SameRegion => 3.0,
+            Distance::OtherRegion => 12.0,
+        }
+    }
+}
+
+/// A target that may get requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// Identity.
+    pub id: TargetId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Most requests this entry may have there at once.
+    pub most_own: u32,
+    /// How far it is.
+    pub distance: Distance,
+    /// Version of the weights that it holds whole; `None` for plain targets.
+    pub version: Option<u64>,
+    /// Whether it is about to change its weights.
+    pub switching: bool,
+    /// How much slower than usual it is; 1 is as usual.
+    pub slowness: f64,
+}
+
+/// What a choice came to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Choice {
+    /// Send it there.
+    Send(Candidate),
+    /// All targets are full; wait for a place.
+    Full,
+    /// No target can take it.
+    Nobody,
+}
+
+/// Time that a full target takes to run one request, shared by its slots, as
+/// the cost of each request beyond the slots, in milliseconds.
+const FULL_COST_MS: f64 = 1_000.0;
+/// What a full set of slots adds to an answer, in milliseconds.
+const BUSY_COST_MS: f64 = 100.0;
+/// What a failed send costs, in milliseconds: the time until it is noticed.
+const FAILURE_COST_MS: f64 = 500.0;
+/// What a slow target adds for each time that it is slower than usual.
+const SLOW_COST_MS: f64 = 150.0;
+
+/// The targets of one service, and what is in flight at each.
+#[derive(Clone, Debug, Default)]
+pub struct Targets {
+    candidates: Vec<Candidate>,
+    loads: HashMap<TargetId, TargetLoad>,
+}
+
+impl Targets {
+    /// Replaces the list of targets; loads of those that stay are kept.
+    pub fn set(&mut self, candidates: Vec<Candidate>) {
+        self.loads.retain(|id, load| {
+            load.own() > 0 || candidates.iter().any(|candidate| candidate.id == *id)
+        });
+        self.candidates = candidates;
+    }
+
+    /// The targets that may get requests.
+    pub fn candidates(&self) -> &[Candidate] {
+        &self.candidates
+    }
+
+    /// What is known of the load of a target.
+    pub fn load(&self, id: &TargetId) -> TargetLoad {
+        self.loads.get(id).copied().unwrap_or_default()
+    }
+
+    /// Counts a send.
+    pub fn started(&mut self, id: &TargetId) {
+        self.loads.entry(id.clone()).or_default().started();
+    }
+
+    /// Counts the end of a send.
+    pub fn finished(&mut self, now: Millis, id: &TargetId, outcome: Outcome) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.finished();
+            load.health.note(now, outcome);
+        }
+    }
+
+    /// Takes what an agent read of a target.
+    pub fn reported(&mut self, now: Millis, id: &TargetId, requests: u32) {
+        self.loads
+            .entry(id.clone())
+            .or_default()
+            .reported(now, requests);
+    }
+
+    /// Chooses a target other than those in `tried`, holding at least the
+    /// version `least`. `draw` breaks ties.
+    pub fn choose(&self, now: Millis, tried: &[TargetId], least: Option<u64>, draw: u64) -> Choice {
+        let fits = |candidate: &&Candidate| {
+            !tried.contains(&candidate.id)
+                && least.is_none_or(|least| candidate.version.is_none_or(|v| v >= least))
+        };
+        let fitting: Vec<&Candidate> = self.candidates.iter().filter(fits).collect();
+        if fitting.is_empty() {
+            return Choice::Nobody;
+        }
+        let sound = |candidate: &&&Candidate| {
+            !candidate.switching && !self.load(&candidate.id).health.is_avoided(now)
+        };
+        let mut pool: Vec<&Candidate> = fitting.iter().filter(sound).copied().collect();
+        if pool.is_empty() {
+            // None is sound: an avoided one is better than none.
+            pool = fitting;
+        }
+        let free = pool
+            .iter()
+            .filter(|candidate| self.has_place(now, candidate));
+        let count = self.candidates.len().max(1) as u64;
+        let ranked = free
+            .enumerate()
+            .min_by(|(left_at, left), (right_at, right)| {
+                let rank = |at: usize| (at as u64 + draw) % count;
+                self.cost_ms(now, left)
+                    .total_cmp(&self.cost_ms(now, right))
+                    .then(rank(*left_at).cmp(&rank(*right_at)))
+            });
+        match ranked {
+            Some((_, best)) => Choice::Send((*best).clone()),
+            None => Choice::Full,
+        }
+    }
+
+    fn has_place(&self, now: Millis, candidate: &Candidate) -> bool {
+        let load = self.load(&candidate.id);
+        load.own() < candidate.most_own && load.requests(now) < f64::from(candidate.slots)
+    }
+
+    /// What sending to the candidate costs, as a time in milliseconds.
+    pub fn cost_ms(&self, now: Millis, candidate: &Candidate) -> f64 {
+        let load = self.load(&candidate.id);
+        let slots = f64::from(candidate.slots.max(1));
+        let requests = load.requests(now);
+        let busy = BUSY_COST_MS * requests / slots;
+        let beyond = (requests + 1.0 - slots).max(0.0) * FULL_COST_MS / slots;
+        let failing = load.health.failure_rate(now) * FAILURE_COST_MS;
+        let slow = (candidate.slowness - 1.0).max(0.0) * SLOW_COST_MS;
+        candidate.distance.cost_ms() + busy + beyond + failing + slow
+    }
+
+    /// Places that are free, over all targets.
+    pub fn free_places(&self, now: Millis) -> f64 {
+        let free = |candidate: &Candidate| {
+            let load = self.load(&candidate.id);
+            (f64::from(candidate.slots) - load.requests(now)).max(0.0)
+        };
+        let usable = self
+            .candidates
+            .iter()
+            .filter(|candidate| !candidate.switching);
+        usable.map(free).sum()
+    }
+}
--- /dev/null
+++ b/crates/moleroad_dispatch/src/lib.rs
@@ -0,0 +1,34 @@
+//! Which target a request goes to, when it goes, and how often it may be
+//! repeated.
+//!
+//! Pure decisions of one entry; the shell reports what was sent and how it
+//! ended. Each entry shares the targets with others that it does not ask:
+//! [`load`] estimates what they have in flight from what agents report,
+//! [`choice`] picks the cheapest target, [`queue`] orders those that wait for
+//! a place, [`health`] remembers what failed, and [`budget`] holds the entry's
+//! share of the repeats that all entries may send.
+//!
+//! ```
+//! use moleroad_dispatch::prelude::*;
+//! use moleroad_types::prelude::Millis;
+//!
+//! let mut budget = RepeatBudget::new(BudgetTerms { ratio: 0.2, slack: 20.0, window_ms: 10_000 });
+//! budget.note_request(Millis(0));
+//! assert!(budget.take(Millis(1), 4));
+//! ```
+#![warn(missing_docs)]
+
+pub mod budget;
+pub mod choice;
+pub mod health;
+pub mod load;
+pub mod queue;
+
+/// The types most users of the crate need.
+pub mod prelude {
+    pub use crate::budget::{BudgetTerms, RepeatBudget};
+    pub use crate::choice::{Candidate, Choice, Distance, Targets};
+    pub use crate::health::{Health, Outcome};
+    pub use crate::load::TargetLoad;
+    pub use crate::queue::{WaitQueue, Waiter, WaiterId};
+}
--- /dev/null
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -0,0 +1,205 @@
+//! Choice, health, queue and budget on their own.
+
+use moleroad_directory::prelude::TargetId;
+use moleroad_dispatch::prelude::*;
+use moleroad_types::prelude::Millis;
+
+fn candidate(name: &str, distance: Distance) -> Candidate {
+    Candidate {
+        id: TargetId::new(name),
+        address: "127.0.0.1:1".parse().unwrap(),
+        slots: 4,
+        most_own: 4,
+        distance,
+        version: Some(1),
+        switching: false,
+        slowness: 1.0,
+    }
+}
+
+fn chosen(targets: &Targets, now: u64) -> Option<String> {
+    match targets.choose(Millis(now), &[], None, 0) {
+        Choice::Send(candidate) => Some(candidate.id.to_string()),
+        _ => None,
+    }
+}
+
+fn near_and_far() -> Targets {
+    let mut targets = Targets::default();
+    targets.set(vec![
+        candidate("near", Distance::SameHall),
+        candidate("far", Distance::OtherRegion),
+    ]);
+    targets
+}
+
+#[test]
+fn the_near_target_is_filled_before_a_far_one_within_reason() {
+    let mut targets = near_and_far();
+    assert_eq!(chosen(&targets, 0).as_deref(), Some("near"));
+    targets.started(&TargetId::new("near"));
+    assert_eq!(chosen(&targets, 0).as_deref(), Some("far"));
+}
+
+#[test]
+fn a_full_set_of_targets_makes_requests_wait() {
+    let mut targets = near_and_far();
+    for name in ["near", "far"] {
+        targets.reported(Millis(0), &TargetId::new(name), 4);
+    }
+    assert_eq!(targets.choose(Millis(1), &[], None, 0), Choice::Full);
+    assert_eq!(targets.free_places(Millis(1)), 0.0);
+    // A report that is old counts less and less.
+    assert!(matches!(
+        targets.choose(Millis(5_000), &[], None, 0),
+        Choice::Send(_)
+    ));
+}
+
+#[test]
+fn what_others_have_in_flight_is_what_was_reported_beyond_ones_own() {
+    let mut load = TargetLoad::default();
+    load.started();
+    load.reported(Millis(0), 3);
+    assert_eq!(load.requests(Millis(10)), 3.0);
+    load.started();
+    assert_eq!(load.requests(Millis(10)), 4.0);
+    load.finished();
+    load.finished();
+    assert_eq!(load.requests(Millis(10)), 2.0);
+}
+
+#[test]
+fn a_quick_refusal_does_not_attract_requests() {
+    let mut targets = near_and_far();
+    for _ in 0..2 {
+        targets.started(&TargetId::new("near"));
+        targets.finished(Millis(1), &TargetId::new("near"), Outcome::TurnedAway);
+    }
+    assert_eq!(chosen(&targets, 2).as_deref(), Some("far"));
+}
+
+#[test]
+fn a_target_that_cannot_be_reached_is_avoided_and_tried_again() {
+    let mut targets = near_and_far();
+    targets.started(&TargetId::new("near"));
+    targets.finished(Millis(0), &TargetId::new("near"), Outcome::Unreachable);
+    assert!(
+        targets
+            .load(&TargetId::new("near"))
+            .health
+            .is_avoided(Millis(399))
+    );
+    assert_eq!(chosen(&targets, 10).as_deref(), Some("far"));
+    assert_eq!(chosen(&targets, 20_000).as_deref(), Some("near"));
+}
+
+#[test]
+fn when_all_targets_are_avoided_one_is_used_all_the_same() {
+    let mut targets = Targets::default();
+    targets.set(vec![candidate("only", Distance::SameHall)]);
+    targets.started(&TargetId::new("only"));
+    targets.finished(Millis(0), &TargetId::new("only"), Outcome::Unreachable);
+    assert_eq!(chosen(&targets, 1).as_deref(), Some("only"));
+}
+
+#[test]
+fn a_target_below_the_wanted_version_gets_nothing() {
+    let mut targets = near_and_far();
+    assert_eq!(targets.choose(Millis(0), &[], Some(2), 0), Choice::Nobody);
+    let mut newer = candidate("far", Distance::OtherRegion);
+    newer.version = Some(2);
+    targets.set(vec![candidate("near", Distance::SameHall), newer]);
+    let choice = targets.choose(Millis(0), &[], Some(2), 0);
+    assert!(matches!(choice, Choice::Send(c) if c.id.as_str() == "far"));
+}
+
+#[test]
+fn a_target_about_to_change_its_weights_is_spared() {
+    let mut near = candidate("near", Distance::SameHall);
+    near.switching = true;
+    let mut targets = Targets::default();
+    targets.set(vec![near, candidate("far", Distance::OtherRegion)]);
+    assert_eq!(chosen(&targets, 0).as_deref(), Some("far"));
+}
+
+#[test]
+fn health_forgets_and_doubles_its_patience() {
+    let mut health = Health::default();
+    health.note(Millis(0), Outcome::Unreachable);
+    assert!(!health.is_avoided(Millis(400)));
+    health.note(Millis(400), Outcome::Unreachable);
+    assert!(health.is_avoided(Millis(1_199)));
+    health.note(Millis(1_200), Outcome::Answered);
+    assert!(!health.is_avoided(Millis(1_200)));
+    assert!(health.failure_rate(Millis(30_000)) < 0.01);
+}
+
+fn waiter(id: u64, priority: u8, since: u64, wanted_by: u64) -> Waiter {
+    Waiter {
+        id: WaiterId(id),
+        priority,
+        since: Millis(since),
+        wanted_by: Millis(wanted_by),
+        until: Millis(1_000),
+    }
+}
+
+#[test]
+fn urgent_requests_that_can_be_in_time_go_first() {
+    let mut queue = WaitQueue::default();
+    assert!(queue.enter(waiter(1, 1, 0, 100)));
+    assert!(queue.enter(waiter(2, 1, 10, 300)));
+    assert!(queue.enter(waiter(3, 0, 20, 300)));
+    assert_eq!(queue.next(Millis(50)), Some(WaiterId(3)));
+    queue.leave(WaiterId(3));
+    assert_eq!(queue.next(Millis(50)), Some(WaiterId(1)));
+    assert_eq!(queue.next(Millis(200)), Some(WaiterId(2)));
+    queue.leave(WaiterId(2));
+    assert_eq!(queue.next(Millis(200)), Some(WaiterId(1)));
+    assert_eq!(queue.next(Millis(1_000)), None);
+    assert_eq!(queue.expired(Millis(1_000)), vec![WaiterId(1)]);
+}
+
+#[test]
+fn the_queue_is_bounded() {
+    let mut queue = WaitQueue::default();
+    for id in 0..moleroad_dispatch::queue::MAX_WAITING as u64 {
+        assert!(queue.enter(waiter(id, 1, 0, 100)));
+    }
+    assert!(!queue.enter(waiter(9_999, 0, 0, 100)));
+}
+
+#[test]
+fn repeats_of_all_entries_stay_within_the_bound_in_every_window() {
+    let terms = BudgetTerms {
+        ratio: 0.2,
+        slack: 100.0,
+        window_ms: 10_000,
+    };
+    let entries = 9;
+    let mut budgets: Vec<RepeatBudget> = (0..entries).map(|_| RepeatBudget::new(terms)).collect();
+    let mut taken: Vec<(u64, bool)> = Vec::new();
+    for now in 0..60_000_u64 {
+        let budget = &mut budgets[(now % entries as u64) as usize];
+        if now % 5 == 0 {
+            budget.note_request(Millis(now));
+            taken.push((now, false));
+        }
+        if budget.take(Millis(now), entries) {
+            taken.push((now, true));
+        }
+    }
+    for start in (0..50_000).step_by(500) {
+        let window = taken
+            .iter()
+            .filter(|(at, _)| (start..start + 10_000).contains(at));
+        let (repeats, requests): (Vec<_>, Vec<_>) = window.partition(|(_, repeat)| *repeat);
+        let bound = 0.2 * requests.len() as f64 + 100.0;
+        assert!(
+            repeats.len() as f64 <= bound,
+            "at {start}: {}",
+            repeats.len()
+        );
+    }
+}
--- /dev/null
+++ b/crates/moleroad_gateway/src/agent/mod.rs
@@ -0,0 +1,22 @@
+//! The agent: brings the weights of the wanted version to the engine of its
+//! instance, gives pieces to other agents, and tells entries how busy the
+//! engine is.
+//!
+//! [`watch`] reads the engine, [`bring`] fetches and stages pieces, [`change`]
+//! lets the engine take them, [`uploads`] gives pieces to others, [`calls`]
+//! are the HTTP calls to the engine and the origin.
+
+pub mod bring;
+pub mod calls;
+pub mod change;
+pub mod uploads;
+pub mod watch;
+
+use crate::node::Node;
+use std::sync::Arc;
+
+/// Starts the tasks of an agent.
+pub fn start(node: &Arc<Node>) {
+    tokio::spawn(watch::watch(node.clone()));
+    tokio::spawn(bring::bring(node.clone()));
+}
--- /dev/null
+++ b/crates/moleroad_gateway/src/agent/uploads.rs
@@ -0,0 +1,49 @@
+//! Giving pieces to other agents.
+
+use crate::agent::calls::call;
+use crate::node::Node;
+use serde_bytes::ByteBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// Most pieces that are given at once: more would only share the link.
+const MOST_AT_ONCE: usize = 4;
+/// Time for the engine's store to answer.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+static GIVING: AtomicUsize = AtomicUsize::new(0);
+
+struct Giving;
+
+impl Giving {
+    fn begin() -> Option<Self> {
+        let others = GIVING.fetch_add(1, Ordering::Relaxed);
+        let giving = Giving;
+        (others < MOST_AT_ONCE).then_some(giving)
+    }
+}
+
+impl Drop for Giving {
+    fn drop(&mut self) {
+        GIVING.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// The bytes of a piece, if this agent has it and is not too busy. Whoever
+/// takes it checks it.
+pub async fn give(node: &Node, model: &str, version: u64, piece: u32) -> Option<ByteBuf> {
+    let engine = node.settings.engine?;
+    let _giving = Giving::begin()?;
+    let has_piece = |node: &Node| {
+        let view = node.view();
+        let pieces = view.own.pieces.as_ref();
+        pieces.is_some_and(|map| map.model == model && map.version == version && map.has(piece))
+    };
+    if !has_piece(node) {
+        return None;
+    }
+    let asked = node.interface.get_staged(model, piece);
+    let (status, bytes) = call(node, engine, asked, STORE_TIMEOUT).await?;
+    // Another version may have been staged meanwhile.
+    (status.is_success() && has_piece(node)).then(|| ByteBuf::from(bytes.to_vec()))
+}
--- /dev/null
+++ b/crates/moleroad_gateway/src/core.rs
@@ -0,0 +1,439 @@
+//! The member of the control group: a thread that owns the replica and its
+//! disk, so that a slow disk holds up nothing else.
+
+use crate::clock::Clock;
+use crate::control_state::{ControlCommand, ControlState};
+use moleroad_consensus::prelude::*;
+use moleroad_types::prelude::{Millis, Term};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// Periods of the control group. The lease ends before another member can be
+/// elected even if clocks drift by a tenth.
+pub const TIMING: Timing = Timing {
+    heartbeat_ms: 100,
+    election_min_ms: 600,
+    election_max_ms: 1_000,
+    lease_ms: 450,
+    repair_after_ms: 1_600,
+};
+/// Time between looks at the clock, in milliseconds.
+const TICK_MS: u64 = 25;
+/// Entries after which the log is replaced by a snapshot.
+const COMPACT_AFTER: usize = 48;
+/// Time between tries to use a disk that failed, in milliseconds.
+const REOPEN_MS: u64 = 300;
+
+/// What became of a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Committed {
+    /// It is durable on a majority and applied.
+    Yes,
+    /// This member does not lead; the leader, if it is known.
+    NotLeader(Option<MemberInfo>),
+    /// It may or may not come to be.
+    Unknown,
+}
+
+/// What the thread is told.
+pub enum CoreInput {
+    /// A message of another member.
+    Receive(MemberInfo, Message),
+    /// A change that an operator wants.
+    Propose(ControlCommand, oneshot::Sender<Committed>),
+    /// What is in force now, if this member leads under a lease.
+    Read(oneshot::Sender<Result<Arc<ControlState>, Option<MemberInfo>>>),
+    /// A member with a disk that may be in no configuration.
+    Spare(MemberInfo),
+    /// Gives up leadership and stands no more: the process stops.
+    Retire,
+}
+
+/// What the thread tells.
+pub enum CoreOutput {
+    /// Send a message to a member.
+    Send(MemberInfo, Message),
+    /// This is in force.
+    State(Arc<ControlState>),
+    /// The leader of a term, as far as known.
+    Leader(Term, Option<MemberInfo>),
+    /// The disk failed or works again.
+    Disk(Result<(), String>),
+}
+
+/// How the thread begins.
+pub struct CoreSettings {
+    /// Folder that the member keeps its state in.
+    pub folder: PathBuf,
+    /// Identity if the folder is empty.
+    pub fresh: MemberId,
+    /// Name of the instance.
+    pub instance: String,
+    /// Address that takes messages.
+    pub address: std::net::SocketAddr,
+    /// The founding members, when this is the first start of all.
+    pub founding: Option<Configuration>,
+    /// Members that may be lost at once.
+    pub tolerated_losses: usize,
+}
+
+/// The way to the thread.
+#[derive(Clone)]
+pub struct Core {
+    input: Sender<CoreInput>,
+    /// This member; the identity is the one of the disk.
+    pub own: MemberInfo,
+}
+
+impl Core {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    /// When the folder cannot be used at all.
+    pub fn start(
+        settings: CoreSettings,
+        clock: Clock,
+        output: mpsc::UnboundedSender<CoreOutput>,
+    ) -> Result<Self, StorageError> {
+        let (storage, restored) = open(&settings)?;
+        let own = MemberInfo::new(
+            storage.identity().member,
+            settings.instance.as_str(),
+            settings.address,
+        );
+        let (input, inputs) = channel();
+        let founding = settings.founding.clone();
+        let mut member = Member::new(settings, own.clone(), clock, output, storage, restored);
+        std::thread::Builder::new()
+            .name("control".into())
+            .stack_size(512 << 10)
+            .spawn(move || {
+                member.begin(founding);
+                member.run(&inputs);
+            })?;
+        Ok(Self { input, own })
+    }
+
+    /// Tells the thread something; it may have ended.
+    pub fn tell(&self, input: CoreInput) {
+        let _ = self.input.send(input);
+    }
+
+    /// Asks for a change.
+    pub async fn propose(&self, command: ControlCommand) -> Committed {
+        let (reply, answer) = oneshot::channel();
+        self.tell(CoreInput::Propose(command, reply));
+        answer.await.unwrap_or(Committed::Unknown)
+    }
+
+    /// What is in force now, or else the leader as far as it is known.
+    ///
+    /// # Errors
+    /// When this member cannot be certain.
+    pub async fn read(&self) -> Result<Arc<ControlState>, Option<MemberInfo>> {
+        let (reply, answer) = oneshot::channel();
+        self.tell(CoreInput::Read(reply));
+        answer.await.unwrap_or(Err(None))
+    }
+}
+
+fn open(settings: &CoreSettings) -> Result<(Storage<FolderDisk>, Restored), StorageError> {
+    let disk = FolderDisk::open(&settings.folder)?;
+    Storage::open(disk, settings.fresh, &settings.instance)
+}
+
+struct Member {
+    settings: CoreSettings,
+    own: MemberInfo,
+    clock: Clock,
+    output: mpsc::UnboundedSender<CoreOutput>,
+    storage: Option<Storage<FolderDisk>>,
+    replica: Replica,
+    state: Arc<ControlState>,
+    next_ticket: u64,
+    replies: BTreeMap<ProposalTicket, oneshot::Sender<Committed>>,
+    placed: BTreeMap<LogIndex, (Term, ProposalTicket)>,
+    told_leader: Option<(Term, Option<MemberId>)>,
+    reopen_at: Millis,
+    retired: bool,
+}
+
+impl Member {
+    fn new(
+        settings: CoreSettings,
+        own: MemberInfo,
+        clock: Clock,
+        output: mpsc::UnboundedSender<CoreOutput>,
+        storage: Storage<FolderDisk>,
+        restored: Restored,
+    ) -> Self {
+        let state = state_of(&restored);
+        let replica = Replica::new(own.id, TIMING, rand::random(), restored, clock.now());
+        let replica = replica.with_wanted_voters(settings.tolerated_losses * 2 + 1);
+        Self {
+            settings,
+            own,
+            clock,
+            output,
+            storage: Some(storage),
+            replica,
+            state: Arc::new(state),
+            next_ticket: 1,
+            replies: BTreeMap::new(),
+            placed: BTreeMap::new(),
+            told_leader: None,
+            reopen_at: Millis(0),
+            retired: false,
+        }
+    }
+
+    fn begin(&mut self, founding: Option<Configuration>) {
+        self.tell_state();
+        if let Some(configuration) = founding {
+            self.feed(Event::Found(configuration));
+        }
+    }
+
+    fn run(&mut self, inputs: &Receiver<CoreInput>) {
+        loop {
+            let first = match inputs.recv_timeout(Duration::from_millis(TICK_MS)) {
+                Ok(input) => Some(input),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let mut proposals = Vec::new();
+            for input in first.into_iter().chain(inputs.try_iter()) {
+                self.take(input, &mut proposals);
+            }
+            if !proposals.is_empty() {
+                self.feed(Event::Propose(proposals));
+            }
+            if self.storage.is_none() {
+                self.try_reopen();
+            } else if !self.retired {
+                self.feed(Event::Tick);
+            }
+            self.tell_leader();
+            self.compact();
+        }
+    }
+
+    fn take(&mut self, input: CoreInput, proposals: &mut Vec<Proposal>) {
+        match input {
+            CoreInput::Receive(from, message) => self.feed(Event::Receive { from, message }),
+            CoreInput::Spare(info) => self.feed(Event::SpareSeen(info)),
+            CoreInput::Propose(command, reply) => {
+                if let Some(proposal) = self.proposal(&command, reply) {
+                    proposals.push(proposal);
+                }
+            }
+            CoreInput::Read(reply) => {
+                let answer = self.read();
+                let _ = reply.send(answer);
+            }
+            CoreInput::Retire => self.retired = true,
+        }
+    }
+
+    fn proposal(
+        &mut self,
+        command: &ControlCommand,
+        reply: oneshot::Sender<Committed>,
+    ) -> Option<Proposal> {
+        if self.storage.is_none() || self.retired {
+            let _ = reply.send(Committed::NotLeader(None));
+            return None;
+        }
+        if self.state.includes(command) {
+            let _ = reply.send(Committed::Yes);
+            return None;
+        }
+        let Ok(data) = rmp_serde::to_vec(command) else {
+            let _ = reply.send(Committed::Unknown);
+            return None;
+        };
+        let ticket = ProposalTicket(self.next_ticket);
+        self.next_ticket += 1;
+        self.replies.insert(ticket, reply);
+        Some(Proposal { ticket, data })
+    }
+
+    /// What is in force, if no other member can have changed it.
+    fn read(&self) -> Result<Arc<ControlState>, Option<MemberInfo>> {
+        let leads = self.storage.is_some() && self.replica.holds_lease(self.clock.now());
+        if leads && !self.retired {
+            Ok(self.state.clone())
+        } else {
+            let leader = self.replica.leader_info().cloned();
+            Err(leader.filter(|leader| leader.id != self.own.id))
+        }
+    }
+
+    fn feed(&mut self, event: Event) {
+        if self.storage.is_none() {
+            return;
+        }
+        let actions = self.replica.on_event(self.clock.now(), event);
+        for action in actions {
+            if let Err(error) = self.carry_out(action) {
+                return self.disk_failed(&error);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) -> Result<(), StorageError> {
+        let Some(storage) = self.storage.as_mut() else {
+            return Ok(());
+        };
+        match action {
+            Action::SaveHardState(hard_state) => storage.save_hard_state(hard_state)?,
+            Action::Truncate(first) => storage.truncate(first)?,
+            Action::Append(entries) => storage.append(&entries)?,
+            Action::SaveSnapshot { snapshot, keep } => storage.save_snapshot(&snapshot, &keep)?,
+            Action::Send { to, message } => {
+                let _ = self.output.send(CoreOutput::Send(to, message));
+            }
+            Action::Restore(snapshot) => {
+                self.state = Arc::new(decode_state(&snapshot));
+                self.tell_state();
+            }
+            Action::Apply(entries) => self.apply(entries),
+            Action::Proposed {
+                ticket,
+                index,
+                term,
+            } => {
+                self.placed.insert(index, (term, ticket));
+            }
+            Action::Refused { ticket, leader } => {
+                self.reply(ticket, Committed::NotLeader(leader));
+            }
+            Action::BecameLeader(term) => log::info!(event = "control_leads", term = term.0; ""),
+            Action::LostLeadership => {
+                log::info!(event = "control_leads_no_more"; "");
+                self.abandon_proposals();
+            }
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, entries: Vec<Entry>) {
+        let mut changed = false;
+        let mut done = Vec::new();
+        for entry in entries {
+            if let Payload::Command(data) = &entry.payload {
+                match rmp_serde::from_slice::<ControlCommand>(data) {
+                    Ok(command) => changed |= Arc::make_mut(&mut self.state).apply(&command),
+                    Err(error) => log::error!(event = "command_unreadable"; "{error}"),
+                }
+            }
+            if let Some((term, ticket)) = self.placed.remove(&entry.index) {
+                let same = term == entry.term;
+                done.push((
+                    ticket,
+                    if same {
+                        Committed::Yes
+                    } else {
+                        Committed::Unknown
+                    },
+                ));
+            }
+        }
+        if changed {
+            self.tell_state();
+        }
+        for (ticket, committed) in done {
+            self.reply(ticket, committed);
+        }
+    }
+
+    fn reply(&mut self, ticket: ProposalTicket, committed: Committed) {
+        if let Some(reply) = self.replies.remove(&ticket) {
+            let _ = reply.send(committed);
+        }
+    }
+
+    fn abandon_proposals(&mut self) {
+        self.placed.clear();
+        for (_, reply) in std::mem::take(&mut self.replies) {
+            let _ = reply.send(Committed::Unknown);
+        }
+    }
+
+    fn compact(&mut self) {
+        if self.storage.is_none() || self.replica.entries_since_snapshot() < COMPACT_AFTER {
+            return;
+        }
+        let index = self.replica.applied_index();
+        if let Ok(state) = rmp_serde::to_vec(&*self.state) {
+            self.feed(Event::Compact { index, state });
+        }
+    }
+
+    /// After a failed write nothing is certain of the disk: the member goes
+    /// silent and begins anew from what the disk then holds.
+    fn disk_failed(&mut self, error: &StorageError) {
+        log::warn!(event = "disk_failed"; "{error}");
+        self.storage = None;
+        self.reopen_at = self.clock.now() + REOPEN_MS;
+        self.abandon_proposals();
+        let _ = self.output.send(CoreOutput::Disk(Err(error.to_string())));
+    }
+
+    fn try_reopen(&mut self) {
+        if self.clock.now() < self.reopen_at {
+            return;
+        }
+        self.reopen_at = self.clock.now() + REOPEN_MS;
+        match open(&self.settings) {
+            Ok((storage, restored)) if storage.identity().member == self.own.id => {
+                let restored_state = state_of(&restored);
+                let now = self.clock.now();
+                let replica = Replica::new(self.own.id, TIMING, rand::random(), restored, now);
+                let wanted = self.settings.tolerated_losses * 2 + 1;
+                self.replica = replica.with_wanted_voters(wanted);
+                self.state = Arc::new(restored_state);
+                self.storage = Some(storage);
+                log::info!(event = "disk_works_again"; "");
+                let _ = self.output.send(CoreOutput::Disk(Ok(())));
+            }
+            Ok(_) => log::error!(event = "disk_exchanged"; "the folder belongs to another member"),
+            Err(error) => log::warn!(event = "disk_failed"; "{error}"),
+        }
+    }
+
+    fn tell_state(&self) {
+        let _ = self.output.send(CoreOutput::State(self.state.clone()));
+    }
+
+    fn tell_leader(&mut self) {
+        let leader = self.replica.leader_info().cloned();
+        let now = (self.replica.term(), leader.as_ref().map(|info| info.id));
+        if self.told_leader.as_ref() != Some(&now) {
+            self.told_leader = Some(now);
+            let _ = self.output.send(CoreOutput::Leader(now.0, leader));
+        }
+    }
+}
+
+fn state_of(restored: &Restored) -> ControlState {
+    restored
+        .snapshot
+        .as_ref()
+        .map(decode_state)
+        .unwrap_or_default()
+}
+
+fn decode_state(snapshot: &Snapshot) -> ControlState {
+    if snapshot.state.is_empty() {
+        return ControlState::default();
+    }
+    rmp_serde::from_slice(&snapshot.state).unwrap_or_else(|error| {
+        log::error!(event = "snapshot_unreadable"; "{error}");
+        ControlState::default()
+    })
+}
--- /dev/null
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -0,0 +1,336 @@
+//! Sending a request until it has an answer, within its time, its number of
+//! targets and the budget of repeats.
+
+use crate::front::answer::{Answer, AnswerBody, OwnAnswer};
+use crate::front::exchange::{self, Reply, SendError, Verdict, is_promise};
+use crate::front::request::{Accepted, forwarded};
+use crate::front::stream;
+use crate::node::Node;
+use crate::places::{Ask, NoPlace, Place, acquire};
+use bytes::Bytes;
+use hyper::Response;
+use hyper::header::HeaderMap;
+use moleroad_config::prelude::Repeatability;
+use moleroad_directory::prelude::TargetId;
+use moleroad_dispatch::prelude::Outcome;
+use moleroad_types::prelude::Millis;
+use std::sync::Arc;
+
+/// Most connections that are tried for one request without one coming up.
+const MOST_UNREACHABLE: usize = 4;
+/// Part of the wanted latency that a target needs once it has the request.
+const TARGET_PART_OF_LATENCY: u64 = 4;
+/// Time before the end of a request's time in which it is not sent any more,
+/// in milliseconds.
+const LEAST_USEFUL_MS: u64 = 60;
+
+/// What was done so far for one request.
+pub struct Attempts {
+    node: Arc<Node>,
+    /// The request.
+    pub request: Arc<Accepted>,
+    tried: Vec<TargetId>,
+    sends: u32,
+    unreachable: usize,
+    may_have_run: bool,
+    failed_reply: Option<(Reply, Bytes)>,
+}
+
+/// A target at work on the request.
+pub struct Running {
+    /// The place; it says how the send ended.
+    pub place: Place,
+    /// The head of the answer.
+    pub reply: Reply,
+}
+
+/// Why no further send is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GiveUp {
+    /// No target has room.
+    NoPlace(NoPlace),
+    /// Its time is over.
+    TimeOver,
+    /// It may not be sent again.
+    NotAgain,
+}
+
+impl Attempts {
+    /// Nothing was sent yet.
+    pub fn new(node: Arc<Node>, request: Accepted) -> Self {
+        Self {
+            node,
+            request: Arc::new(request),
+            tried: Vec::new(),
+            sends: 0,
+            unreachable: 0,
+            may_have_run: false,
+            failed_reply: None,
+        }
+    }
+
+    /// Number of sends that reached a target.
+    pub fn sends(&self) -> u32 {
+        self.sends
+    }
+
+    /// Whether it may run at more than one target.
+    pub fn is_idempotent(&self) -> bool {
+        let route = &self.request.route;
+        if route.streaming {
+            route.resumable
+        } else {
+            route.repeatability == Repeatability::Idempotent
+        }
+    }
+
+    /// Sends the request to one more target, until one begins to answer.
+    pub async fn next_run(&mut self, last_event: Option<&Bytes>) -> Result<Running, GiveUp> {
+        loop {
+            let mut place = self.next_place().await?;
+            let least = {
+                let view = self.node.view();
+                self.node.least_version(&view, &self.request.service)
+            };
+            self.tried.push(place.candidate.id.clone());
+            let node = self.node.clone();
+            let limit = self.head_limit();
+            let sent = exchange::send(
+                &node,
+                &self.request,
+                &place.candidate,
+                least,
+                last_event,
+                limit,
+            );
+            let sent = sent.await;
+            self.log_send(&place, &sent);
+            match sent {
+                Err(SendError::Unreachable) => {
+                    place.ended(Outcome::Unreachable);
+                    self.node.pool.forget(place.candidate.address);
+                    self.unreachable += 1;
+                    if self.unreachable >= MOST_UNREACHABLE {
+                        return Err(GiveUp::NotAgain);
+                    }
+                }
+                Err(_) => {
+                    self.sends += 1;
+                    self.may_have_run = true;
+                    place.ended(Outcome::Broken);
+                    if !self.is_idempotent() {
+                        return Err(GiveUp::NotAgain);
+                    }
+                }
+                Ok(reply) => {
+                    self.sends += 1;
+                    match self.take_head(place, reply).await {
+                        Some(running) => return Ok(running),
+                        None if self.may_have_run && !self.is_idempotent() => {
+                            return Err(GiveUp::NotAgain);
+                        }
+                        None => {}
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes the head of an answer; `None` when another target may be asked.
+    async fn take_head(&mut self, mut place: Place, mut reply: Reply) -> Option<Running> {
+        match reply.verdict {
+            Verdict::Succeeded | Verdict::Final => Some(Running { place, reply }),
+            Verdict::TurnedAway => {
+                place.ended(Outcome::TurnedAway);
+                let whole = reply.whole_body(&self.node, self.request.until).await;
+                if whole.is_ok() {
+                    reply.keep_connection(&self.node);
+                }
+                None
+            }
+            Verdict::Failed => {
+                self.may_have_run = true;
+                place.ended(Outcome::Failed);
+                match reply.whole_body(&self.node, self.request.until).await {
+                    Ok(body) => self.failed_reply = Some((reply, body)),
+                    Err(_) => place.ended(Outcome::Broken),
+                }
+                None
+            }
+        }
+    }
+
+    async fn next_place(&mut self) -> Result<Place, GiveUp> {
+        let now = self.node.clock.now();
+        if now + LEAST_USEFUL_MS > self.request.until {
+            return Err(GiveUp::TimeOver);
+        }
+        if self.sends >= self.request.route.max_attempts.max(1) {
+            return Err(GiveUp::NotAgain);
+        }
+        if self.sends > 0 && !self.take_repeat(now) {
+            self.node.metrics.count("repeat_over_budget");
+            return Err(GiveUp::NotAgain);
+        }
+        let latency = self.request.route.target_latency_ms;
+        let ask = Ask {
+            service: self.request.service.clone(),
+            tried: self.tried.clone(),
+            priority: self.request.priority,
+            wanted_by: self.request.arrived + (latency - latency / TARGET_PART_OF_LATENCY),
+            until: Millis(self.request.until.0 - LEAST_USEFUL_MS),
+        };
+        let place = acquire(&self.node, &ask).await.map_err(GiveUp::NoPlace)?;
+        if self.sends == 0 && self.unreachable == 0 {
+            self.note_first_send();
+            let waited = self.node.clock.now().since(self.request.arrived);
+            self.node.metrics.wait_s.observe(waited as f64 / 1_000.0);
+        }
+        Ok(place)
+    }
+
+    fn note_first_send(&self) {
+        let now = self.node.clock.now();
+        let mut view = self.node.view();
+        if let Some(places) = view.services.get_mut(&self.request.service) {
+            places.budget.note_request(now);
+        }
+    }
+
+    fn take_repeat(&self, now: Millis) -> bool {
+        let mut view = self.node.view();
+        let entries = view.entry_count(now);
+        let places = view.services.get_mut(&self.request.service);
+        places.is_some_and(|places| places.budget.take(now, entries))
+    }
+
+    /// Until when the head of an answer is waited for: streams that are silent
+    /// for long are asked of another target while there is time.
+    fn head_limit(&self) -> Millis {
+        let until = self.request.until;
+        if !self.request.route.streaming || !self.is_idempotent() || !self.may_send_again() {
+            return until;
+        }
+        let now = self.node.clock.now();
+        until.min(now + stream::first_event_patience_ms(&self.request.route))
+    }
+
+    /// Whether the number of targets allows another send.
+    pub fn may_send_again(&self) -> bool {
+        self.sends + 1 < self.request.route.max_attempts.max(1)
+    }
+
+    /// The answer when no target brought one.
+    pub fn give_up(&mut self, reason: GiveUp) -> Answer {
+        if let Some((reply, body)) = self.failed_reply.take() {
+            return self.failed_answer(reply, body);
+        }
+        if self.may_have_run {
+            return match reason {
+                GiveUp::TimeOver => OwnAnswer::TimedOut.response(None),
+                _ if self.node.clock.now() + LEAST_USEFUL_MS > self.request.until => {
+                    OwnAnswer::TimedOut.response(None)
+                }
+                _ => OwnAnswer::Broken.response(None),
+            };
+        }
+        match reason {
+            GiveUp::NoPlace(no_place) => OwnAnswer::NoPlace.response(Some(no_place.retry_after_ms)),
+            GiveUp::TimeOver => OwnAnswer::TooLateNotRun.response(Some(0)),
+            GiveUp::NotAgain => OwnAnswer::TurnedAway.response(Some(TURNED_AWAY_RETRY_MS)),
+        }
+    }
+
+    fn failed_answer(&self, reply: Reply, body: Bytes) -> Answer {
+        // Callers would take the status as a promise that nothing ran.
+        if is_promise(reply.status) {
+            return OwnAnswer::Broken.response(None);
+        }
+        let answer = passed_on(&reply, AnswerBody::Whole(Some(body)));
+        reply.keep_connection(&self.node);
+        answer
+    }
+
+    /// Notes that a target that began to answer broke off.
+    pub fn broke_off(&mut self) {
+        self.may_have_run = true;
+    }
+
+    fn log_send(&self, place: &Place, sent: &Result<Reply, SendError>) {
+        let candidate = &place.candidate;
+        let outcome = match sent {
+            Ok(reply) => match reply.verdict {
+                Verdict::Succeeded => "answered",
+                Verdict::TurnedAway => "turned_away",
+                Verdict::Failed => "failed",
+                Verdict::Final => "final",
+            },
+            Err(SendError::Unreachable) => "unreachable",
+            Err(SendError::Broken) => "broken",
+            Err(SendError::Spoilt) => "spoilt",
+            Err(SendError::TimedOut) => "timed_out",
+        };
+        self.node.metrics.sends.with_label_values(&[outcome]).inc();
+        if outcome == "answered" {
+            return;
+        }
+        let now = self.node.clock.now();
+        let load = {
+            let view = self.node.view();
+            let places = view.services.get(&self.request.service);
+            places.map(|places| places.targets.load(&candidate.id))
+        };
+        let load = load.unwrap_or_default();
+        log::info!(
+            event = "send",
+            request = self.request.id.to_str().unwrap_or("-"),
+            target:% = candidate.id,
+            outcome = outcome,
+            send = self.sends + 1,
+            believed_requests = load.requests(now),
+            report_age_ms = load.report_age(now).unwrap_or(0),
+            weights = candidate.version.unwrap_or(0),
+            elapsed_ms = now.since(self.request.arrived);
+            ""
+        );
+    }
+}
+
+/// When a request that targets turned away may come back, in milliseconds.
+const TURNED_AWAY_RETRY_MS: u64 = 150;
+
+/// A target's answer, as the caller gets it.
+pub fn passed_on(reply: &Reply, body: AnswerBody) -> Answer {
+    let headers: HeaderMap = forwarded(&reply.headers);
+    let mut answer = Response::new(body);
+    *answer.status_mut() = reply.status;
+    *answer.headers_mut() = headers;
+    answer
+}
+
+/// Sends a request that is no stream and answers it.
+pub async fn answer_whole(node: &Arc<Node>, request: Accepted) -> Answer {
+    let mut attempts = Attempts::new(node.clone(), request);
+    loop {
+        let mut running = match attempts.next_run(None).await {
+            Ok(running) => running,
+            Err(reason) => return attempts.give_up(reason),
+        };
+        let until = attempts.request.until;
+        match running.reply.whole_body(node, until).await {
+            Ok(body) => {
+                running.place.ended(Outcome::Answered);
+                let answer = passed_on(&running.reply, AnswerBody::Whole(Some(body)));
+                running.reply.keep_connection(node);
+                return answer;
+            }
+            Err(_) => {
+                running.place.ended(Outcome::Broken);
+                attempts.broke_off();
+                if !attempts.is_idempotent() {
+                    return attempts.give_up(GiveUp::NotAgain);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/moleroad_gateway/src/front/mod.rs
@@ -0,0 +1,15 @@
+//! Callers' requests: taken, sent to a target, answered.
+//!
+//! [`serve`] takes connections, [`request`] reads and checks a request,
+//! [`attempt`] sends it until it has an answer, [`exchange`] is one send over
+//! a connection of the [`pool`], [`stream`] passes events on and resumes at
+//! another target, [`answer`] holds the answers of our own.
+
+pub mod answer;
+pub mod attempt;
+pub mod events;
+pub mod exchange;
+pub mod pool;
+pub mod request;
+pub mod serve;
+pub mod stream;
--- /dev/null
+++ b/crates/moleroad_gateway/src/front/request.rs
@@ -0,0 +1,207 @@
+//! Reading and checking a caller's request.
+
+use crate::front::answer::OwnAnswer;
+use crate::node::Node;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use hyper::{Method, Request};
+use moleroad_config::prelude::{Route, RouteTable, Tenant};
+use moleroad_types::prelude::Millis;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest time that a request without a deadline of its own is held, in
+/// milliseconds, if its route allows more.
+const LONGEST_HOLD_MS: u64 = 600_000;
+
+/// A request that may be sent.
+pub struct Accepted {
+    /// Method.
+    pub method: Method,
+    /// Path and query as the caller sent them.
+    pub target: String,
+    /// Headers for targets, without those of a single send.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Identity that the caller gave it.
+    pub id: HeaderValue,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Service drawn from the route's.
+    pub service: String,
+    /// Version of the configuration that decided.
+    pub config_version: u64,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// When it came.
+    pub arrived: Millis,
+    /// When the caller stops waiting, if it said so.
+    pub caller_until: Option<Millis>,
+    /// When it must be answered.
+    pub until: Millis,
+    /// Event after which a stream goes on.
+    pub last_event: Option<Bytes>,
+}
+
+/// Reads and checks a request.
+///
+/// # Errors
+/// The answer to give, when it may not be sent.
+pub async fn accept(
+    node: &Node,
+    request: Request<Incoming>,
+    arrived: Millis,
+) -> Result<Accepted, OwnAnswer> {
+    let Some(table) = node.view().table.clone() else {
+        return Err(OwnAnswer::NoConfiguration);
+    };
+    let (head, body) = request.into_parts();
+    let names = node.interface.headers();
+    let host = host_of(&head.headers, &head.uri).ok_or(OwnAnswer::BadRequest)?;
+    let path = head.uri.path();
+    let route = table.find(&host, path).ok_or(OwnAnswer::NoRoute)?.clone();
+    let key = head.headers.get(&names.key);
+    let tenant = tenant_of(&table, &route, key)?;
+    let id = head.headers.get(&names.request_id).cloned();
+    let id = id.unwrap_or_else(|| HeaderValue::from_static("-"));
+    let backend = RouteTable::backend_of(&route, rand::random()).ok_or(OwnAnswer::NoRoute)?;
+    let service = backend.service.clone();
+    let deadline_ms = number(head.headers.get(&names.deadline_ms));
+    let hold_ms = route.timeout_ms.min(LONGEST_HOLD_MS);
+    let until = arrived + deadline_ms.map_or(hold_ms, |deadline| deadline.min(hold_ms));
+    let last_event = head.headers.get(&names.last_event);
+    let last_event = last_event.map(|value| Bytes::copy_from_slice(value.as_bytes()));
+    let target = head.uri.path_and_query().map_or("/", |both| both.as_str());
+    let priority = tenant.as_ref().and_then(|tenant| tenant.priority);
+    let mut accepted = Accepted {
+        method: head.method.clone(),
+        target: target.to_string(),
+        headers: forwarded(&head.headers),
+        body: Bytes::new(),
+        id,
+        service,
+        config_version: table.version().0,
+        priority: priority.unwrap_or(route.priority),
+        route,
+        arrived,
+        caller_until: deadline_ms.map(|deadline| arrived + deadline),
+        until,
+        last_event,
+    };
+    set_tenant(&mut accepted.headers, &names.tenant, tenant.as_deref());
+    accepted.headers.remove(&names.key);
+    accepted.headers.remove(&names.expected_target);
+    accepted.headers.remove(&names.expected_version);
+    if !accepted.headers.contains_key(HOST) {
+        let value = HeaderValue::from_str(&host).map_err(|_| OwnAnswer::BadRequest)?;
+        accepted.headers.insert(HOST, value);
+    }
+    accepted.body = read_body(body, &table, arrived, node).await?;
+    Ok(accepted)
+}
+
+fn host_of(headers: &HeaderMap, uri: &hyper::Uri) -> Option<String> {
+    let named = headers.get(HOST).and_then(|value| value.to_str().ok());
+    named.or(uri.host()).map(str::to_string)
+}
+
+fn tenant_of(
+    table: &RouteTable,
+    route: &Route,
+    key: Option<&HeaderValue>,
+) -> Result<Option<Arc<Tenant>>, OwnAnswer> {
+    let key = key.and_then(|key| key.to_str().ok());
+    let tenant = key.and_then(|key| table.tenant_of(key)).cloned();
+    if table.needs_key() && !route.public && tenant.is_none() {
+        return Err(OwnAnswer::UnknownKey);
+    }
+    Ok(tenant)
+}
+
+fn set_tenant(headers: &mut HeaderMap, name: &HeaderName, tenant: Option<&Tenant>) {
+    headers.remove(name);
+    if let Some(tenant) = tenant
+        && let Ok(value) = HeaderValue::from_str(&tenant.name)
+    {
+        headers.insert(name, value);
+    }
+}
+
+fn number(value: Option<&HeaderValue>) -> Option<u64> {
+    value?.to_str().ok()?.trim().parse().ok()
+}
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const CONNECTION_HEADERS: [HeaderName; 8] = [
+    CONNECTION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    EXPECT,
+    CONTENT_LENGTH,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// The headers that go on to the other side.
+pub fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    for value in headers.get_all(CONNECTION) {
+        for name in value.to_str().unwrap_or_default().split(',') {
+            if let Ok(name) = HeaderName::from_bytes(name.trim().as_bytes()) {
+                kept.remove(name);
+            }
+        }
+    }
+    for name in CONNECTION_HEADERS {
+        kept.remove(name);
+    }
+    kept.remove("proxy-connection");
+    kept
+}
+
+async fn read_body(
+    body: Incoming,
+    table: &RouteTable,
+    arrived: Millis,
+    node: &Node,
+) -> Result<Bytes, OwnAnswer> {
+    let limits = table.limits();
+    let expected = body.size_hint().lower();
+    if expected > limits.max_body_bytes as u64 {
+        return Err(OwnAnswer::TooLarge);
+    }
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let until = node.clock.instant(arrived) + Duration::from_millis(limits.header_timeout_ms);
+    let reading = collect(Limited::new(body, limits.max_body_bytes));
+    match tokio::time::timeout_at(until, reading).await {
+        Ok(result) => result,
+        Err(_) => Err(OwnAnswer::TooSlow),
+    }
+}
+
+async fn collect(mut body: Limited<Incoming>) -> Result<Bytes, OwnAnswer> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => {
+                if let Ok(data) = frame.into_data() {
+                    bytes.extend_from_slice(&data);
+                }
+            }
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                return Err(OwnAnswer::TooLarge);
+            }
+            Err(_) => return Err(OwnAnswer::BadRequest),
+        }
+    }
+    Ok(bytes.freeze())
+}
--- /dev/null
+++ b/crates/moleroad_gateway/src/front/serve.rs
@@ -0,0 +1,175 @@
+//! Taking callers' connections.
+
+use crate::front::answer::{Answer, OwnAnswer, close_after};
+use crate::front::{attempt, request, stream};
+use crate::node::Node;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Rest of a connection while no configuration says otherwise, in milliseconds.
+const IDLE_MS: u64 = 15_000;
+/// Largest request head, in bytes.
+const HEAD_BYTES: usize = 64 << 10;
+/// Pause after an accept that failed, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Takes connections until the process ends.
+pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((connection, _)) => {
+                tokio::spawn(serve_connection(node.clone(), connection));
+            }
+            Err(error) => {
+                log::warn!(event = "accept_failed"; "{error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(node: Arc<Node>, connection: TcpStream) {
+    crate::peers::prepare(&connection);
+    let limits = node.view().table.as_ref().map(|table| table.limits());
+    let idle_ms = limits.map_or(IDLE_MS, |limits| limits.idle_timeout_ms);
+    let head_bytes = limits.map_or(HEAD_BYTES, |limits| {
+        limits.max_header_bytes.max(8_192) + 8_192
+    });
+    let handling = service_fn(|request| handle(node.clone(), request));
+    let served = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(idle_ms))
+        .max_buf_size(head_bytes)
+        .serve_connection(TokioIo::new(connection), handling);
+    let _ = served.await;
+}
+
+/// Counts a request while it is being answered.
+struct InFlight(Arc<Node>);
+
+impl InFlight {
+    fn new(node: &Arc<Node>) -> Self {
+        node.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(node.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn handle(node: Arc<Node>, message: Request<Incoming>) -> Result<Answer, Infallible> {
+    let _counted = InFlight::new(&node);
+    let arrived = node.clock.now();
+    let id = message.headers().get(&node.interface.headers().request_id);
+    let id = id.cloned();
+    let mut left = Unanswered::new(&node, id.clone());
+    let result = request::accept(&node, message, arrived).await;
+    let mut description = None;
+    let mut answer = match result {
+        Err(own) => own.response(own_retry_after(own)),
+        Ok(_) if node.is_ending() => OwnAnswer::Leaving.response(Some(0)),
+        Ok(accepted) => {
+            description = Some((accepted.route.name.clone(), accepted.config_version));
+            if accepted.route.streaming {
+                stream::answer_stream(&node, accepted).await
+            } else {
+                attempt::answer_whole(&node, accepted).await
+            }
+        }
+    };
+    left.answered();
+    if let Some(id) = id {
+        let name = &node.interface.headers().request_id;
+        if !answer.headers().contains_key(name) {
+            answer.headers_mut().insert(name, id.clone());
+        }
+    }
+    if node.is_leaving() {
+        close_after(&mut answer);
+    }
+    note_answer(&node, &answer, &left, description, arrived);
+    Ok(answer)
+}
+
+fn own_retry_after(own: OwnAnswer) -> Option<u64> {
+    match own {
+        OwnAnswer::NoConfiguration => Some(NO_CONFIGURATION_RETRY_MS),
+        OwnAnswer::TooSlow => Some(0),
+        _ => None,
+    }
+}
+
+const NO_CONFIGURATION_RETRY_MS: u64 = 300;
+
+fn note_answer(
+    node: &Node,
+    answer: &Answer,
+    left: &Unanswered,
+    description: Option<(String, u64)>,
+    arrived: moleroad_types::prelude::Millis,
+) {
+    let status = answer.status().as_u16();
+    node.metrics
+        .requests
+        .with_label_values(&[&status.to_string()])
+        .inc();
+    let elapsed_ms = node.clock.now().since(arrived);
+    node.metrics
+        .first_byte_s
+        .observe(elapsed_ms as f64 / 1_000.0);
+    let (route, config_version) = description.unwrap_or_else(|| ("-".into(), 0));
+    log::info!(
+        event = "answer",
+        request = left.id(),
+        route = route.as_str(),
+        configuration = config_version,
+        status = status,
+        elapsed_ms = elapsed_ms;
+        ""
+    );
+}
+
+/// Notes a caller that left before its answer.
+struct Unanswered {
+    node: Arc<Node>,
+    id: Option<hyper::header::HeaderValue>,
+    answered: AtomicBool,
+}
+
+impl Unanswered {
+    fn new(node: &Arc<Node>, id: Option<hyper::header::HeaderValue>) -> Self {
+        Self {
+            node: node.clone(),
+            id,
+            answered: AtomicBool::new(false),
+        }
+    }
+
+    fn id(&self) -> &str {
+        let id = self.id.as_ref().and_then(|id| id.to_str().ok());
+        id.unwrap_or("-")
+    }
+
+    fn answered(&mut self) {
+        self.answered.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if !self.answered.load(Ordering::Relaxed) {
+            self.node.metrics.count("caller_left");
+            log::info!(event = "caller_left", request = self.id(); "");
+        }
+    }
+}
--- /dev/null
+++ b/crates/moleroad_gateway/src/front/stream.rs
@@ -0,0 +1,294 @@
+//! Streams of events: passed on as they come, resumed at another target under
+//! the head of the first one, or ended so that they do not look complete.
+
+use crate::front::answer::{Answer, AnswerBody};
+use crate::front::attempt::{Attempts, Running, passed_on};
+use crate::front::events::EventSplitter;
+use crate::front::exchange::Verdict;
+use crate::front::request::Accepted;
+use crate::node::Node;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use moleroad_config::prelude::Route;
+use moleroad_dispatch::prelude::Outcome;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+/// Parts that wait for a slow reader.
+const PARTS_AHEAD: usize = 16;
+/// A first event is waited for this many times the wanted latency.
+const FIRST_EVENT_PATIENCE: u64 = 3;
+/// A next event is waited for this many times the wanted pause.
+const PAUSE_PATIENCE: u64 = 3;
+/// Shortest wait for an event before another target is asked, in milliseconds.
+const SHORTEST_PATIENCE_MS: u64 = 800;
+
+/// How long a first event is waited for, in milliseconds.
+pub fn first_event_patience_ms(route: &Route) -> u64 {
+    (route.target_latency_ms * FIRST_EVENT_PATIENCE).max(SHORTEST_PATIENCE_MS)
+}
+
+fn pause_patience_ms(route: &Route) -> u64 {
+    (route.target_pause_ms * PAUSE_PATIENCE).max(SHORTEST_PATIENCE_MS)
+}
+
+/// How the events of one target ended.
+enum End {
+    Complete,
+    Broken,
+    CallerLeft,
+    TimeOver,
+}
+
+/// Sends a request whose answer is a stream, and begins to answer it.
+pub async fn answer_stream(node: &Arc<Node>, request: Accepted) -> Answer {
+    let mut splitter = EventSplitter::after(request.last_event.clone());
+    let mut attempts = Attempts::new(node.clone(), request);
+    loop {
+        let mut running = match attempts.next_run(None).await {
+            Ok(running) => running,
+            Err(reason) => return attempts.give_up(reason),
+        };
+        if running.reply.verdict == Verdict::Final {
+            return pass_on_final(node, &attempts, running).await;
+        }
+        match first_events(node, &attempts, &mut running, &mut splitter).await {
+            First::Events(events) => return begin(node, attempts, running, splitter, events),
+            First::Complete => {
+                running.place.ended(Outcome::Answered);
+                let answer = passed_on(&running.reply, AnswerBody::Whole(None));
+                running.reply.keep_connection(node);
+                return answer;
+            }
+            First::Broken => {
+                running.place.ended(Outcome::Broken);
+                attempts.broke_off();
+                splitter.drop_rest();
+                if !attempts.is_idempotent() {
+                    return attempts.give_up(crate::front::attempt::GiveUp::NotAgain);
+                }
+            }
+        }
+    }
+}
+
+async fn pass_on_final(node: &Arc<Node>, attempts: &Attempts, mut running: Running) -> Answer {
+    match running.reply.whole_body(node, attempts.request.until).await {
+        Ok(body) => {
+            running.place.ended(Outcome::Answered);
+            let answer = passed_on(&running.reply, AnswerBody::Whole(Some(body)));
+            running.reply.keep_connection(node);
+            answer
+        }
+        Err(_) => {
+            running.place.ended(Outcome::Broken);
+            crate::front::answer::OwnAnswer::Broken.response(None)
+        }
+    }
+}
+
+enum First {
+    Events(Bytes),
+    Complete,
+    Broken,
+}
+
+async fn first_events(
+    node: &Node,
+    attempts: &Attempts,
+    running: &mut Running,
+    splitter: &mut EventSplitter,
+) -> First {
+    let request = &attempts.request;
+    let mut limit = node.clock.instant(request.until);
+    if attempts.is_idempotent() && attempts.sends() < request.route.max_attempts {
+        let patience = first_event_patience_ms(&request.route);
+        limit = limit.min(Instant::now() + Duration::from_millis(patience));
+    }
+    loop {
+        match tokio::time::timeout_at(limit, running.reply.body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                let Ok(data) = frame.into_data() else {
+                    continue;
+                };
+                let events = splitter.push(&data);
+                if !events.is_empty() {
+                    return First::Events(events);
+                }
+                if splitter.is_too_long() {
+                    return First::Broken;
+                }
+            }
+            Ok(None) if !splitter.has_rest() => return First::Complete,
+            _ => return First::Broken,
+        }
+    }
+}
+
+/// Answers with the first events and leaves the rest to a task.
+fn begin(
+    node: &Arc<Node>,
+    attempts: Attempts,
+    running: Running,
+    splitter: EventSplitter,
+    events: Bytes,
+) -> Answer {
+    let (parts, body) = mpsc::channel(PARTS_AHEAD);
+    let answer = passed_on(&running.reply, AnswerBody::Parts(body));
+    let relay = Relay {
+        node: node.clone(),
+        attempts,
+        splitter,
+        parts,
+    };
+    node.in_flight
+        .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    tokio::spawn(async move {
+        let node = relay.node.clone();
+        relay.run(running, events).await;
+        node.in_flight
+            .fetch_sub(1, std::sync::atomic::Ordering::Relaxed);
+    });
+    answer
+}
+
+struct Relay {
+    node: Arc<Node>,
+    attempts: Attempts,
+    splitter: EventSplitter,
+    parts: mpsc::Sender<io::Result<Bytes>>,
+}
+
+impl Relay {
+    async fn run(mut self, mut running: Running, first: Bytes) {
+        if self.parts.send(Ok(first)).await.is_err() {
+            return;
+        }
+        loop {
+            let end = self.pass_on(&mut running).await;
+            match end {
+                End::Complete => {
+                    running.place.ended(Outcome::Answered);
+                    running.reply.keep_connection(&self.node);
+                    return self.log_end("complete");
+                }
+                End::CallerLeft => return self.log_end("caller_left"),
+                End::TimeOver => return self.break_off("time_over").await,
+                End::Broken => {
+                    running.place.ended(Outcome::Broken);
+                    drop(running);
+                    self.attempts.broke_off();
+                    self.splitter.drop_rest();
+                    match self.resume().await {
+                        Some(next) => running = next,
+                        None => return self.break_off("not_resumed").await,
+                    }
+                }
+            }
+        }
+    }
+
+    async fn pass_on(&mut self, running: &mut Running) -> End {
+        let request = self.attempts.request.clone();
+        let until = self.node.clock.instant(request.until);
+        let patience = Duration::from_millis(pause_patience_ms(&request.route));
+        loop {
+            let can_move =
+                self.attempts.is_idempotent() && self.attempts.sends() < request.route.max_attempts;
+            let limit = if can_move {
+                until.min(Instant::now() + patience)
+            } else {
+                until
+            };
+            let frame = tokio::select! {
+                biased;
+                () = self.parts.closed() => return End::CallerLeft,
+                frame = tokio::time::timeout_at(limit, running.reply.body.frame()) => frame,
+            };
+            match frame {
+                Err(_) if Instant::now() >= until => return End::TimeOver,
+                Err(_) => {
+                    self.node.metrics.count("stream_silent");
+                    return End::Broken;
+                }
+                Ok(None) if self.splitter.has_rest() => return End::Broken,
+                Ok(None) => return End::Complete,
+                Ok(Some(Err(_))) => return End::Broken,
+                Ok(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    let events = self.splitter.push(&data);
+                    if self.splitter.is_too_long() {
+                        return End::Broken;
+                    }
+                    if !events.is_empty() && !self.deliver(events, until).await {
+                        return End::CallerLeft;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn deliver(&self, events: Bytes, until: Instant) -> bool {
+        let sent = tokio::time::timeout_at(until, self.parts.send(Ok(events))).await;
+        matches!(sent, Ok(Ok(())))
+    }
+
+    async fn resume(&mut self) -> Option<Running> {
+        if !self.attempts.is_idempotent() {
+            return None;
+        }
+        let last = self.splitter.last_id().cloned();
+        let parts = self.parts.clone();
+        let next = tokio::select! {
+            biased;
+            () = parts.closed() => return None,
+            next = self.attempts.next_run(last.as_ref()) => next,
+        };
+        let outcome = match &next {
+            Ok(running) if running.reply.verdict == Verdict::Succeeded => "resumed",
+            _ => "failed",
+        };
+        self.node.metrics.count("stream_resumption");
+        log::info!(
+            event = "stream_resumption",
+            request = self.attempts.request.id.to_str().unwrap_or("-"),
+            last_event = last.as_deref().map_or("-", |id| std::str::from_utf8(id).unwrap_or("-")),
+            outcome = outcome,
+            sends = self.attempts.sends();
+            ""
+        );
+        next.ok()
+            .filter(|running| running.reply.verdict == Verdict::Succeeded)
+    }
+
+    /// Ends the answer so that it does not look complete.
+    async fn break_off(self, reason: &str) {
+        self.log_end(reason);
+        let broken = io::Error::new(io::ErrorKind::ConnectionAborted, "stream broke off");
+        let _ = self.parts.send(Err(broken)).await;
+    }
+
+    fn log_end(&self, reason: &str) {
+        self.node.metrics.count(match reason {
+            "complete" => "stream_complete",
+            "caller_left" => "stream_caller_left",
+            _ => "stream_broken_off",
+        });
+        if reason == "complete" {
+            return;
+        }
+        log::info!(
+            event = "stream_end",
+            request = self.attempts.request.id.to_str().unwrap_or("-"),
+            outcome = reason,
+            sends = self.attempts.sends(),
+            elapsed_ms = self.node.clock.now().since(self.attempts.request.arrived);
+            ""
+        );
+    }
+}
--- /dev/null
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -0,0 +1,32 @@
+//! The programs that meet the outside: the entry, which takes callers'
+//! requests and the calls of operators and targets, and the agent, which
+//! brings weights to one engine.
+//!
+//! Each is one process with one thread for everything but the disk of the
+//! control group ([`core`]). What is decided lies in the pure crates
+//! (`moleroad_config`, `moleroad_directory`, `moleroad_dispatch`,
+//! `moleroad_rollout`, `moleroad_consensus`); this crate does the I/O.
+//! [`run`] is the one place that shows what runs in which role. What the
+//! outside speaks is behind [`interface::Interface`].
+#![warn(missing_docs)]
+
+pub mod agent;
+pub mod clock;
+pub mod control_state;
+pub mod core;
+pub mod front;
+pub mod greeting;
+pub mod interface;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod operator;
+pub mod peer;
+pub mod peer_server;
+pub mod peers;
+pub mod places;
+pub mod run;
+pub mod settings;
+pub mod system_calls;
+pub mod target_news;
+pub mod view;
--- /dev/null
+++ b/crates/moleroad_gateway/src/node.rs
@@ -0,0 +1,210 @@
+//! What all tasks of one process share.
+
+use crate::clock::Clock;
+use crate::control_state::{ControlCommand, ControlState};
+use crate::core::Core;
+use crate::front::pool::Pool;
+use crate::interface::Interface;
+use crate::metrics::Metrics;
+use crate::peer::LeaderHint;
+use crate::peers::Peers;
+use crate::settings::{RoleSetting, Settings};
+use crate::view::View;
+use moleroad_consensus::prelude::MemberInfo;
+use moleroad_directory::prelude::*;
+use moleroad_types::prelude::InstanceId;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use tokio::sync::Notify;
+
+/// What all tasks of one process share.
+pub struct Node {
+    /// Settings of this life of the process.
+    pub settings: Settings,
+    /// Steady time.
+    pub clock: Clock,
+    /// What the outside speaks.
+    pub interface: Arc<dyn Interface>,
+    /// Other daemons.
+    pub peers: Peers,
+    /// The member of the control group, where there is a disk.
+    pub core: Option<Core>,
+    /// Kept connections to targets.
+    pub pool: Pool,
+    /// Figures.
+    pub metrics: Metrics,
+    /// Wakes whoever tells others of this daemon.
+    pub news: Notify,
+    /// Requests that are being answered.
+    pub in_flight: AtomicUsize,
+    seeds: Mutex<Vec<SocketAddr>>,
+    leaving: AtomicBool,
+    ending: AtomicBool,
+    view: Mutex<View>,
+}
+
+impl Node {
+    /// A process that knows only its settings.
+    pub fn new(
+        settings: Settings,
+        clock: Clock,
+        interface: Arc<dyn Interface>,
+        core: Option<Core>,
+    ) -> Self {
+        let own = own_record(&settings);
+        Self {
+            clock,
+            interface,
+            peers: Peers::default(),
+            core,
+            pool: Pool::default(),
+            metrics: Metrics::default(),
+            news: Notify::new(),
+            in_flight: AtomicUsize::new(0),
+            seeds: Mutex::new(settings.seed_peers()),
+            leaving: AtomicBool::new(false),
+            ending: AtomicBool::new(false),
+            view: Mutex::new(View::new(own)),
+            settings,
+        }
+    }
+
+    /// What this daemon believes. Never held across an await.
+    pub fn view(&self) -> MutexGuard<'_, View> {
+        self.view.lock().unwrap_or_else(|error| error.into_inner())
+    }
+
+    /// Daemons to begin with, by their peer addresses.
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        let seeds = self.seeds.lock();
+        seeds.unwrap_or_else(|error| error.into_inner()).clone()
+    }
+
+    /// Takes the seeds of changed settings in place of the earlier ones.
+    pub fn replace_seeds(&self, fresh: Vec<SocketAddr>) {
+        let seeds = self.seeds.lock();
+        *seeds.unwrap_or_else(|error| error.into_inner()) = fresh;
+    }
+
+    /// Whether this process was asked to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Whether requests are no longer begun because the process ends soon.
+    pub fn is_ending(&self) -> bool {
+        self.ending.load(Ordering::Relaxed)
+    }
+
+    /// Begins no request from now on.
+    pub fn end(&self) {
+        self.ending.store(true, Ordering::Relaxed);
+    }
+
+    /// Takes no new callers from now on.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.set_own_state();
+        self.news.notify_waiters();
+    }
+
+    /// Brings what this daemon tells of itself up to date.
+    pub fn set_own_state(&self) {
+        let mut view = self.view();
+        let ready = self.settings.role == RoleSetting::Agent || view.table.is_some();
+        let state = if self.is_leaving() {
+            DaemonState::Leaving
+        } else if ready {
+            DaemonState::Ready
+        } else {
+            DaemonState::Starting
+        };
+        if view.own.state != state {
+            view.own.state = state;
+            view.own.sequence += 1;
+        }
+        let (now, own) = (self.clock.now(), view.own.clone());
+        view.directory.hear_daemon(now, own, 0);
+    }
+
+    /// Takes what is newer in `state`; true if anything was.
+    pub fn take_state(&self, state: &ControlState) -> bool {
+        let now = self.clock.now();
+        let changed = {
+            let mut view = self.view();
+            let changed = view.take_state(now, state, &*self.interface);
+            if changed {
+                view.refresh_candidates(now, &self.settings);
+            }
+            changed
+        };
+        if changed {
+            self.set_own_state();
+            self.serve_waiting();
+        }
+        changed
+    }
+
+    /// The least version of weights for `service`; see [`View::least_version`].
+    pub fn least_version(&self, view: &View, service: &str) -> Option<u64> {
+        let table = view.table.as_ref()?;
+        let service = table.service(service)?;
+        view.least_version(self.clock.now(), service, self.settings.bounds.version_ms)
+    }
+
+    /// Gives free places to those that wait.
+    pub fn serve_waiting(&self) {
+        let now = self.clock.now();
+        let mut view = self.view();
+        let names: Vec<String> = view.services.keys().cloned().collect();
+        for name in names {
+            let least = self.least_version(&view, &name);
+            if let Some(places) = view.services.get_mut(&name) {
+                places.serve_waiting(now, least);
+            }
+        }
+    }
+
+    /// The leader, as this daemon believes.
+    pub fn leader_hint(&self) -> Option<LeaderHint> {
+        self.view().leader
+    }
+
+    /// Whether what is in force includes `command`.
+    pub fn has_in_force(&self, command: &ControlCommand) -> bool {
+        self.view().state.includes(command)
+    }
+
+    /// Turns a member into a hint, with the newest term that is known.
+    pub fn hint_of(&self, member: Option<MemberInfo>) -> Option<LeaderHint> {
+        let term = self.view().leader.map_or(0, |hint| hint.term);
+        member.map(|member| LeaderHint {
+            term,
+            address: member.address,
+        })
+    }
+}
+
+fn own_record(settings: &Settings) -> DaemonRecord {
+    let role = match settings.role {
+        RoleSetting::Entry => DaemonRole::Entry,
+        RoleSetting::Agent => DaemonRole::Agent,
+    };
+    DaemonRecord {
+        instance: InstanceId::new(settings.instance.as_str()),
+        incarnation: rand::random(),
+        sequence: 1,
+        role,
+        state: DaemonState::Starting,
+        peer: settings.peer_address(),
+        frontend: settings.listen.frontend,
+        control: settings.listen.control,
+        hall: settings.hall.clone(),
+        region: settings.region.clone(),
+        engine: settings.engine,
+        service: settings.service.clone(),
+        pieces: None,
+        report: None,
+    }
+}
--- /dev/null
+++ b/crates/moleroad_gateway/src/operator.rs
@@ -0,0 +1,154 @@
+//! Changes that operators want, and reads of what is in force: carried to the
+//! leader of the control group from whichever daemon was asked.
+
+use crate::control_state::{ControlCommand, ControlState};
+use crate::core::Committed;
+use crate::node::Node;
+use crate::peer::{CommitAnswer, LeaderHint};
+use moleroad_types::prelude::Millis;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time in which an operator wants an answer; it then asks another daemon.
+const ANSWER_MS: u64 = 850;
+/// Time for one call to a daemon that may lead.
+const CALL_MS: u64 = 500;
+/// Pause before a leader is looked for again.
+const LOOK_AGAIN_MS: u64 = 60;
+
+/// Brings a change to the leader; true once it is durable and applied.
+pub async fn commit(node: &Arc<Node>, command: ControlCommand) -> bool {
+    let until = node.clock.now() + ANSWER_MS;
+    let mut next = None;
+    loop {
+        if node.has_in_force(&command) {
+            return true;
+        }
+        let left = until.since(node.clock.now());
+        if left == 0 {
+            return false;
+        }
+        let leader = next.take().or_else(|| node.leader_hint());
+        let answer = match leader {
+            Some(hint) => propose_at(node, hint.address, &command, left.min(CALL_MS)).await,
+            None => CommitAnswer::NotLeader(None),
+        };
+        match answer {
+            CommitAnswer::Committed => {
+                // What is durable is in force here before it is acknowledged.
+                let mut state = ControlState::default();
+                state.apply(&command);
+                node.take_state(&state);
+                return true;
+            }
+            CommitAnswer::Unknown => return node.has_in_force(&command),
+            CommitAnswer::NotLeader(hint) => {
+                next = hint.filter(|hint| Some(hint.address) != leader.map(|l| l.address));
+                if next.is_none() {
+                    pause(left).await;
+                }
+            }
+        }
+    }
+}
+
+async fn propose_at(
+    node: &Arc<Node>,
+    address: SocketAddr,
+    command: &ControlCommand,
+    timeout_ms: u64,
+) -> CommitAnswer {
+    if address == node.settings.peer_address() {
+        let proposing = propose_here(node, command.clone());
+        let limit = Duration::from_millis(timeout_ms);
+        let answer = tokio::time::timeout(limit, proposing).await;
+        return answer.unwrap_or(CommitAnswer::Unknown);
+    }
+    let command = command.clone();
+    let timeout = Duration::from_millis(timeout_ms);
+    let call = |client: crate::peer::PeerClient, context| async move {
+        client.propose(context, command).await
+    };
+    match node.peers.call(address, timeout, call).await {
+        Ok(answer) => answer,
+        Err(crate::peers::CallError::NoAnswer) => CommitAnswer::Unknown,
+        Err(_) => CommitAnswer::NotLeader(None),
+    }
+}
+
+/// Proposes a change at the member of this process.
+pub async fn propose_here(node: &Node, command: ControlCommand) -> CommitAnswer {
+    let Some(core) = &node.core else {
+        return CommitAnswer::NotLeader(node.leader_hint());
+    };
+    match core.propose(command).await {
+        Committed::Yes => CommitAnswer::Committed,
+        Committed::NotLeader(leader) => CommitAnswer::NotLeader(node.hint_of(leader)),
+        Committed::Unknown => CommitAnswer::Unknown,
+    }
+}
+
+/// What is in force now; `None` when that is not certain.
+pub async fn read(node: &Arc<Node>) -> Option<ControlState> {
+    let until = node.clock.now() + ANSWER_MS;
+    let mut next = None;
+    loop {
+        let left = until.since(node.clock.now());
+        if left == 0 {
+            return None;
+        }
+        let leader: Option<LeaderHint> = next.take().or_else(|| node.leader_hint());
+        let answer = match leader {
+            Some(hint) => read_at(node, hint.address, left.min(CALL_MS)).await,
+            None => Err(None),
+        };
+        match answer {
+            Ok(state) => {
+                node.take_state(&state);
+                return Some(state);
+            }
+            Err(hint) => {
+                next = hint.filter(|hint| Some(hint.address) != leader.map(|l| l.address));
+                if next.is_none() {
+                    pause(left).await;
+                }
+            }
+        }
+    }
+}
+
+async fn read_at(
+    node: &Arc<Node>,
+    address: SocketAddr,
+    timeout_ms: u64,
+) -> Result<ControlState, Option<LeaderHint>> {
+    if address == node.settings.peer_address() {
+        return read_here(node).await;
+    }
+    let timeout = Duration::from_millis(timeout_ms);
+    let call = |client: crate::peer::PeerClient, context| async move { client.read(context).await };
+    node.peers
+        .call(address, timeout, call)
+        .await
+        .unwrap_or(Err(None))
+}
+
+/// What is in force now, if the member of this process leads under a lease.
+///
+/// # Errors
+/// The leader as far as it is known.
+pub async fn read_here(node: &Node) -> Result<ControlState, Option<LeaderHint>> {
+    let Some(core) = &node.core else {
+        return Err(node.leader_hint());
+    };
+    match core.read().await {
+        Ok(state) => Ok((*state).clone()),
+        Err(leader) => Err(node.hint_of(leader)),
+    }
+}
+
+async fn pause(left_ms: u64) {
+    let pause = Millis(left_ms.min(LOOK_AGAIN_MS));
+    tokio::time::sleep(Duration::from_millis(pause.0)).await;
+}
--- /dev/null
+++ b/crates/moleroad_gateway/src/peer.rs
@@ -0,0 +1,140 @@
+//! Calls between the daemons, over tarpc.
+
+use crate::control_state::{ControlCommand, ControlState};
+use moleroad_config::prelude::ConfigVersion;
+use moleroad_consensus::prelude::{MemberInfo, Message};
+use moleroad_directory::prelude::{DaemonRecord, TargetId, TargetRecord};
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// A record and how long ago its subject spoke, in milliseconds.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Aged<T> {
+    /// What was said.
+    pub record: T,
+    /// How long ago, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// The leader of the control group, as a daemon believes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LeaderHint {
+    /// Its term; the highest one is the newest.
+    pub term: u64,
+    /// Where it takes calls of daemons.
+    pub address: SocketAddr,
+}
+
+/// A daemon tells of itself and of what it knows.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Hello {
+    /// The daemon.
+    pub from: DaemonRecord,
+    /// Its disk, if it could be a member of the control group.
+    pub member: Option<MemberInfo>,
+    /// Changes with the set of daemons that it knows.
+    pub daemons_digest: u64,
+    /// Version of the configuration that it has in force.
+    pub config_version: ConfigVersion,
+    /// Versions of models that it knows to be named.
+    pub versions: BTreeMap<String, u64>,
+    /// The leader, as it believes.
+    pub leader: Option<LeaderHint>,
+    /// Targets that called it since its last hello.
+    pub targets: Vec<Aged<TargetRecord>>,
+    /// Whether it wants all targets.
+    pub wants_targets: bool,
+}
+
+/// A version of a model and how long ago it was named.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct VersionAge {
+    /// Version of the weights.
+    pub version: u64,
+    /// How long ago this daemon learned of it, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A model that engines of a service run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CatalogModel {
+    /// Service of the engines.
+    pub service: String,
+    /// Name of the model.
+    pub model: String,
+    /// Layers that make it up.
+    pub layers: u32,
+    /// Pieces that its weights come in.
+    pub pieces: u32,
+    /// Size of a piece, in bytes.
+    pub piece_bytes: u64,
+}
+
+/// What agents need of the configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Catalog {
+    /// Models.
+    pub models: Vec<CatalogModel>,
+    /// Origins of weights, with their data halls.
+    pub origins: Vec<(SocketAddr, Option<String>)>,
+}
+
+/// Answers a [`Hello`].
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct HelloAnswer {
+    /// All daemons, when the caller's digest differs.
+    pub daemons: Vec<Aged<DaemonRecord>>,
+    /// Version of the configuration that the callee has in force.
+    pub config_version: ConfigVersion,
+    /// Versions of models.
+    pub versions: BTreeMap<String, VersionAge>,
+    /// The leader, as the callee believes.
+    pub leader: Option<LeaderHint>,
+    /// Targets, when they were wanted.
+    pub targets: Vec<Aged<TargetRecord>>,
+    /// What agents need of the configuration.
+    pub catalog: Option<Catalog>,
+}
+
+/// What became of a change that another daemon passed on.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum CommitAnswer {
+    /// It is durable on a majority and applied.
+    Committed,
+    /// The callee does not lead; the leader as it believes.
+    NotLeader(Option<LeaderHint>),
+    /// It may or may not come to be.
+    Unknown,
+}
+
+/// News of targets that entries must have at once.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum TargetNews {
+    /// A target told something new of itself.
+    Changed(Aged<TargetRecord>),
+    /// A target is gone.
+    Gone(TargetId),
+}
+
+/// Calls that every daemon takes from others.
+#[tarpc::service]
+pub trait Peer {
+    /// Tells of the caller, asks for news.
+    async fn hello(hello: Hello) -> HelloAnswer;
+    /// Brings a message of a member of the control group.
+    async fn consensus(from: MemberInfo, message: Message);
+    /// Brings news of targets.
+    async fn targets(news: Vec<TargetNews>);
+    /// Asks the leader for a change.
+    async fn propose(command: ControlCommand) -> CommitAnswer;
+    /// Asks the leader for what is in force now.
+    async fn read() -> Result<ControlState, Option<LeaderHint>>;
+    /// Brings what is in force.
+    async fn push(state: ControlState);
+    /// Asks for what the callee has in force.
+    async fn pull() -> ControlState;
+    /// Asks an agent for a piece of weights.
+    async fn piece(model: String, version: u64, piece: u32) -> Option<ByteBuf>;
+}
--- /dev/null
+++ b/crates/moleroad_gateway/src/peers.rs
@@ -0,0 +1,171 @@
+//! Connections to other daemons: one each, made when needed, dropped when a
+//! call on it fails.
+
+use crate::peer::PeerClient;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+use tarpc::client::RpcError;
+use tokio::net::TcpStream;
+use tokio_serde::formats::MessagePack;
+
+/// Time for a connection to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time after which unacknowledged bytes end a connection.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
+/// Most calls under way to one daemon; further ones fail at once.
+const MAX_IN_FLIGHT: usize = 96;
+/// Largest message, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 24 << 20;
+
+/// Why a call did not bring an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// No connection came up.
+    Unreachable,
+    /// Too many calls are under way.
+    Busy,
+    /// No answer came in time, or the connection broke.
+    NoAnswer,
+}
+
+#[derive(Clone)]
+struct Connection {
+    client: PeerClient,
+    serial: u64,
+    in_flight: Arc<AtomicUsize>,
+}
+
+#[derive(Default)]
+struct Connections {
+    open: HashMap<SocketAddr, Connection>,
+    serial: u64,
+}
+
+/// Calls other daemons.
+#[derive(Default)]
+pub struct Peers {
+    connections: Mutex<Connections>,
+}
+
+impl Peers {
+    /// Calls the daemon at `address`, waiting at most `timeout`.
+    ///
+    /// # Errors
+    /// [`CallError`]; the call may have been carried out all the same.
+    pub async fn call<T, F>(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+        call: impl FnOnce(PeerClient, tarpc::context::Context) -> F,
+    ) -> Result<T, CallError>
+    where
+        F: Future<Output = Result<T, RpcError>>,
+    {
+        let started = Instant::now();
+        let connection = self.connection(address, timeout).await?;
+        if connection.in_flight.load(Ordering::Relaxed) >= MAX_IN_FLIGHT {
+            return Err(CallError::Busy);
+        }
+        let _counted = Counted::new(&connection.in_flight);
+        let left = timeout.saturating_sub(started.elapsed());
+        let mut context = tarpc::context::current();
+        context.deadline = Instant::now() + left;
+        let answer = tokio::time::timeout(left, call(connection.client.clone(), context)).await;
+        match answer {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(_)) | Err(_) => {
+                self.drop_connection(address, connection.serial);
+                Err(CallError::NoAnswer)
+            }
+        }
+    }
+
+    async fn connection(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Connection, CallError> {
+        if let Some(connection) = self.lock().open.get(&address) {
+            return Ok(connection.clone());
+        }
+        let limit = timeout.min(CONNECT_TIMEOUT);
+        let connecting = TcpStream::connect(address);
+        let stream = match tokio::time::timeout(limit, connecting).await {
+            Ok(Ok(stream)) => stream,
+            _ => return Err(CallError::Unreachable),
+        };
+        prepare(&stream);
+        let mut connections = self.lock();
+        if let Some(connection) = connections.open.get(&address) {
+            return Ok(connection.clone());
+        }
+        let transport = transport(stream);
+        let client = PeerClient::new(tarpc::client::Config::default(), transport).spawn();
+        connections.serial += 1;
+        let connection = Connection {
+            client,
+            serial: connections.serial,
+            in_flight: Arc::default(),
+        };
+        connections.open.insert(address, connection.clone());
+        Ok(connection)
+    }
+
+    fn drop_connection(&self, address: SocketAddr, serial: u64) {
+        let mut connections = self.lock();
+        let same = connections
+            .open
+            .get(&address)
+            .is_some_and(|c| c.serial == serial);
+        if same {
+            connections.open.remove(&address);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Connections> {
+        self.connections
+            .lock()
+            .unwrap_or_else(|error| error.into_inner())
+    }
+}
+
+struct Counted(Arc<AtomicUsize>);
+
+impl Counted {
+    fn new(counter: &Arc<AtomicUsize>) -> Self {
+        counter.fetch_add(1, Ordering::Relaxed);
+        Self(counter.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Sets what every connection of ours needs: no delay, and an end when the
+/// other side is silent.
+pub fn prepare(stream: &TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let socket = socket2::SockRef::from(stream);
+    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+}
+
+/// The wire between daemons: frames with a length, MessagePack inside.
+pub fn transport<Item, SinkItem>(
+    stream: TcpStream,
+) -> tarpc::serde_transport::Transport<TcpStream, Item, SinkItem, MessagePack<Item, SinkItem>>
+where
+    Item: for<'de> serde::Deserialize<'de>,
+    SinkItem: serde::Serialize,
+{
+    let mut codec = tarpc::tokio_util::codec::LengthDelimitedCodec::new();
+    codec.set_max_frame_length(MAX_MESSAGE_BYTES);
+    let framed = tarpc::tokio_util::codec::Framed::new(stream, codec);
+    tarpc::serde_transport::new(framed, MessagePack::default())
+}
--- /dev/null
+++ b/crates/moleroad_gateway/src/places.rs
@@ -0,0 +1,232 @@
+//! Places at targets: who may send now, and who waits.
+
+use crate::node::Node;
+use crate::settings::Bounds;
+use moleroad_directory::prelude::TargetId;
+use moleroad_dispatch::prelude::*;
+use moleroad_types::prelude::Millis;
+use std::collections::HashMap;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// What a request asks of a place.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Service.
+    pub service: String,
+    /// Targets that it was sent to before.
+    pub tried: Vec<TargetId>,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Until when a place still makes the wanted latency.
+    pub wanted_by: Millis,
+    /// Until when a place is of any use.
+    pub until: Millis,
+}
+
+/// Why there is no place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoPlace {
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: u64,
+    /// Requests that waited.
+    pub waiting: usize,
+}
+
+struct Waiting {
+    ask: Ask,
+    granted: oneshot::Sender<Candidate>,
+}
+
+/// The targets of one service, who waits for them, and the budget of repeats.
+pub struct ServicePlaces {
+    /// Targets and their load.
+    pub targets: Targets,
+    /// Repeats.
+    pub budget: RepeatBudget,
+    queue: WaitQueue,
+    waiting: HashMap<WaiterId, Waiting>,
+    next_waiter: u64,
+}
+
+impl ServicePlaces {
+    /// Without targets.
+    pub fn new(bounds: &Bounds) -> Self {
+        Self {
+            targets: Targets::default(),
+            budget: RepeatBudget::new(BudgetTerms {
+                ratio: bounds.repeat_ratio,
+                slack: bounds.repeat_slack,
+                window_ms: bounds.repeat_window_ms,
+            }),
+            queue: WaitQueue::default(),
+            waiting: HashMap::new(),
+            next_waiter: 0,
+        }
+    }
+
+    /// Whether nothing waits and nothing is in flight.
+    pub fn is_idle(&self) -> bool {
+        let in_flight = |c: &Candidate| self.targets.load(&c.id).own() > 0;
+        self.waiting.is_empty() && !self.targets.candidates().iter().any(in_flight)
+    }
+
+    /// Number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Gives free places to those that wait.
+    pub fn serve_waiting(&mut self, now: Millis, least: Option<u64>) {
+        while let Some(id) = self.queue.next(now) {
+            let Some(waiting) = self.waiting.get(&id) else {
+                self.queue.leave(id);
+                continue;
+            };
+            let tried = &waiting.ask.tried;
+            let Choice::Send(candidate) = self.targets.choose(now, tried, least, id.0) else {
+                break;
+            };
+            self.queue.leave(id);
+            let Some(waiting) = self.waiting.remove(&id) else {
+                continue;
+            };
+            let target = candidate.id.clone();
+            self.targets.started(&target);
+            if waiting.granted.send(candidate).is_err() {
+                self.targets.finished(now, &target, Outcome::Abandoned);
+            }
+        }
+    }
+
+    fn wait(&mut self, now: Millis, ask: &Ask) -> Option<(WaiterId, oneshot::Receiver<Candidate>)> {
+        self.next_waiter += 1;
+        let id = WaiterId(self.next_waiter);
+        let entered = self.queue.enter(Waiter {
+            id,
+            priority: ask.priority,
+            since: now,
+            wanted_by: ask.wanted_by,
+            until: ask.until,
+        });
+        if !entered {
+            return None;
+        }
+        let (granted, grant) = oneshot::channel();
+        let ask = ask.clone();
+        self.waiting.insert(id, Waiting { ask, granted });
+        Some((id, grant))
+    }
+
+    fn forget(&mut self, id: WaiterId) {
+        self.queue.leave(id);
+        self.waiting.remove(&id);
+    }
+}
+
+/// A place at a target; given back when dropped.
+pub struct Place {
+    node: Arc<Node>,
+    service: String,
+    /// The target.
+    pub candidate: Candidate,
+    outcome: Outcome,
+}
+
+impl Place {
+    /// Says how the send ended; without it the place counts as abandoned.
+    pub fn ended(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let now = self.node.clock.now();
+        let mut view = self.node.view();
+        let least = self.node.least_version(&view, &self.service);
+        if let Some(places) = view.services.get_mut(&self.service) {
+            places
+                .targets
+                .finished(now, &self.candidate.id, self.outcome);
+            places.serve_waiting(now, least);
+        }
+    }
+}
+
+/// A request in the queue; leaves it when dropped.
+struct InQueue {
+    node: Arc<Node>,
+    service: String,
+    id: WaiterId,
+}
+
+impl Drop for InQueue {
+    fn drop(&mut self) {
+        let mut view = self.node.view();
+        if let Some(places) = view.services.get_mut(&self.service) {
+            places.forget(self.id);
+        }
+    }
+}
+
+/// Waits for a place.
+///
+/// # Errors
+/// [`NoPlace`] when there is none until [`Ask::until`], or too many wait.
+pub async fn acquire(node: &Arc<Node>, ask: &Ask) -> Result<Place, NoPlace> {
+    let now = node.clock.now();
+    let place = |candidate| Place {
+        node: node.clone(),
+        service: ask.service.clone(),
+        candidate,
+        outcome: Outcome::Abandoned,
+    };
+    let (id, grant) = {
+        let mut view = node.view();
+        let least = node.least_version(&view, &ask.service);
+        let Some(places) = view.services.get_mut(&ask.service) else {
+            return Err(no_place(0));
+        };
+        if places.queue.is_empty()
+            && let Choice::Send(candidate) =
+                places
+                    .targets
+                    .choose(now, &ask.tried, least, rand::random())
+        {
+            places.targets.started(&candidate.id);
+            return Ok(place(candidate));
+        }
+        match places.wait(now, ask) {
+            Some(waiting) => waiting,
+            None => return Err(no_place(places.waiting())),
+        }
+    };
+    let _in_queue = InQueue {
+        node: node.clone(),
+        service: ask.service.clone(),
+        id,
+    };
+    let granted = tokio::time::timeout_at(node.clock.instant(ask.until), grant).await;
+    match granted {
+        Ok(Ok(candidate)) => Ok(place(candidate)),
+        _ => {
+            let view = node.view();
+            let waiting = view.services.get(&ask.service).map_or(0, |p| p.waiting());
+            Err(no_place(waiting))
+        }
+    }
+}
+
+/// Time for one waiting request to be served, as callers are told.
+const RETRY_AFTER_EACH_MS: u64 = 10;
+const RETRY_AFTER_LEAST_MS: u64 = 200;
+const RETRY_AFTER_MOST_MS: u64 = 2_000;
+
+fn no_place(waiting: usize) -> NoPlace {
+    let wanted = waiting as u64 * RETRY_AFTER_EACH_MS;
+    NoPlace {
+        retry_after_ms: wanted.clamp(RETRY_AFTER_LEAST_MS, RETRY_AFTER_MOST_MS),
+        waiting,
+    }
+}
--- /dev/null
+++ b/crates/moleroad_gateway/src/system_calls.rs
@@ -0,0 +1,226 @@
+//! Calls to the system itself, over HTTP: callers that look for an entry, the
+//! platform's check of readiness, targets and operators.
+
+use crate::control_state::{ConfigDocument, ControlCommand};
+use crate::front::answer::AnswerBody;
+use crate::interface::SystemCall;
+use crate::node::Node;
+use crate::{operator, target_news};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use moleroad_config::prelude::{ConfigurationError, check};
+use moleroad_types::prelude::Millis;
+use serde_bytes::ByteBuf;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Largest document that is taken, in bytes.
+const MAX_DOCUMENT_BYTES: usize = 8 << 20;
+/// Rest of a connection before it is closed.
+const IDLE: Duration = Duration::from_secs(30);
+/// Time for a document to arrive.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after an accept that failed, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long callers keep an answer of the directory, in milliseconds, where
+/// the platform allows it. Some keep it three times as long.
+const ADDRESS_TTL_MS: u64 = 1_000;
+
+/// Takes connections until the process ends.
+pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((connection, _)) => {
+                tokio::spawn(serve_connection(node.clone(), connection));
+            }
+            Err(error) => {
+                log::warn!(event = "accept_failed"; "{error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(node: Arc<Node>, connection: TcpStream) {
+    crate::peers::prepare(&connection);
+    let handling = service_fn(|request| handle(node.clone(), request));
+    let served = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE)
+        .serve_connection(TokioIo::new(connection), handling);
+    let _ = served.await;
+}
+
+type SystemAnswer = Response<AnswerBody>;
+
+async fn handle(node: Arc<Node>, request: Request<Incoming>) -> Result<SystemAnswer, Infallible> {
+    let uri = request.uri().clone();
+    let call = node
+        .interface
+        .system_call(request.method(), uri.path(), uri.query());
+    let answer = match call {
+        Some(SystemCall::Addresses { hall, region }) => addresses(&node, &hall, &region),
+        Some(SystemCall::Ready) => ready(&node),
+        Some(SystemCall::Metrics) => plain(StatusCode::OK, node.metrics.render()),
+        Some(SystemCall::ReadConfiguration) => read_configuration(&node).await,
+        Some(SystemCall::Deregister(id)) => {
+            target_news::gone(&node, &id).await;
+            document(&node, StatusCode::OK, b"{}".to_vec())
+        }
+        Some(call) => match read(request).await {
+            Some(body) => with_body(&node, call, &body).await,
+            None => failure(
+                &node,
+                StatusCode::BAD_REQUEST,
+                "MR-6301 the body cannot be read",
+            ),
+        },
+        None => failure(&node, StatusCode::NOT_FOUND, "MR-6302 no such call"),
+    };
+    Ok(answer)
+}
+
+async fn read(request: Request<Incoming>) -> Option<Bytes> {
+    let body = Limited::new(request.into_body(), MAX_DOCUMENT_BYTES);
+    let read = tokio::time::timeout(READ_TIMEOUT, body.collect()).await;
+    Some(read.ok()?.ok()?.to_bytes())
+}
+
+async fn with_body(node: &Arc<Node>, call: SystemCall, body: &Bytes) -> SystemAnswer {
+    match call {
+        SystemCall::Heartbeat(id) => heartbeat(node, &id, body).await,
+        SystemCall::ReplaceConfiguration => replace_configuration(node, body).await,
+        SystemCall::NameVersion => name_version(node, body).await,
+        _ => failure(node, StatusCode::NOT_FOUND, "MR-6302 no such call"),
+    }
+}
+
+fn addresses(node: &Node, hall: &str, region: &str) -> SystemAnswer {
+    let now = node.clock.now();
+    let addresses = node.view().directory.addresses_for(now, hall, region);
+    if addresses.is_empty() {
+        let reason = "MR-6303 no entry is known to be ready";
+        return failure(node, StatusCode::SERVICE_UNAVAILABLE, reason);
+    }
+    let ttl = Millis(ADDRESS_TTL_MS.min(node.settings.bounds.longest_ttl_ms));
+    let body = node.interface.write_addresses(&addresses, ttl);
+    document(node, StatusCode::OK, body)
+}
+
+fn ready(node: &Node) -> SystemAnswer {
+    let is_ready = !node.is_leaving() && node.view().table.is_some();
+    if is_ready {
+        plain(StatusCode::OK, b"ready\n".to_vec())
+    } else {
+        plain(StatusCode::SERVICE_UNAVAILABLE, b"not ready\n".to_vec())
+    }
+}
+
+async fn heartbeat(node: &Arc<Node>, id: &str, body: &Bytes) -> SystemAnswer {
+    let Some(record) = node.interface.read_heartbeat(id, body) else {
+        let reason = "MR-6304 the heartbeat cannot be read";
+        return failure(node, StatusCode::BAD_REQUEST, reason);
+    };
+    let next = heartbeat_address(node, &record.hall);
+    target_news::heartbeat(node, record).await;
+    let body = node.interface.write_heartbeat_answer(next);
+    document(node, StatusCode::OK, body)
+}
+
+/// A daemon of the target's own data hall takes its heartbeats, where there
+/// is one: less crosses between regions.
+fn heartbeat_address(node: &Node, hall: &str) -> Option<std::net::SocketAddr> {
+    if node.is_leaving() {
+        return None;
+    }
+    let now = node.clock.now();
+    let view = node.view();
+    let near = view
+        .directory
+        .ready_entries(now)
+        .filter(|entry| entry.hall == hall);
+    let near: Vec<_> = near.filter_map(|entry| entry.control).collect();
+    if near.is_empty() || near.contains(&node.settings.listen.control?) {
+        return node.settings.listen.control;
+    }
+    let at = rand::random::<u32>() as usize % near.len();
+    near.get(at).copied()
+}
+
+async fn replace_configuration(node: &Arc<Node>, body: &Bytes) -> SystemAnswer {
+    let parsed = node.interface.read_configuration(body);
+    let checked = parsed.and_then(|configuration| check(&configuration).map(|()| configuration));
+    let version = match checked {
+        Ok(configuration) => configuration.version,
+        Err(error) => return refused_configuration(node, &error),
+    };
+    let command = ControlCommand::Replace(ConfigDocument {
+        version,
+        bytes: Arc::new(ByteBuf::from(body.to_vec())),
+    });
+    let committed = operator::commit(node, command).await;
+    log::info!(event = "configuration_sent", version = version.0, committed = committed; "");
+    acknowledge(node, committed)
+}
+
+fn refused_configuration(node: &Node, error: &ConfigurationError) -> SystemAnswer {
+    log::info!(event = "configuration_refused"; "{error}");
+    failure(node, StatusCode::BAD_REQUEST, &error.to_string())
+}
+
+async fn name_version(node: &Arc<Node>, body: &Bytes) -> SystemAnswer {
+    let Some(named) = node.interface.read_named_version(body) else {
+        let reason = "MR-6305 the version cannot be read";
+        return failure(node, StatusCode::BAD_REQUEST, reason);
+    };
+    let command = ControlCommand::NameVersion {
+        model: named.model,
+        version: named.version,
+    };
+    let committed = operator::commit(node, command).await;
+    acknowledge(node, committed)
+}
+
+fn acknowledge(node: &Node, committed: bool) -> SystemAnswer {
+    if committed {
+        document(node, StatusCode::OK, b"{}".to_vec())
+    } else {
+        let reason = "MR-6306 the control group cannot be reached in time";
+        failure(node, StatusCode::SERVICE_UNAVAILABLE, reason)
+    }
+}
+
+async fn read_configuration(node: &Arc<Node>) -> SystemAnswer {
+    let state = operator::read(node).await;
+    match state.and_then(|state| state.configuration) {
+        Some(held) => document(node, StatusCode::OK, held.bytes.to_vec()),
+        None => {
+            let reason = "MR-6307 the newest configuration is not certain here";
+            failure(node, StatusCode::SERVICE_UNAVAILABLE, reason)
+        }
+    }
+}
+
+fn document(node: &Node, status: StatusCode, body: Vec<u8>) -> SystemAnswer {
+    let mut answer = plain(status, body);
+    let kind = HeaderValue::from_static(node.interface.document_type());
+    answer.headers_mut().insert(CONTENT_TYPE, kind);
+    answer
+}
+
+fn failure(node: &Node, status: StatusCode, reason: &str) -> SystemAnswer {
+    document(node, status, node.interface.write_error(reason))
+}
+
+fn plain(status: StatusCode, body: Vec<u8>) -> SystemAnswer {
+    let mut answer = Response::new(AnswerBody::Whole(Some(Bytes::from(body))));
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/moleroad_gateway/src/view.rs
@@ -0,0 +1,280 @@
+//! What one daemon believes: what is in force, who is there, who leads.
+
+use crate::control_state::ControlState;
+use crate::interface::Interface;
+use crate::peer::{Catalog, CatalogModel, LeaderHint, VersionAge};
+use crate::places::ServicePlaces;
+use crate::settings::Settings;
+use moleroad_config::prelude::{RouteTable, Service, check};
+use moleroad_directory::prelude::*;
+use moleroad_directory::target::whole_version;
+use moleroad_dispatch::prelude::*;
+use moleroad_types::prelude::Millis;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// Age up to which an agent's report goes before the engine's own heartbeat,
+/// in milliseconds.
+const REPORT_CURRENT_MS: u64 = 3_000;
+/// Part of a target's connections that entries share; the rest is left for
+/// those that an entry has not yet noticed to be closed.
+const CONNECTIONS_USED: f64 = 0.8;
+/// How long before the bound requests stop going to older weights, in
+/// milliseconds: time on the way and in the target's queue.
+const VERSION_MARGIN_MS: u64 = 900;
+
+/// A version of a model that was named.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Named {
+    /// Version of the weights.
+    pub version: u64,
+    /// When it was named, as far as known.
+    pub at: Millis,
+}
+
+/// What one daemon believes.
+pub struct View {
+    /// What is in force.
+    pub state: ControlState,
+    /// The configuration in the form that requests are looked up in.
+    pub table: Option<Arc<RouteTable>>,
+    /// What agents need of the configuration.
+    pub catalog: Catalog,
+    /// Versions of models that were named.
+    pub named: BTreeMap<String, Named>,
+    /// Targets and daemons.
+    pub directory: Directory,
+    /// Places at the targets of each service.
+    pub services: HashMap<String, ServicePlaces>,
+    /// What this daemon tells of itself.
+    pub own: DaemonRecord,
+    /// The leader of the control group, as believed.
+    pub leader: Option<LeaderHint>,
+    /// Targets that called this daemon, with the number of the call.
+    pub called_here: HashMap<TargetId, u64>,
+    /// Number of calls of targets so far.
+    pub calls: u64,
+}
+
+impl View {
+    /// Knows only this daemon.
+    pub fn new(own: DaemonRecord) -> Self {
+        Self {
+            state: ControlState::default(),
+            table: None,
+            catalog: Catalog::default(),
+            named: BTreeMap::new(),
+            directory: Directory::new(),
+            services: HashMap::new(),
+            own,
+            leader: None,
+            called_here: HashMap::new(),
+            calls: 0,
+        }
+    }
+
+    /// Takes what is newer in `state`; true if anything was.
+    pub fn take_state(
+        &mut self,
+        now: Millis,
+        state: &ControlState,
+        interface: &dyn Interface,
+    ) -> bool {
+        let before = self.state.config_version();
+        if !self.state.merge(state) {
+            return false;
+        }
+        for (model, version) in self.state.versions.clone() {
+            self.name_version(now, &model, version, 0);
+        }
+        if self.state.config_version() > before {
+            self.put_in_force(interface);
+        }
+        true
+    }
+
+    fn put_in_force(&mut self, interface: &dyn Interface) {
+        let Some(document) = &self.state.configuration else {
+            return;
+        };
+        let parsed = interface
+            .read_configuration(&document.bytes)
+            .and_then(|configuration| check(&configuration).map(|()| configuration));
+        match parsed {
+            Ok(configuration) => {
+                let table = RouteTable::compile(&configuration);
+                self.catalog = catalog_of(&table);
+                self.table = Some(Arc::new(table));
+                log::info!(event = "configuration_in_force", version = document.version.0; "");
+            }
+            // It was checked before it was accepted.
+            Err(error) => log::error!(event = "configuration_unreadable"; "{error}"),
+        }
+    }
+
+    /// Learns that `version` of `model` was named `age_ms` ago; true if that
+    /// is news.
+    pub fn name_version(&mut self, now: Millis, model: &str, version: u64, age_ms: u64) -> bool {
+        let at = Millis(now.0.saturating_sub(age_ms));
+        let known = self.named.get(model).copied();
+        if let Some(known) = known
+            && known.version >= version
+        {
+            if known.version == version && at < known.at {
+                self.named.insert(model.into(), Named { version, at });
+            }
+            return false;
+        }
+        self.named.insert(model.into(), Named { version, at });
+        let versions = &mut self.state.versions;
+        let held = versions.entry(model.into()).or_default();
+        *held = (*held).max(version);
+        log::info!(event = "version_named", model = model, version = version, age_ms = age_ms; "");
+        true
+    }
+
+    /// Versions and their ages, for another daemon.
+    pub fn version_ages(&self, now: Millis) -> BTreeMap<String, VersionAge> {
+        let aged = |(model, named): (&String, &Named)| {
+            let age = VersionAge {
+                version: named.version,
+                age_ms: now.since(named.at),
+            };
+            (model.clone(), age)
+        };
+        self.named.iter().map(aged).collect()
+    }
+
+    /// Takes a belief about the leader if it is newer.
+    pub fn take_leader(&mut self, hint: Option<LeaderHint>) {
+        if let Some(hint) = hint
+            && self.leader.is_none_or(|known| hint.term > known.term)
+        {
+            self.leader = Some(hint);
+        }
+    }
+
+    /// The least version that requests for `service` may begin on: the one
+    /// that was named, once its time is over.
+    pub fn least_version(&self, now: Millis, service: &Service, version_ms: u64) -> Option<u64> {
+        let model = service.models.first()?;
+        let named = self.named.get(&model.name)?;
+        let limit = version_ms.saturating_sub(VERSION_MARGIN_MS);
+        (now.since(named.at) >= limit).then_some(named.version)
+    }
+
+    /// Number of entries that share the targets.
+    pub fn entry_count(&self, now: Millis) -> usize {
+        self.directory.ready_entries(now).count().max(1)
+    }
+
+    /// Brings the candidates of every service up to date.
+    pub fn refresh_candidates(&mut self, now: Millis, settings: &Settings) {
+        let Some(table) = self.table.clone() else {
+            return;
+        };
+        let entries = self.entry_count(now);
+        let mut lists: HashMap<&str, Vec<Candidate>> = HashMap::new();
+        for service in table.services() {
+            lists.entry(&service.name).or_default();
+        }
+        for heard in self.directory.targets() {
+            let record = &heard.record;
+            let Some(service) = table.service(&record.service) else {
+                continue;
+            };
+            if record.life != TargetLife::Ready {
+                continue;
+            }
+            if let Some(candidate) = self.candidate(now, settings, service, record, entries) {
+                lists.entry(&service.name).or_default().push(candidate);
+            }
+        }
+        for (name, candidates) in lists {
+            let bounds = &settings.bounds;
+            let places = self
+                .services
+                .entry(name.to_string())
+                .or_insert_with(|| ServicePlaces::new(bounds));
+            places.targets.set(candidates);
+        }
+        self.services
+            .retain(|name, places| table.service(name).is_some() || !places.is_idle());
+    }
+
+    fn candidate(
+        &self,
+        now: Millis,
+        settings: &Settings,
+        service: &Service,
+        record: &TargetRecord,
+        entries: usize,
+    ) -> Option<Candidate> {
+        let report = self.current_report(now, record);
+        let version = match service.models.first() {
+            None => None,
+            Some(model) => {
+                let holdings = match report {
+                    Some(report) => &report.holdings,
+                    None => record.holdings.as_ref()?,
+                };
+                Some(whole_version(holdings, &model.name, model.layers)?)
+            }
+        };
+        let slots = record.slots.max(1);
+        let share = f64::from(service.max_connections) * CONNECTIONS_USED / entries as f64;
+        let most_own = if service.max_connections == 0 {
+            slots
+        } else {
+            (share as u32).clamp(1, slots)
+        };
+        let distance = if record.hall == settings.hall {
+            Distance::SameHall
+        } else if settings.region_of(&record.hall) == settings.region {
+            Distance::SameRegion
+        } else {
+            Distance::OtherRegion
+        };
+        let pace = report.map_or(1.0, |report| f64::from(report.pace));
+        let cold = if record.cold_left_ms > 0 { 1.0 } else { 0.0 };
+        Some(Candidate {
+            id: record.id.clone(),
+            address: record.address,
+            slots,
+            most_own,
+            distance,
+            version,
+            switching: report.is_some_and(|report| report.switching),
+            slowness: pace + cold,
+        })
+    }
+
+    fn current_report(&self, now: Millis, record: &TargetRecord) -> Option<&EngineReport> {
+        let agent = self.directory.agent_of(record.address)?;
+        let current = now.since(agent.at) < REPORT_CURRENT_MS;
+        agent.record.report.as_ref().filter(|_| current)
+    }
+}
+
+fn catalog_of(table: &RouteTable) -> Catalog {
+    let mut catalog = Catalog::default();
+    for service in table.services() {
+        if let Some(origin) = &service.origin {
+            catalog.origins.push((origin.address, service.hall.clone()));
+        }
+        for model in &service.models {
+            catalog.models.push(CatalogModel {
+                service: service.name.clone(),
+                model: model.name.clone(),
+                layers: model.layers,
+                pieces: model.pieces,
+                piece_bytes: model.piece_bytes,
+            });
+        }
+    }
+    catalog.origins.sort();
+    catalog
+        .models
+        .sort_by(|a, b| (&a.service, &a.model).cmp(&(&b.service, &b.model)));
+    catalog
+}
--- /dev/null
+++ b/crates/moleroad_rollout/src/lib.rs
@@ -0,0 +1,24 @@
+//! Bringing a version of a model to all engines of a service: which agent
+//! takes which piece from where, and when each engine changes over.
+//!
+//! Agents decide alike from the same knowledge, without a planner: one copy
+//! leaves the origin, one copy enters each region, and within a region
+//! agents give pieces to each other. [`sources`] says who may take a piece
+//! from where, [`waves`] when an engine may change its weights.
+//!
+//! ```
+//! use moleroad_rollout::prelude::*;
+//!
+//! let plan = WavePlan { engines: 12, begin_by_ms: 4_000 };
+//! assert_eq!(plan.at_once(), 3);
+//! ```
+#![warn(missing_docs)]
+
+pub mod sources;
+pub mod waves;
+
+/// The types most users of the crate need.
+pub mod prelude {
+    pub use crate::sources::{Member, Patience, Permission, permission};
+    pub use crate::waves::{EngineStage, WavePlan};
+}
--- /dev/null
+++ b/crates/moleroad_rollout/tests/rollout.rs
@@ -0,0 +1,100 @@
+//! Who takes which piece from where, and when engines change over.
+
+use moleroad_rollout::prelude::*;
+use moleroad_types::prelude::InstanceId;
+
+fn members() -> Vec<Member> {
+    let regions = ["north", "south", "west"];
+    let member = |index: usize| Member {
+        instance: InstanceId::new(format!("agent-{index}")),
+        region: regions[index % 3].into(),
+    };
+    (0..12).map(member).collect()
+}
+
+fn granted(idle_ms: u64, piece: u32) -> (usize, usize) {
+    let members = members();
+    let patience = Patience::for_pieces(49_152, 9.4);
+    let all = members.iter().map(|member| {
+        let own = &member.instance;
+        permission(own, &members, Some("south"), piece, patience, idle_ms)
+    });
+    let all: Vec<Permission> = all.collect();
+    (
+        all.iter().filter(|p| p.from_origin).count(),
+        all.iter().filter(|p| p.across_regions).count(),
+    )
+}
+
+#[test]
+fn one_copy_leaves_the_origin_and_one_enters_each_other_region() {
+    for piece in 0..200 {
+        assert_eq!(granted(0, piece), (1, 2), "piece {piece}");
+    }
+}
+
+#[test]
+fn an_agent_that_gets_nothing_looks_further() {
+    let patience = Patience::for_pieces(49_152, 9.4);
+    assert_eq!(granted(patience.across_regions_ms, 7), (1, 12));
+    assert_eq!(granted(patience.origin_ms, 7), (12, 12));
+}
+
+#[test]
+fn an_agent_that_is_alone_goes_to_the_origin() {
+    let own = InstanceId::new("alone");
+    let patience = Patience::for_pieces(1_000, 10.0);
+    let alone = permission(&own, &[], None, 3, patience, 0);
+    assert!(alone.from_origin);
+}
+
+#[test]
+fn work_is_spread_over_the_agents_of_the_first_region() {
+    let members = members();
+    let patience = Patience::for_pieces(49_152, 9.4);
+    for member in members.iter().filter(|member| member.region == "south") {
+        let draws = (0..400)
+            .filter(|piece| {
+                permission(
+                    &member.instance,
+                    &members,
+                    Some("south"),
+                    *piece,
+                    patience,
+                    0,
+                )
+                .from_origin
+            })
+            .count();
+        assert!(
+            (50..160).contains(&draws),
+            "{} draws {draws}",
+            member.instance
+        );
+    }
+}
+
+#[test]
+fn engines_take_turns_and_all_begin_in_time() {
+    let plan = WavePlan {
+        engines: 8,
+        begin_by_ms: 4_000,
+    };
+    let name = |index: usize| InstanceId::new(format!("agent-{index}"));
+    let others = |switching: usize, staged: bool| -> Vec<(InstanceId, EngineStage, bool)> {
+        let stage = |index| {
+            if index < switching {
+                EngineStage::Switching
+            } else {
+                EngineStage::Old
+            }
+        };
+        (0..7).map(|i| (name(i), stage(i), staged)).collect()
+    };
+    let last = name(7);
+    assert!(plan.may_begin(&last, &others(1, false), 100));
+    assert!(!plan.may_begin(&last, &others(2, false), 100));
+    assert!(!plan.may_begin(&last, &others(0, true), 100));
+    assert!(plan.may_begin(&last, &others(7, false), 4_000));
+    assert!(plan.may_begin(&name(0), &others(0, true)[1..], 100));
+}
