Take digests from agents, weigh unread prompts, drain engines shortly before a change

Ruled out: errors of depot-api that stay (the same request fails at every engine).

Change: digests pass between agents; origin connections are shared out; engines drain for a usual request and are then cut, the streams go on elsewhere; choice by unread prompt tokens.

--- a/crates/moleroad_dispatch/src/budget.rs
+++ b/crates/moleroad_dispatch/src/budget.rs
@@ -51,24 +51,23 @@
     /// Takes a repeat, with `entries` sharing the bound; false when it would
     /// go beyond this entry's part.
     pub fn take(&mut self, now: Millis, entries: usize) -> bool {
-        let bucket = self.bucket(now);
-        let current = *bucket;
-        let (requests, repeats) = self
-            .buckets
-            .iter()
-            .fold((0, 0), |(requests, repeats), bucket| {
-                (requests + bucket.requests, repeats + bucket.repeats)
-            });
-        let part = self.terms.slack / entries.max(1) as f64;
-        let allowed = USED_SHARE * (self.terms.ratio * requests as f64 + part);
-        if repeats as f64 + 1.0 > allowed {
+        if !self.has_room(now, entries) {
             return false;
         }
-        debug_assert_eq!(current.number, now.0 / BUCKET_MS);
         self.bucket(now).repeats += 1;
         true
     }
 
+    /// Whether a repeat would be within this entry's part.
+    pub fn has_room(&mut self, now: Millis, entries: usize) -> bool {
+        self.bucket(now);
+        let requests: u64 = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        let repeats: u64 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
+        let part = self.terms.slack / entries.max(1) as f64;
+        let allowed = USED_SHARE * (self.terms.ratio * requests as f64 + part);
+        repeats as f64 + 1.0 <= allowed
+    }
+
     fn bucket(&mut self, now: Millis) -> &mut Bucket {
         let number = now.0 / BUCKET_MS;
         let kept = self.terms.window_ms / BUCKET_MS;
--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -65,16 +65,31 @@
 /// Time that a full target takes to run one request, shared by its slots, as
 /// the cost of each request beyond the slots, in milliseconds.
 const FULL_COST_MS: f64 = 1_000.0;
-/// What a full set of slots adds to an answer, in milliseconds.
+/// What a full set of slots adds to a first event, in milliseconds, where no
+/// model of the target's speed is known.
 const BUSY_COST_MS: f64 = 100.0;
+/// What a full set of slots adds beside the prompts that wait, in milliseconds:
+/// each step takes a little longer, and a place may be missing soon.
+const BUSY_ENGINE_COST_MS: f64 = 30.0;
 /// What a failed send costs, in milliseconds: the time until it is noticed.
 const FAILURE_COST_MS: f64 = 500.0;
 /// What a slow target adds for each time that it is slower than usual.
 const SLOW_COST_MS: f64 = 150.0;
 
+/// How fast the engines of a service read prompts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReadingSpeed {
+    /// Prompt tokens read in a millisecond.
+    pub tokens_per_ms: f64,
+    /// Tokens of a usual prompt.
+    pub usual_prompt: f64,
+}
+
 /// The targets of one service, and what is in flight at each.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
+    /// How fast they read prompts; `None` for plain targets.
+    pub reading: Option<ReadingSpeed>,
     candidates: Vec<Candidate>,
     loads: HashMap<TargetId, TargetLoad>,
 }
@@ -98,9 +113,16 @@
         self.loads.get(id).copied().unwrap_or_default()
     }
 
-    /// Counts a send.
-    pub fn started(&mut self, id: &TargetId) {
-        self.loads.entry(id.clone()).or_default().started();
+    /// Counts a send whose prompt has `tokens`.
+    pub fn started(&mut self, id: &TargetId, tokens: u64) {
+        self.loads.entry(id.clone()).or_default().started(tokens);
+    }
+
+    /// Counts a prompt as read: the answer to it began, or never will.
+    pub fn was_read(&mut self, id: &TargetId, tokens: u64) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.was_read(tokens);
+        }
     }
 
     /// Counts the end of a send.
@@ -112,11 +134,9 @@
     }
 
     /// Takes what an agent read of a target.
-    pub fn reported(&mut self, now: Millis, id: &TargetId, requests: u32) {
-        self.loads
-            .entry(id.clone())
-            .or_default()
-            .reported(now, requests);
+    pub fn reported(&mut self, now: Millis, id: &TargetId, running: u32, unread: u32) {
+        let load = self.loads.entry(id.clone()).or_default();
+        load.reported(now, running, unread);
     }
 
     /// Chooses a target other than those in `tried`, holding at least the
@@ -166,7 +186,14 @@
         let load = self.load(&candidate.id);
         let slots = f64::from(candidate.slots.max(1));
         let requests = load.requests(now);
-        let busy = BUSY_COST_MS * requests / slots;
+        let busy = match self.reading {
+            None => BUSY_COST_MS * requests / slots,
+            Some(reading) => {
+                let unread = load.unread_tokens(now, reading.usual_prompt);
+                let reading_ms = unread / reading.tokens_per_ms.max(0.001);
+                reading_ms * candidate.slowness + BUSY_ENGINE_COST_MS * requests / slots
+            }
+        };
         let beyond = (requests + 1.0 - slots).max(0.0) * FULL_COST_MS / slots;
         let failing = load.health.failure_rate(now) * FAILURE_COST_MS;
         let slow = (candidate.slowness - 1.0).max(0.0) * SLOW_COST_MS;
--- a/crates/moleroad_dispatch/src/load.rs
+++ b/crates/moleroad_dispatch/src/load.rs
@@ -11,6 +11,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Report {
     others: u32,
+    others_unread: u32,
     at: Millis,
 }
 
@@ -18,15 +19,25 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TargetLoad {
     own: u32,
+    own_unread: u32,
+    own_unread_tokens: u64,
     report: Option<Report>,
     /// The recent past.
     pub health: Health,
 }
 
 impl TargetLoad {
-    /// Counts a send.
-    pub fn started(&mut self) {
+    /// Counts a send whose prompt has `tokens`.
+    pub fn started(&mut self, tokens: u64) {
         self.own += 1;
+        self.own_unread += 1;
+        self.own_unread_tokens += tokens;
+    }
+
+    /// Counts a prompt as read: the answer to it began, or never will.
+    pub fn was_read(&mut self, tokens: u64) {
+        self.own_unread = self.own_unread.saturating_sub(1);
+        self.own_unread_tokens = self.own_unread_tokens.saturating_sub(tokens);
     }
 
     /// Counts the end of a send.
@@ -34,10 +45,25 @@
         self.own = self.own.saturating_sub(1);
     }
 
-    /// Takes the number of requests that the target has from all entries.
-    pub fn reported(&mut self, now: Millis, requests: u32) {
-        let others = requests.saturating_sub(self.own);
-        self.report = Some(Report { others, at: now });
+    /// Takes the number of requests that the target has from all entries:
+    /// those that run, and those whose prompt is not read yet.
+    pub fn reported(&mut self, now: Millis, running: u32, unread: u32) {
+        self.report = Some(Report {
+            others: (running + unread).saturating_sub(self.own),
+            others_unread: unread.saturating_sub(self.own_unread),
+            at: now,
+        });
+    }
+
+    /// Prompt tokens that the target has not read yet, from all entries, when
+    /// a prompt of others has `usual_prompt` tokens.
+    pub fn unread_tokens(&self, now: Millis, usual_prompt: f64) -> f64 {
+        let own = self.own_unread_tokens as f64;
+        let Some(report) = self.report else {
+            return own;
+        };
+        let others = f64::from(report.others_unread) * usual_prompt;
+        own + others * weight_of(now.since(report.at))
     }
 
     /// Requests in flight from this entry.
@@ -56,9 +82,12 @@
         let Some(report) = self.report else {
             return own;
         };
-        let age = now.since(report.at);
-        let fading = REPORT_OVER_MS.saturating_sub(age) as f64;
-        let weight = (fading / (REPORT_OVER_MS - REPORT_FRESH_MS) as f64).min(1.0);
-        own + f64::from(report.others) * weight
+        own + f64::from(report.others) * weight_of(now.since(report.at))
     }
 }
+
+/// How much a report of that age counts, 0 to 1.
+fn weight_of(age_ms: u64) -> f64 {
+    let fading = REPORT_OVER_MS.saturating_sub(age_ms) as f64;
+    (fading / (REPORT_OVER_MS - REPORT_FRESH_MS) as f64).min(1.0)
+}
--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -37,7 +37,7 @@
 fn the_near_target_is_filled_before_a_far_one_within_reason() {
     let mut targets = near_and_far();
     assert_eq!(chosen(&targets, 0).as_deref(), Some("near"));
-    targets.started(&TargetId::new("near"));
+    targets.started(&TargetId::new("near"), 0);
     assert_eq!(chosen(&targets, 0).as_deref(), Some("far"));
 }
 
@@ -45,7 +45,7 @@
 fn a_full_set_of_targets_makes_requests_wait() {
     let mut targets = near_and_far();
     for name in ["near", "far"] {
-        targets.reported(Millis(0), &TargetId::new(name), 4);
+        targets.reported(Millis(0), &TargetId::new(name), 4, 0);
     }
     assert_eq!(targets.choose(Millis(1), &[], None, 0), Choice::Full);
     assert_eq!(targets.free_places(Millis(1)), 0.0);
@@ -59,10 +59,10 @@
 #[test]
 fn what_others_have_in_flight_is_what_was_reported_beyond_ones_own() {
     let mut load = TargetLoad::default();
-    load.started();
-    load.reported(Millis(0), 3);
+    load.started(0);
+    load.reported(Millis(0), 2, 1);
     assert_eq!(load.requests(Millis(10)), 3.0);
-    load.started();
+    load.started(0);
     assert_eq!(load.requests(Millis(10)), 4.0);
     load.finished();
     load.finished();
@@ -73,7 +73,7 @@
 fn a_quick_refusal_does_not_attract_requests() {
     let mut targets = near_and_far();
     for _ in 0..2 {
-        targets.started(&TargetId::new("near"));
+        targets.started(&TargetId::new("near"), 0);
         targets.finished(Millis(1), &TargetId::new("near"), Outcome::TurnedAway);
     }
     assert_eq!(chosen(&targets, 2).as_deref(), Some("far"));
@@ -82,7 +82,7 @@
 #[test]
 fn a_target_that_cannot_be_reached_is_avoided_and_tried_again() {
     let mut targets = near_and_far();
-    targets.started(&TargetId::new("near"));
+    targets.started(&TargetId::new("near"), 0);
     targets.finished(Millis(0), &TargetId::new("near"), Outcome::Unreachable);
     assert!(
         targets
@@ -98,7 +98,7 @@
 fn when_all_targets_are_avoided_one_is_used_all_the_same() {
     let mut targets = Targets::default();
     targets.set(vec![candidate("only", Distance::SameHall)]);
-    targets.started(&TargetId::new("only"));
+    targets.started(&TargetId::new("only"), 0);
     targets.finished(Millis(0), &TargetId::new("only"), Outcome::Unreachable);
     assert_eq!(chosen(&targets, 1).as_deref(), Some("only"));
 }
@@ -203,3 +203,26 @@
         );
     }
 }
+
+#[test]
+fn prompts_that_wait_weigh_more_than_requests_that_run() {
+    let mut targets = Targets::default();
+    targets.reading = Some(ReadingSpeed {
+        tokens_per_ms: 30.0,
+        usual_prompt: 1_000.0,
+    });
+    targets.set(vec![
+        candidate("reading", Distance::SameHall),
+        candidate("running", Distance::SameHall),
+    ]);
+    targets.started(&TargetId::new("reading"), 3_000);
+    for _ in 0..2 {
+        targets.started(&TargetId::new("running"), 3_000);
+        targets.was_read(&TargetId::new("running"), 3_000);
+    }
+    assert_eq!(chosen(&targets, 0).as_deref(), Some("running"));
+    // Prompts of others count as usual ones.
+    targets.reported(Millis(0), &TargetId::new("running"), 2, 1);
+    targets.was_read(&TargetId::new("reading"), 3_000);
+    assert_eq!(chosen(&targets, 0).as_deref(), Some("reading"));
+}
--- a/crates/moleroad_gateway/src/agent/bring.rs
+++ b/crates/moleroad_gateway/src/agent/bring.rs
@@ -4,7 +4,8 @@
 use crate::agent::change;
 use crate::interface::PieceDigests;
 use crate::node::Node;
-use crate::peer::CatalogModel;
+use crate::peer::{CatalogModel, CatalogOrigin};
+use crate::view::View;
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -13,7 +14,7 @@
 use moleroad_rollout::prelude::*;
 use moleroad_types::prelude::{InstanceId, Millis};
 use sha2::{Digest, Sha256};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -47,13 +48,22 @@
 
 /// Brings what is wanted until the process ends.
 pub async fn bring(node: Arc<Node>) {
+    let mut missed: Option<(u64, Millis)> = None;
     loop {
         if let Some(wanted) = wanted(&node) {
             match held_version(&node, &wanted.model) {
                 Held::Version(version) if version >= wanted.version => {
                     offer_held(&node, &wanted.model, version);
                 }
-                Held::Version(_) | Held::Nothing => bring_version(&node, &wanted).await,
+                Held::Version(_) | Held::Nothing => {
+                    let now = node.clock.now();
+                    let same = missed.filter(|(version, _)| *version == wanted.version);
+                    let (_, since) = *missed.insert(same.unwrap_or((wanted.version, now)));
+                    if let Some(digests) = digests(&node, &wanted, now.since(since)).await {
+                        bring_version(&node, &wanted, digests).await;
+                        missed = None;
+                    }
+                }
                 Held::Unknown => {}
             }
         }
@@ -116,10 +126,7 @@
     view.own.sequence += 1;
 }
 
-async fn bring_version(node: &Arc<Node>, wanted: &Wanted) {
-    let Some(digests) = digests(node, wanted).await else {
-        return;
-    };
+async fn bring_version(node: &Arc<Node>, wanted: &Wanted, digests: PieceDigests) {
     log::info!(
         event = "weights_begin",
         model = wanted.model.model.as_str(),
@@ -148,27 +155,102 @@
     }
 }
 
-async fn digests(node: &Node, wanted: &Wanted) -> Option<PieceDigests> {
-    let origins = node.view().catalog.origins.clone();
-    for (origin, _) in origins {
+/// The digests of a version: from an agent that has them, or, when it is this
+/// agent's part or nobody has them for a while, from the origin.
+async fn digests(node: &Node, wanted: &Wanted, idle_ms: u64) -> Option<PieceDigests> {
+    let (holders, may_ask_origin, origins) = digest_sources(node, wanted, idle_ms);
+    let draw = rand::random::<u32>() as usize;
+    if let Some(holder) = holders.get(draw % holders.len().max(1)) {
+        let (model, version) = (wanted.model.model.clone(), wanted.version);
+        let call = |client: crate::peer::PeerClient, context| async move {
+            client.digests(context, model, version).await
+        };
+        let shared = node.peers.call(*holder, DIGESTS_TIMEOUT, call).await;
+        if let Ok(Some(shared)) = shared {
+            let digests = PieceDigests {
+                version: wanted.version,
+                digests: shared.0,
+            };
+            return checked(node, wanted, digests);
+        }
+    }
+    for origin in origins.iter().filter(|_| may_ask_origin) {
         let asked = node
             .interface
             .ask_digests(&wanted.model.model, wanted.version);
-        let Some((status, body)) = call(node, origin, asked, DIGESTS_TIMEOUT).await else {
-            continue;
-        };
-        let digests = node.interface.read_digests(&body).filter(|digests| {
-            status.is_success()
-                && digests.version == wanted.version
-                && digests.digests.len() == wanted.model.pieces as usize
-        });
-        if digests.is_some() {
-            return digests;
+        let answer = call(node, origin.address, asked, DIGESTS_TIMEOUT).await;
+        if let Some((status, body)) = answer
+            && status.is_success()
+            && let Some(digests) = node.interface.read_digests(&body)
+        {
+            return checked(node, wanted, digests);
         }
     }
     None
 }
 
+fn checked(node: &Node, wanted: &Wanted, digests: PieceDigests) -> Option<PieceDigests> {
+    let complete = digests.digests.len() == wanted.model.pieces as usize;
+    if !complete || digests.version != wanted.version {
+        return None;
+    }
+    node.remember_digests(&wanted.model.model, &digests);
+    Some(digests)
+}
+
+/// Stands for the digests among the pieces when agents share out the work.
+const DIGESTS_AS_PIECE: u32 = u32::MAX;
+
+fn digest_sources(
+    node: &Node,
+    wanted: &Wanted,
+    idle_ms: u64,
+) -> (Vec<SocketAddr>, bool, Vec<CatalogOrigin>) {
+    let view = node.view();
+    let own = &view.own;
+    let others = fellows(&view);
+    let members = members(own, &others, wanted);
+    let region = origin_region(node, &view);
+    let patience = Patience::for_pieces(wanted.model.piece_bytes, node.settings.link_mbps);
+    let allowed = permission(
+        &own.instance,
+        &members,
+        region.as_deref(),
+        DIGESTS_AS_PIECE,
+        patience,
+        idle_ms,
+    );
+    let has_digests = |other: &&&DaemonRecord| {
+        let map = other.pieces.as_ref();
+        map.is_some_and(|map| map.model == wanted.model.model && map.version == wanted.version)
+    };
+    let mut holders: Vec<&&DaemonRecord> = others.iter().filter(has_digests).collect();
+    if holders.iter().any(|holder| holder.region == own.region) {
+        holders.retain(|holder| holder.region == own.region);
+    }
+    let holders = holders.into_iter().map(|holder| holder.peer).collect();
+    (holders, allowed.from_origin, view.catalog.origins.clone())
+}
+
+fn origin_region(node: &Node, view: &View) -> Option<String> {
+    let origin = view.catalog.origins.first()?;
+    let hall = origin.hall.as_ref()?;
+    Some(node.settings.region_of(hall).to_string())
+}
+
+/// The other agents that bring weights to engines of the same service.
+fn fellows(view: &View) -> Vec<&DaemonRecord> {
+    let own = &view.own;
+    let records = view.directory.daemons().map(|heard| &heard.record);
+    records
+        .filter(|other| {
+            other.role == DaemonRole::Agent
+                && other.service == own.service
+                && other.instance != own.instance
+        })
+        .collect()
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 enum Source {
     Agent(SocketAddr),
@@ -180,7 +262,7 @@
     wanted: Wanted,
     digests: PieceDigests,
     patience: Patience,
-    under_way: HashSet<u32>,
+    under_way: HashMap<u32, Source>,
     resting: HashMap<(u32, Source), Millis>,
     progress_at: Millis,
 }
@@ -201,7 +283,7 @@
             wanted: wanted.clone(),
             digests,
             patience: Patience::for_pieces(model.piece_bytes, node.settings.link_mbps),
-            under_way: HashSet::new(),
+            under_way: HashMap::new(),
             resting: HashMap::new(),
             progress_at: node.clock.now(),
         }
@@ -222,7 +304,7 @@
                 let Some((piece, source)) = self.next() else {
                     break;
                 };
-                self.under_way.insert(piece);
+                self.under_way.insert(piece, source);
                 let digest = self.digests.digests[piece as usize];
                 fetches.push(bring_piece(
                     self.node.clone(),
@@ -280,19 +362,10 @@
         let missing = self.missing();
         let view = self.node.view();
         let own = &view.own;
-        let others: Vec<&DaemonRecord> = view
-            .directory
-            .daemons()
-            .map(|heard| &heard.record)
-            .filter(|other| is_fellow(own, other) && other.instance != own.instance)
-            .collect();
+        let others = fellows(&view);
         let members = members(own, &others, &self.wanted);
-        let origin_hall = view
-            .catalog
-            .origins
-            .first()
-            .and_then(|(_, hall)| hall.clone());
-        let origin_region = origin_hall.map(|hall| self.node.settings.region_of(&hall).to_string());
+        let origin_region = origin_region(&self.node, &view);
+        let origins = self.free_origins(&view.catalog.origins, members.len());
         // Another start in each agent, so that agents of a region bring
         // different pieces first.
         let offset = own.incarnation as usize;
@@ -300,7 +373,7 @@
         let mut best: Option<(u32, Source, u32)> = None;
         for at in 0..count {
             let piece = missing[(at + offset) % count];
-            if self.under_way.contains(&piece) {
+            if self.under_way.contains_key(&piece) {
                 continue;
             }
             let allowed = permission(
@@ -311,7 +384,7 @@
                 self.patience,
                 idle_ms,
             );
-            let sources = self.sources(now, own, &others, &view.catalog.origins, piece, allowed);
+            let sources = self.sources(now, own, &others, &origins, piece, allowed);
             if let Some((source, rank)) = sources
                 && best.as_ref().is_none_or(|(_, _, known)| rank < *known)
             {
@@ -321,6 +394,18 @@
         best.map(|(piece, source, _)| (piece, source))
     }
 
+    /// Origins that take another connection from this agent.
+    fn free_origins(&self, origins: &[CatalogOrigin], agents: usize) -> Vec<SocketAddr> {
+        let has_room = |origin: &&CatalogOrigin| {
+            let source = Source::Origin(origin.address);
+            let used = self.under_way.values().filter(|s| **s == source).count();
+            let share = origin.max_connections as usize / (agents * 2).max(1);
+            origin.max_connections == 0 || used < share.max(1)
+        };
+        let free = origins.iter().filter(has_room);
+        free.map(|origin| origin.address).collect()
+    }
+
     /// The best source of a piece and its rank; the lowest rank is fetched
     /// first: what others wait for, then what is rare.
     fn sources(
@@ -328,7 +413,7 @@
         now: Millis,
         own: &DaemonRecord,
         others: &[&DaemonRecord],
-        origins: &[(SocketAddr, Option<String>)],
+        origins: &[SocketAddr],
         piece: u32,
         allowed: Permission,
     ) -> Option<(Source, u32)> {
@@ -355,18 +440,13 @@
             return Some((Source::Agent(holders[draw % holders.len()].peer), 1));
         }
         if allowed.from_origin {
-            let free = origins.iter().map(|(origin, _)| Source::Origin(*origin));
+            let free = origins.iter().map(|origin| Source::Origin(*origin));
             return free.filter(|s| !rests(*s)).map(|source| (source, 0)).next();
         }
         None
     }
 }
 
-/// Whether two agents bring weights to engines of one service.
-fn is_fellow(own: &DaemonRecord, other: &DaemonRecord) -> bool {
-    other.role == DaemonRole::Agent && other.service == own.service
-}
-
 /// Agents that want the version or have it.
 fn members(own: &DaemonRecord, others: &[&DaemonRecord], wanted: &Wanted) -> Vec<Member> {
     let takes_part = |other: &&&DaemonRecord| {
--- a/crates/moleroad_gateway/src/agent/change.rs
+++ b/crates/moleroad_gateway/src/agent/change.rs
@@ -3,7 +3,7 @@
 use crate::agent::bring::{Held, Wanted, held_version, wanted};
 use crate::agent::calls::call;
 use crate::agent::watch;
-use crate::interface::PieceDigests;
+use crate::interface::{PieceDigests, StartMode};
 use crate::node::Node;
 use moleroad_directory::prelude::*;
 use moleroad_directory::target::whole_version;
@@ -21,10 +21,12 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for the engine's store to answer.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time between looks at whether running requests have ended.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
 /// Time after which an order that had no effect is given again.
 const ORDER_AGAIN_MS: u64 = 1_500;
-/// Part of the time for a version at which all engines have begun.
-const BEGIN_BY_PART: u64 = 2;
+/// Share of the time for a version at which all engines have begun.
+const BEGIN_BY_SHARE: f64 = 0.7;
 
 /// What became of a change.
 pub enum Changed {
@@ -52,11 +54,26 @@
     }
     watch::set_switching(node, true);
     tokio::time::sleep(SETTLE).await;
+    drain(node, target).await;
     let changed = order_until_served(node, target).await;
     watch::set_switching(node, false);
     changed
 }
 
+/// Waits until running requests have ended, but no longer than a usual one
+/// takes: what still runs then is cut and goes on at another engine.
+async fn drain(node: &Arc<Node>, target: &Wanted) {
+    let until = node.clock.now() + target.model.usual_request_ms;
+    while node.clock.now() < until {
+        if let Some(state) = watch::read(node).await
+            && state.report.running + state.report.queued == 0
+        {
+            return;
+        }
+        tokio::time::sleep(DRAIN_LOOK).await;
+    }
+}
+
 async fn order_until_served(node: &Arc<Node>, target: &Wanted) -> Changed {
     let mut ordered_at = None;
     loop {
@@ -95,9 +112,9 @@
         return false;
     };
     let model = target.model.model.as_str();
-    let order = node
-        .interface
-        .order_start(model, target.version, orders_taken);
+    let order =
+        node.interface
+            .order_start(model, target.version, StartMode::CutRunning, orders_taken);
     let answer = call(node, engine, order, ORDER_TIMEOUT).await;
     answer.is_some_and(|(status, _)| status.is_success())
 }
@@ -124,7 +141,7 @@
         .collect();
     let plan = WavePlan {
         engines: others.len() + 1,
-        begin_by_ms: node.settings.bounds.version_ms / BEGIN_BY_PART,
+        begin_by_ms: (node.settings.bounds.version_ms as f64 * BEGIN_BY_SHARE) as u64,
     };
     plan.may_begin(&own.instance, &others, now.since(named_at))
 }
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -12,10 +12,13 @@
 use hyper::header::HeaderMap;
 use moleroad_config::prelude::Repeatability;
 use moleroad_directory::prelude::TargetId;
-use moleroad_dispatch::prelude::Outcome;
+use moleroad_dispatch::prelude::{Choice, Outcome};
 use moleroad_types::prelude::Millis;
 use std::sync::Arc;
+use std::time::Duration;
 
+/// Time between looks for another target while one is silent.
+pub const LOOK_FOR_OTHERS: Duration = Duration::from_millis(150);
 /// Most connections that are tried for one request without one coming up.
 const MOST_UNREACHABLE: usize = 4;
 /// Part of the wanted latency that a target needs once it has the request.
@@ -93,17 +96,7 @@
                 self.node.least_version(&view, &self.request.service)
             };
             self.tried.push(place.candidate.id.clone());
-            let node = self.node.clone();
-            let limit = self.head_limit();
-            let sent = exchange::send(
-                &node,
-                &self.request,
-                &place.candidate,
-                least,
-                last_event,
-                limit,
-            );
-            let sent = sent.await;
+            let sent = self.send(&place, least, last_event).await;
             self.log_send(&place, &sent);
             match sent {
                 Err(SendError::Unreachable) => {
@@ -176,6 +169,7 @@
         let ask = Ask {
             service: self.request.service.clone(),
             tried: self.tried.clone(),
+            prompt_tokens: self.request.prompt_tokens,
             priority: self.request.priority,
             wanted_by: self.request.arrived + (latency - latency / TARGET_PART_OF_LATENCY),
             until: Millis(self.request.until.0 - LEAST_USEFUL_MS),
@@ -204,20 +198,60 @@
         places.is_some_and(|places| places.budget.take(now, entries))
     }
 
-    /// Until when the head of an answer is waited for: streams that are silent
-    /// for long are asked of another target while there is time.
-    fn head_limit(&self) -> Millis {
-        let until = self.request.until;
-        if !self.request.route.streaming || !self.is_idempotent() || !self.may_send_again() {
-            return until;
+    /// Whether another target could take the request now, after `sends` sends.
+    pub fn can_move(&self, sends: u32) -> bool {
+        if !self.is_idempotent() || sends >= self.request.route.max_attempts {
+            return false;
         }
         let now = self.node.clock.now();
-        until.min(now + stream::first_event_patience_ms(&self.request.route))
+        let mut view = self.node.view();
+        let least = self.node.least_version(&view, &self.request.service);
+        let entries = view.entry_count(now);
+        view.services
+            .get_mut(&self.request.service)
+            .is_some_and(|places| {
+                places.budget.has_room(now, entries)
+                    && places.waiting() == 0
+                    && matches!(
+                        places.targets.choose(now, &self.tried, least, 0),
+                        Choice::Send(_)
+                    )
+            })
     }
 
-    /// Whether the number of targets allows another send.
-    pub fn may_send_again(&self) -> bool {
-        self.sends + 1 < self.request.route.max_attempts.max(1)
+    /// Sends and waits for the head of the answer; a stream whose target is
+    /// silent for long is given up as soon as another target could take it.
+    async fn send(
+        &self,
+        place: &Place,
+        least: Option<u64>,
+        last_event: Option<&Bytes>,
+    ) -> Result<Reply, SendError> {
+        let request = &self.request;
+        let until = request.until;
+        let sending = exchange::send(
+            &self.node,
+            request,
+            &place.candidate,
+            least,
+            last_event,
+            until,
+        );
+        if !request.route.streaming {
+            return sending.await;
+        }
+        let patience = Duration::from_millis(stream::first_event_patience_ms(&request.route));
+        let silence = async {
+            tokio::time::sleep(patience).await;
+            while !self.can_move(self.sends + 1) {
+                tokio::time::sleep(LOOK_FOR_OTHERS).await;
+            }
+        };
+        tokio::select! {
+            biased;
+            sent = sending => sent,
+            () = silence => Err(SendError::TimedOut),
+        }
     }
 
     /// The answer when no target brought one.
--- a/crates/moleroad_gateway/src/front/request.rs
+++ b/crates/moleroad_gateway/src/front/request.rs
@@ -45,6 +45,8 @@
     pub caller_until: Option<Millis>,
     /// When it must be answered.
     pub until: Millis,
+    /// Tokens of its prompt; 0 when the caller does not say.
+    pub prompt_tokens: u64,
     /// Event after which a stream goes on.
     pub last_event: Option<Bytes>,
 }
@@ -75,6 +77,10 @@
     let deadline_ms = number(head.headers.get(&names.deadline_ms));
     let hold_ms = route.timeout_ms.min(LONGEST_HOLD_MS);
     let until = arrived + deadline_ms.map_or(hold_ms, |deadline| deadline.min(hold_ms));
+    let usage = node
+        .interface
+        .token_usage(&head.headers)
+        .unwrap_or_default();
     let last_event = head.headers.get(&names.last_event);
     let last_event = last_event.map(|value| Bytes::copy_from_slice(value.as_bytes()));
     let target = head.uri.path_and_query().map_or("/", |both| both.as_str());
@@ -93,6 +99,7 @@
         caller_until: deadline_ms.map(|deadline| arrived + deadline),
         until,
         last_event,
+        prompt_tokens: usage.prompt,
     };
     set_tenant(&mut accepted.headers, &names.tenant, tenant.as_deref());
     accepted.headers.remove(&names.key);
--- a/crates/moleroad_gateway/src/front/stream.rs
+++ b/crates/moleroad_gateway/src/front/stream.rs
@@ -2,7 +2,7 @@
 //! the head of the first one, or ended so that they do not look complete.
 
 use crate::front::answer::{Answer, AnswerBody};
-use crate::front::attempt::{Attempts, Running, passed_on};
+use crate::front::attempt::{Attempts, LOOK_FOR_OTHERS, Running, passed_on};
 use crate::front::events::EventSplitter;
 use crate::front::exchange::Verdict;
 use crate::front::request::Accepted;
@@ -56,7 +56,10 @@
             return pass_on_final(node, &attempts, running).await;
         }
         match first_events(node, &attempts, &mut running, &mut splitter).await {
-            First::Events(events) => return begin(node, attempts, running, splitter, events),
+            First::Events(events) => {
+                running.place.was_read();
+                return begin(node, attempts, running, splitter, events);
+            }
             First::Complete => {
                 running.place.ended(Outcome::Answered);
                 let answer = passed_on(&running.reply, AnswerBody::Whole(None));
@@ -90,6 +93,19 @@
     }
 }
 
+/// What a broken stream tells of its target: nothing, when the target was cut
+/// on purpose to take other weights.
+fn broken_outcome(node: &Node, running: &Running) -> Outcome {
+    let view = node.view();
+    let agent = view.directory.agent_of(running.place.candidate.address);
+    let report = agent.and_then(|agent| agent.record.report.as_ref());
+    if report.is_some_and(|report| report.switching) {
+        Outcome::Abandoned
+    } else {
+        Outcome::Broken
+    }
+}
+
 enum First {
     Events(Bytes),
     Complete,
@@ -103,13 +119,14 @@
     splitter: &mut EventSplitter,
 ) -> First {
     let request = &attempts.request;
-    let mut limit = node.clock.instant(request.until);
-    if attempts.is_idempotent() && attempts.sends() < request.route.max_attempts {
-        let patience = first_event_patience_ms(&request.route);
-        limit = limit.min(Instant::now() + Duration::from_millis(patience));
-    }
+    let until = node.clock.instant(request.until);
+    let mut look = Instant::now() + Duration::from_millis(first_event_patience_ms(&request.route));
     loop {
-        match tokio::time::timeout_at(limit, running.reply.body.frame()).await {
+        match tokio::time::timeout_at(until.min(look), running.reply.body.frame()).await {
+            Err(_) if Instant::now() >= until || attempts.can_move(attempts.sends()) => {
+                return First::Broken;
+            }
+            Err(_) => look = Instant::now() + LOOK_FOR_OTHERS,
             Ok(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else {
                     continue;
@@ -178,7 +195,7 @@
                 End::CallerLeft => return self.log_end("caller_left"),
                 End::TimeOver => return self.break_off("time_over").await,
                 End::Broken => {
-                    running.place.ended(Outcome::Broken);
+                    running.place.ended(broken_outcome(&self.node, &running));
                     drop(running);
                     self.attempts.broke_off();
                     self.splitter.drop_rest();
@@ -195,14 +212,9 @@
         let request = self.attempts.request.clone();
         let until = self.node.clock.instant(request.until);
         let patience = Duration::from_millis(pause_patience_ms(&request.route));
+        let mut look = Instant::now() + patience;
         loop {
-            let can_move =
-                self.attempts.is_idempotent() && self.attempts.sends() < request.route.max_attempts;
-            let limit = if can_move {
-                until.min(Instant::now() + patience)
-            } else {
-                until
-            };
+            let limit = until.min(look);
             let frame = tokio::select! {
                 biased;
                 () = self.parts.closed() => return End::CallerLeft,
@@ -210,10 +222,11 @@
             };
             match frame {
                 Err(_) if Instant::now() >= until => return End::TimeOver,
-                Err(_) => {
+                Err(_) if self.attempts.can_move(self.attempts.sends()) => {
                     self.node.metrics.count("stream_silent");
                     return End::Broken;
                 }
+                Err(_) => look = Instant::now() + LOOK_FOR_OTHERS,
                 Ok(None) if self.splitter.has_rest() => return End::Broken,
                 Ok(None) => return End::Complete,
                 Ok(Some(Err(_))) => return End::Broken,
@@ -221,6 +234,7 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    look = Instant::now() + patience;
                     let events = self.splitter.push(&data);
                     if self.splitter.is_too_long() {
                         return End::Broken;
--- a/crates/moleroad_gateway/src/greeting.rs
+++ b/crates/moleroad_gateway/src/greeting.rs
@@ -13,6 +13,9 @@
 const ENTRY_GREETS_MS: u64 = 500;
 /// Time between greetings of an agent, in milliseconds.
 const AGENT_GREETS_MS: u64 = 1_000;
+/// Time between greetings while nothing is known to be in force, in
+/// milliseconds.
+const IGNORANT_GREETS_MS: u64 = 150;
 /// Time between looks at whom to greet, in milliseconds.
 const LOOK_MS: u64 = 50;
 /// Shortest time between greetings of one daemon when there is news, in
@@ -75,6 +78,11 @@
     };
     let own = node.settings.peer_address();
     let view = node.view();
+    let every = if view.table.is_none() && view.catalog.models.is_empty() {
+        IGNORANT_GREETS_MS
+    } else {
+        every
+    };
     let (sequence, pieces) = (view.own.sequence, own_pieces(&view.own));
     let mut others: Vec<(SocketAddr, DaemonRole)> = view
         .directory
@@ -146,6 +154,11 @@
     {
         let mut greeted = lock(&greeted);
         greeted.waiting.remove(&address);
+        let was_heard = greeted.answered.contains(&address);
+        if answer.is_ok() != was_heard {
+            let event = if was_heard { "peer_lost" } else { "peer_heard" };
+            log::info!(event = event, peer:% = address, reason:? = answer.as_ref().err(); "");
+        }
         if answer.is_ok() {
             greeted.told_calls.insert(address, calls);
             greeted.answered.insert(address);
--- a/crates/moleroad_gateway/src/interface.rs
+++ b/crates/moleroad_gateway/src/interface.rs
@@ -5,7 +5,7 @@
 //! nothing. One implementation belongs to each platform.
 
 use hyper::Method;
-use hyper::header::HeaderName;
+use hyper::header::{HeaderMap, HeaderName};
 use moleroad_config::prelude::{Configuration, ConfigurationError};
 use moleroad_directory::prelude::{EngineReport, TargetRecord};
 use moleroad_types::prelude::Millis;
@@ -82,6 +82,24 @@
     pub digests: Vec<[u8; 32]>,
 }
 
+/// Tokens of a request, as its caller states them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TokenUsage {
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Most tokens of the answer.
+    pub most_answer: u64,
+}
+
+/// How an engine that takes other weights ends what runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartMode {
+    /// It waits until running requests have ended.
+    AfterRunning,
+    /// It cuts running requests.
+    CutRunning,
+}
+
 /// What an agent reads from its engine.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineState {
@@ -111,6 +129,9 @@
     /// Names of headers.
     fn headers(&self) -> &HeaderNames;
 
+    /// Tokens of a request, if its caller states them.
+    fn token_usage(&self, headers: &HeaderMap) -> Option<TokenUsage>;
+
     /// Which call to the system this is.
     fn system_call(&self, method: &Method, path: &str, query: Option<&str>) -> Option<SystemCall>;
 
@@ -159,7 +180,12 @@
     /// Reads a piece from the store of an engine.
     fn get_staged(&self, model: &str, piece: u32) -> OutsideCall;
 
-    /// Orders an engine to take the weights in its store, once running
-    /// requests have ended.
-    fn order_start(&self, model: &str, version: u64, orders_taken: u64) -> OutsideCall;
+    /// Orders an engine to take the weights in its store.
+    fn order_start(
+        &self,
+        model: &str,
+        version: u64,
+        mode: StartMode,
+        orders_taken: u64,
+    ) -> OutsideCall;
 }
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -4,7 +4,7 @@
 use crate::control_state::{ControlCommand, ControlState};
 use crate::core::Core;
 use crate::front::pool::Pool;
-use crate::interface::Interface;
+use crate::interface::{Interface, PieceDigests};
 use crate::metrics::Metrics;
 use crate::peer::LeaderHint;
 use crate::peers::Peers;
@@ -39,6 +39,7 @@
     /// Requests that are being answered.
     pub in_flight: AtomicUsize,
     seeds: Mutex<Vec<SocketAddr>>,
+    digests: Mutex<Option<(String, PieceDigests)>>,
     leaving: AtomicBool,
     ending: AtomicBool,
     view: Mutex<View>,
@@ -63,6 +64,7 @@
             news: Notify::new(),
             in_flight: AtomicUsize::new(0),
             seeds: Mutex::new(settings.seed_peers()),
+            digests: Mutex::new(None),
             leaving: AtomicBool::new(false),
             ending: AtomicBool::new(false),
             view: Mutex::new(View::new(own)),
@@ -75,6 +77,25 @@
         self.view.lock().unwrap_or_else(|error| error.into_inner())
     }
 
+    /// Digests of a version, if this agent knows them.
+    pub fn known_digests(&self, model: &str, version: u64) -> Option<Vec<[u8; 32]>> {
+        let known = self
+            .digests
+            .lock()
+            .unwrap_or_else(|error| error.into_inner());
+        let (name, digests) = known.as_ref()?;
+        (name == model && digests.version == version).then(|| digests.digests.clone())
+    }
+
+    /// Remembers the digests of a version in place of any others.
+    pub fn remember_digests(&self, model: &str, digests: &PieceDigests) {
+        let mut known = self
+            .digests
+            .lock()
+            .unwrap_or_else(|error| error.into_inner());
+        *known = Some((model.to_string(), digests.clone()));
+    }
+
     /// Daemons to begin with, by their peer addresses.
     pub fn seeds(&self) -> Vec<SocketAddr> {
         let seeds = self.seeds.lock();
--- a/crates/moleroad_gateway/src/peer.rs
+++ b/crates/moleroad_gateway/src/peer.rs
@@ -70,15 +70,32 @@
     pub pieces: u32,
     /// Size of a piece, in bytes.
     pub piece_bytes: u64,
+    /// How long a usual answer is written, in milliseconds.
+    pub usual_request_ms: u64,
 }
 
+/// An origin of weights.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CatalogOrigin {
+    /// Address that serves manifests and pieces.
+    pub address: SocketAddr,
+    /// Its data hall.
+    pub hall: Option<String>,
+    /// Most connections that it takes from all agents; 0 unset.
+    pub max_connections: u32,
+}
+
+/// What the pieces of a version must hash to, as agents tell each other.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SharedDigests(pub Vec<[u8; 32]>);
+
 /// What agents need of the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Catalog {
     /// Models.
     pub models: Vec<CatalogModel>,
-    /// Origins of weights, with their data halls.
-    pub origins: Vec<(SocketAddr, Option<String>)>,
+    /// Origins of weights.
+    pub origins: Vec<CatalogOrigin>,
 }
 
 /// Answers a [`Hello`].
@@ -135,6 +152,8 @@
     async fn push(state: ControlState);
     /// Asks for what the callee has in force.
     async fn pull() -> ControlState;
+    /// Asks an agent for the digests of a version.
+    async fn digests(model: String, version: u64) -> Option<SharedDigests>;
     /// Asks an agent for a piece of weights.
     async fn piece(model: String, version: u64, piece: u32) -> Option<ByteBuf>;
 }
--- a/crates/moleroad_gateway/src/peer_server.rs
+++ b/crates/moleroad_gateway/src/peer_server.rs
@@ -4,7 +4,9 @@
 use crate::core::CoreInput;
 use crate::node::Node;
 use crate::operator;
-use crate::peer::{Aged, CommitAnswer, Hello, HelloAnswer, LeaderHint, Peer, TargetNews};
+use crate::peer::{
+    Aged, CommitAnswer, Hello, HelloAnswer, LeaderHint, Peer, SharedDigests, TargetNews,
+};
 use crate::peers::{prepare, transport};
 use futures::StreamExt;
 use moleroad_consensus::prelude::{MemberInfo, Message};
@@ -130,6 +132,10 @@
         self.node.view().state.clone()
     }
 
+    async fn digests(self, _: Context, model: String, version: u64) -> Option<SharedDigests> {
+        self.node.known_digests(&model, version).map(SharedDigests)
+    }
+
     async fn piece(self, _: Context, model: String, version: u64, piece: u32) -> Option<ByteBuf> {
         crate::agent::uploads::give(&self.node, &model, version, piece).await
     }
@@ -162,6 +168,6 @@
     if let Some(places) = view.services.get_mut(&service) {
         places
             .targets
-            .reported(now, &id, report.running + report.queued);
+            .reported(now, &id, report.running, report.queued);
     }
 }
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -16,6 +16,8 @@
     pub service: String,
     /// Targets that it was sent to before.
     pub tried: Vec<TargetId>,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u64,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
     /// Until when a place still makes the wanted latency.
@@ -92,8 +94,10 @@
                 continue;
             };
             let target = candidate.id.clone();
-            self.targets.started(&target);
+            let tokens = waiting.ask.prompt_tokens;
+            self.targets.started(&target, tokens);
             if waiting.granted.send(candidate).is_err() {
+                self.targets.was_read(&target, tokens);
                 self.targets.finished(now, &target, Outcome::Abandoned);
             }
         }
@@ -130,10 +134,22 @@
     service: String,
     /// The target.
     pub candidate: Candidate,
+    unread_tokens: Option<u64>,
     outcome: Outcome,
 }
 
 impl Place {
+    /// Says that the target has read the prompt.
+    pub fn was_read(&mut self) {
+        let Some(tokens) = self.unread_tokens.take() else {
+            return;
+        };
+        let mut view = self.node.view();
+        if let Some(places) = view.services.get_mut(&self.service) {
+            places.targets.was_read(&self.candidate.id, tokens);
+        }
+    }
+
     /// Says how the send ended; without it the place counts as abandoned.
     pub fn ended(&mut self, outcome: Outcome) {
         self.outcome = outcome;
@@ -142,6 +158,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
+        self.was_read();
         let now = self.node.clock.now();
         let mut view = self.node.view();
         let least = self.node.least_version(&view, &self.service);
@@ -180,6 +197,7 @@
         node: node.clone(),
         service: ask.service.clone(),
         candidate,
+        unread_tokens: Some(ask.prompt_tokens),
         outcome: Outcome::Abandoned,
     };
     let (id, grant) = {
@@ -194,7 +212,7 @@
                     .targets
                     .choose(now, &ask.tried, least, rand::random())
         {
-            places.targets.started(&candidate.id);
+            places.targets.started(&candidate.id, ask.prompt_tokens);
             return Ok(place(candidate));
         }
         match places.wait(now, ask) {
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -2,7 +2,7 @@
 
 use crate::control_state::ControlState;
 use crate::interface::Interface;
-use crate::peer::{Catalog, CatalogModel, LeaderHint, VersionAge};
+use crate::peer::{Catalog, CatalogModel, CatalogOrigin, LeaderHint, VersionAge};
 use crate::places::ServicePlaces;
 use crate::settings::Settings;
 use moleroad_config::prelude::{RouteTable, Service, check};
@@ -196,6 +196,14 @@
                 .services
                 .entry(name.to_string())
                 .or_insert_with(|| ServicePlaces::new(bounds));
+            let steps = table.service(name).and_then(|service| service.steps);
+            places.targets.reading =
+                steps
+                    .filter(|steps| steps.prompt_tokens_per_s > 0.0)
+                    .map(|steps| ReadingSpeed {
+                        tokens_per_ms: steps.prompt_tokens_per_s / 1_000.0,
+                        usual_prompt: steps.usual_prompt,
+                    });
             places.targets.set(candidates);
         }
         self.services
@@ -260,7 +268,11 @@
     let mut catalog = Catalog::default();
     for service in table.services() {
         if let Some(origin) = &service.origin {
-            catalog.origins.push((origin.address, service.hall.clone()));
+            catalog.origins.push(CatalogOrigin {
+                address: origin.address,
+                hall: service.hall.clone(),
+                max_connections: service.max_connections,
+            });
         }
         for model in &service.models {
             catalog.models.push(CatalogModel {
@@ -269,6 +281,9 @@
                 layers: model.layers,
                 pieces: model.pieces,
                 piece_bytes: model.piece_bytes,
+                usual_request_ms: service
+                    .steps
+                    .map_or(0, |steps| (steps.usual_answer * steps.step_ms) as u64),
             });
         }
     }
