Pace pieces below the link, widen waves to the time that is left

Ruled out: first events (their p99 stayed), choice of engines. Change: uploads paced at 0.85 of the link, one piece at a time across regions, waves as wide as the time between a copy's arrival and the bound needs.

--- a/crates/moleroad_gateway/src/agent/bring.rs
+++ b/crates/moleroad_gateway/src/agent/bring.rs
@@ -22,7 +22,7 @@
 /// Time between looks at what is wanted.
 const LOOK_EVERY: Duration = Duration::from_millis(40);
 /// Pieces fetched at once.
-const FETCHED_AT_ONCE: usize = 4;
+const FETCHED_AT_ONCE: usize = 2;
 /// Time for the digests of a version.
 const DIGESTS_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time for a piece.
@@ -394,6 +394,18 @@
         best.map(|(piece, source, _)| (piece, source))
     }
 
+    /// Whether a piece is under way from another region: one at a time, since
+    /// requests share the links between regions.
+    fn crosses_regions(&self, others: &[&DaemonRecord]) -> bool {
+        let own_region = &self.node.settings.region;
+        let is_far = |source: &Source| {
+            let far = others.iter().filter(|other| other.region != *own_region);
+            far.into_iter()
+                .any(|other| Source::Agent(other.peer) == *source)
+        };
+        self.under_way.values().any(is_far)
+    }
+
     /// Origins that take another connection from this agent.
     fn free_origins(&self, origins: &[CatalogOrigin], agents: usize) -> Vec<SocketAddr> {
         let has_room = |origin: &&CatalogOrigin| {
@@ -436,7 +448,7 @@
             let rank = 100 + near.len() as u32;
             return Some((Source::Agent(near[draw % near.len()].peer), rank));
         }
-        if allowed.across_regions && !holders.is_empty() {
+        if allowed.across_regions && !holders.is_empty() && !self.crosses_regions(others) {
             return Some((Source::Agent(holders[draw % holders.len()].peer), 1));
         }
         if allowed.from_origin {
--- a/crates/moleroad_gateway/src/agent/change.rs
+++ b/crates/moleroad_gateway/src/agent/change.rs
@@ -25,8 +25,14 @@
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 /// Time after which an order that had no effect is given again.
 const ORDER_AGAIN_MS: u64 = 1_500;
-/// Share of the time for a version at which all engines have begun.
-const BEGIN_BY_SHARE: f64 = 0.7;
+/// Time for an engine to take weights and for entries to learn of it, in
+/// milliseconds.
+const TAKE_OVER_MS: u64 = 450;
+/// Time before the bound of a version at which the last engine is done, in
+/// milliseconds.
+const SAFETY_MS: u64 = 900;
+/// How much longer a copy takes than the bare rate of the link.
+const COPY_SLOWNESS: f64 = 1.4;
 
 /// What became of a change.
 pub enum Changed {
@@ -139,13 +145,25 @@
         .filter(|other| other.instance != own.instance && other.service == own.service)
         .filter_map(|other| stage_of(other, target))
         .collect();
-    let plan = WavePlan {
-        engines: others.len() + 1,
-        begin_by_ms: (node.settings.bounds.version_ms as f64 * BEGIN_BY_SHARE) as u64,
-    };
+    let plan = wave_plan(node, target, others.len() + 1);
     plan.may_begin(&own.instance, &others, now.since(named_at))
 }
 
+/// The time that the version leaves is shared out evenly.
+fn wave_plan(node: &Node, target: &Wanted, engines: usize) -> WavePlan {
+    let model = &target.model;
+    let turn_ms = model.usual_request_ms + TAKE_OVER_MS;
+    let bits = model.piece_bytes as f64 * f64::from(model.pieces) * 8.0;
+    let copy_ms = bits / (node.settings.link_mbps.max(0.1) * 1_000.0);
+    let last_ms = node.settings.bounds.version_ms;
+    WavePlan {
+        engines,
+        turn_ms,
+        begin_from_ms: (copy_ms * COPY_SLOWNESS) as u64,
+        begin_by_ms: last_ms.saturating_sub(turn_ms + SAFETY_MS),
+    }
+}
+
 /// How far another agent's engine is; `None` when it serves nothing.
 fn stage_of(other: &DaemonRecord, target: &Wanted) -> Option<(InstanceId, EngineStage, bool)> {
     let report = other.report.as_ref()?;
--- a/crates/moleroad_gateway/src/agent/uploads.rs
+++ b/crates/moleroad_gateway/src/agent/uploads.rs
@@ -3,15 +3,35 @@
 use crate::agent::calls::call;
 use crate::node::Node;
 use serde_bytes::ByteBuf;
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Most pieces that are given at once: more would only share the link.
-const MOST_AT_ONCE: usize = 4;
+const MOST_AT_ONCE: usize = 2;
 /// Time for the engine's store to answer.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Share of the link that pieces may take: streams of the engine pass over
+/// the same link and must not wait behind them.
+const LINK_SHARE: f64 = 0.85;
+
 static GIVING: AtomicUsize = AtomicUsize::new(0);
+/// When the link has sent the pieces that were given so far.
+static LINK_FREE_AT: Mutex<Option<Instant>> = Mutex::new(None);
+
+/// Waits until the link has sent what was given before.
+async fn wait_for_link(bytes: usize, link_mbps: f64) {
+    let sending = bytes as f64 * 8.0 / (link_mbps.max(0.1) * LINK_SHARE * 1e6);
+    let start = {
+        let mut free_at = LINK_FREE_AT.lock().unwrap_or_else(|e| e.into_inner());
+        let start = free_at.unwrap_or_else(Instant::now).max(Instant::now());
+        *free_at = Some(start + Duration::from_secs_f64(sending));
+        start
+    };
+    tokio::time::sleep_until(start).await;
+}
 
 struct Giving;
 
@@ -45,5 +65,9 @@
     let asked = node.interface.get_staged(model, piece);
     let (status, bytes) = call(node, engine, asked, STORE_TIMEOUT).await?;
     // Another version may have been staged meanwhile.
-    (status.is_success() && has_piece(node)).then(|| ByteBuf::from(bytes.to_vec()))
+    if !status.is_success() || !has_piece(node) {
+        return None;
+    }
+    wait_for_link(bytes.len(), node.settings.link_mbps).await;
+    Some(ByteBuf::from(bytes.to_vec()))
 }
--- a/crates/moleroad_rollout/src/lib.rs
+++ b/crates/moleroad_rollout/src/lib.rs
@@ -9,7 +9,7 @@
 //! ```
 //! use moleroad_rollout::prelude::*;
 //!
-//! let plan = WavePlan { engines: 12, begin_by_ms: 4_000 };
+//! let plan = WavePlan { engines: 12, turn_ms: 1_000, begin_from_ms: 2_000, begin_by_ms: 5_000 };
 //! assert_eq!(plan.at_once(), 3);
 //! ```
 #![warn(missing_docs)]
--- a/crates/moleroad_rollout/src/waves.rs
+++ b/crates/moleroad_rollout/src/waves.rs
@@ -18,18 +18,22 @@
 pub struct WavePlan {
     /// Engines of the service that hold an older version or changed over.
     pub engines: usize,
+    /// Time that one engine is out, in milliseconds.
+    pub turn_ms: u64,
+    /// Time after the version was named at which the first engines can begin,
+    /// in milliseconds.
+    pub begin_from_ms: u64,
     /// Time after the version was named at which all that are left begin, in
     /// milliseconds.
     pub begin_by_ms: u64,
 }
 
-/// Part of the engines that change over at once.
-const WAVE_PART: usize = 4;
-
 impl WavePlan {
-    /// Engines that change over at once.
+    /// Engines that change over at once: as few as the time allows.
     pub fn at_once(&self) -> usize {
-        self.engines.div_ceil(WAVE_PART).max(1)
+        let window_ms = self.begin_by_ms.saturating_sub(self.begin_from_ms);
+        let waves = 1 + window_ms / self.turn_ms.max(1);
+        self.engines.div_ceil(waves as usize).max(1)
     }
 
     /// Whether the engine of `own` may begin, `elapsed_ms` after the version
--- a/crates/moleroad_rollout/tests/rollout.rs
+++ b/crates/moleroad_rollout/tests/rollout.rs
@@ -78,6 +78,8 @@
 fn engines_take_turns_and_all_begin_in_time() {
     let plan = WavePlan {
         engines: 8,
+        turn_ms: 1_000,
+        begin_from_ms: 1_000,
         begin_by_ms: 4_000,
     };
     let name = |index: usize| InstanceId::new(format!("agent-{index}"));
