Refuse what cannot be in time while its caller can still come back

Change: a first send waits at most 0.22 of its wanted latency for a target whose unread prompts let it answer in time, then it is refused with a time to come back; repeats go first. Requests that have not begun leave engines whose weights are too old by then; the margin before the bound of a version is a fifth of it.

--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -83,6 +83,23 @@
     pub tokens_per_ms: f64,
     /// Tokens of a usual prompt.
     pub usual_prompt: f64,
+    /// Time of one pass, after which the first event of a prompt that was read
+    /// comes, in milliseconds.
+    pub pass_ms: f64,
+}
+
+/// What a request asks of a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Needs<'a> {
+    /// Targets that it was sent to before.
+    pub tried: &'a [TargetId],
+    /// The least version of weights.
+    pub least: Option<u64>,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u64,
+    /// Time that is left for a first event, in milliseconds; `None` when late
+    /// is better than never.
+    pub within_ms: Option<u64>,
 }
 
 /// The targets of one service, and what is in flight at each.
@@ -139,12 +156,11 @@
         load.reported(now, running, unread);
     }
 
-    /// Chooses a target other than those in `tried`, holding at least the
-    /// version `least`. `draw` breaks ties.
-    pub fn choose(&self, now: Millis, tried: &[TargetId], least: Option<u64>, draw: u64) -> Choice {
+    /// Chooses a target that meets `needs`. `draw` breaks ties.
+    pub fn choose(&self, now: Millis, needs: Needs<'_>, draw: u64) -> Choice {
         let fits = |candidate: &&Candidate| {
-            !tried.contains(&candidate.id)
-                && least.is_none_or(|least| candidate.version.is_none_or(|v| v >= least))
+            let is_new_enough = |least| candidate.version.is_none_or(|v| v >= least);
+            !needs.tried.contains(&candidate.id) && needs.least.is_none_or(is_new_enough)
         };
         let fitting: Vec<&Candidate> = self.candidates.iter().filter(fits).collect();
         if fitting.is_empty() {
@@ -160,7 +176,8 @@
         }
         let free = pool
             .iter()
-            .filter(|candidate| self.has_place(now, candidate));
+            .filter(|candidate| self.has_place(now, candidate))
+            .filter(|candidate| self.is_in_time(now, candidate, needs));
         let count = self.candidates.len().max(1) as u64;
         let ranked = free
             .enumerate()
@@ -181,6 +198,16 @@
         load.own() < candidate.most_own && load.requests(now) < f64::from(candidate.slots)
     }
 
+    fn is_in_time(&self, now: Millis, candidate: &Candidate, needs: Needs<'_>) -> bool {
+        let (Some(within_ms), Some(reading)) = (needs.within_ms, self.reading) else {
+            return true;
+        };
+        let load = self.load(&candidate.id);
+        let unread = load.unread_tokens(now, reading.usual_prompt) + needs.prompt_tokens as f64;
+        let first_event_ms = unread / reading.tokens_per_ms.max(0.001) + reading.pass_ms;
+        first_event_ms * candidate.slowness <= within_ms as f64
+    }
+
     /// What sending to the candidate costs, as a time in milliseconds.
     pub fn cost_ms(&self, now: Millis, candidate: &Candidate) -> f64 {
         let load = self.load(&candidate.id);
--- a/crates/moleroad_dispatch/src/lib.rs
+++ b/crates/moleroad_dispatch/src/lib.rs
@@ -27,7 +27,7 @@
 /// The types most users of the crate need.
 pub mod prelude {
     pub use crate::budget::{BudgetTerms, RepeatBudget};
-    pub use crate::choice::{Candidate, Choice, Distance, ReadingSpeed, Targets};
+    pub use crate::choice::{Candidate, Choice, Distance, Needs, ReadingSpeed, Targets};
     pub use crate::health::{Health, Outcome};
     pub use crate::load::TargetLoad;
     pub use crate::queue::{WaitQueue, Waiter, WaiterId};
--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -18,7 +18,7 @@
 }
 
 fn chosen(targets: &Targets, now: u64) -> Option<String> {
-    match targets.choose(Millis(now), &[], None, 0) {
+    match targets.choose(Millis(now), Needs::default(), 0) {
         Choice::Send(candidate) => Some(candidate.id.to_string()),
         _ => None,
     }
@@ -47,11 +47,11 @@
     for name in ["near", "far"] {
         targets.reported(Millis(0), &TargetId::new(name), 4, 0);
     }
-    assert_eq!(targets.choose(Millis(1), &[], None, 0), Choice::Full);
+    assert_eq!(targets.choose(Millis(1), Needs::default(), 0), Choice::Full);
     assert_eq!(targets.free_places(Millis(1)), 0.0);
     // A report that is old counts less and less.
     assert!(matches!(
-        targets.choose(Millis(5_000), &[], None, 0),
+        targets.choose(Millis(5_000), Needs::default(), 0),
         Choice::Send(_)
     ));
 }
@@ -105,12 +105,16 @@
 
 #[test]
 fn a_target_below_the_wanted_version_gets_nothing() {
+    let version_2 = Needs {
+        least: Some(2),
+        ..Needs::default()
+    };
     let mut targets = near_and_far();
-    assert_eq!(targets.choose(Millis(0), &[], Some(2), 0), Choice::Nobody);
+    assert_eq!(targets.choose(Millis(0), version_2, 0), Choice::Nobody);
     let mut newer = candidate("far", Distance::OtherRegion);
     newer.version = Some(2);
     targets.set(vec![candidate("near", Distance::SameHall), newer]);
-    let choice = targets.choose(Millis(0), &[], Some(2), 0);
+    let choice = targets.choose(Millis(0), version_2, 0);
     assert!(matches!(choice, Choice::Send(c) if c.id.as_str() == "far"));
 }
 
@@ -210,6 +214,7 @@
     targets.reading = Some(ReadingSpeed {
         tokens_per_ms: 30.0,
         usual_prompt: 1_000.0,
+        pass_ms: 50.0,
     });
     targets.set(vec![
         candidate("reading", Distance::SameHall),
@@ -226,3 +231,25 @@
     targets.was_read(&TargetId::new("reading"), 3_000);
     assert_eq!(chosen(&targets, 0).as_deref(), Some("reading"));
 }
+
+#[test]
+fn a_target_that_cannot_answer_in_time_is_passed_over() {
+    let mut targets = Targets::default();
+    targets.reading = Some(ReadingSpeed {
+        tokens_per_ms: 10.0,
+        usual_prompt: 1_000.0,
+        pass_ms: 50.0,
+    });
+    targets.set(vec![candidate("only", Distance::SameHall)]);
+    targets.started(&TargetId::new("only"), 2_000);
+    let within = |within_ms| Needs {
+        prompt_tokens: 1_000,
+        within_ms,
+        ..Needs::default()
+    };
+    // 2,000 tokens before it, 1,000 of its own, and a pass: 350 ms.
+    let at = |within_ms| targets.choose(Millis(0), within(within_ms), 0);
+    assert_eq!(at(Some(349)), Choice::Full);
+    assert!(matches!(at(Some(350)), Choice::Send(_)));
+    assert!(matches!(at(None), Choice::Send(_)));
+}
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -12,17 +12,20 @@
 use hyper::header::HeaderMap;
 use moleroad_config::prelude::Repeatability;
 use moleroad_directory::prelude::TargetId;
-use moleroad_dispatch::prelude::{Choice, Outcome};
+use moleroad_dispatch::prelude::{Choice, Needs, Outcome};
 use moleroad_types::prelude::Millis;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Time between looks for another target while one is silent.
-pub const LOOK_FOR_OTHERS: Duration = Duration::from_millis(150);
+pub const LOOK_FOR_OTHERS: Duration = Duration::from_millis(100);
 /// Most connections that are tried for one request without one coming up.
 const MOST_UNREACHABLE: usize = 4;
-/// Part of the wanted latency that a target needs once it has the request.
-const TARGET_PART_OF_LATENCY: u64 = 4;
+/// Share of the wanted latency for which a request waits for a place.
+const WAIT_SHARE: f64 = 0.22;
+/// Rank of requests that a target had begun.
+const MOST_URGENT: u8 = 0;
 /// Time before the end of a request's time in which it is not sent any more,
 /// in milliseconds.
 const LEAST_USEFUL_MS: u64 = 60;
@@ -166,13 +169,26 @@
             return Err(GiveUp::NotAgain);
         }
         let latency = self.request.route.target_latency_ms;
+        let is_first = self.sends == 0;
+        // A request that no target has begun is refused while its caller can
+        // still be served in time elsewhere or later; one that was begun has
+        // cost a target's time already.
+        let until = if is_first {
+            self.request.arrived + (latency as f64 * WAIT_SHARE) as u64
+        } else {
+            self.request.until
+        };
         let ask = Ask {
             service: self.request.service.clone(),
             tried: self.tried.clone(),
             prompt_tokens: self.request.prompt_tokens,
-            priority: self.request.priority,
-            wanted_by: self.request.arrived + (latency - latency / TARGET_PART_OF_LATENCY),
-            until: Millis(self.request.until.0 - LEAST_USEFUL_MS),
+            priority: if is_first {
+                self.request.priority
+            } else {
+                MOST_URGENT
+            },
+            wanted_by: is_first.then(|| self.request.arrived + latency),
+            until: until.min(Millis(self.request.until.0 - LEAST_USEFUL_MS)),
         };
         let place = acquire(&self.node, &ask).await.map_err(GiveUp::NoPlace)?;
         if self.sends == 0 && self.unreachable == 0 {
@@ -207,15 +223,18 @@
         let mut view = self.node.view();
         let least = self.node.least_version(&view, &self.request.service);
         let entries = view.entry_count(now);
+        let needs = Needs {
+            tried: &self.tried,
+            least,
+            prompt_tokens: self.request.prompt_tokens,
+            within_ms: None,
+        };
         view.services
             .get_mut(&self.request.service)
             .is_some_and(|places| {
                 places.budget.has_room(now, entries)
                     && places.waiting() == 0
-                    && matches!(
-                        places.targets.choose(now, &self.tried, least, 0),
-                        Choice::Send(_)
-                    )
+                    && matches!(places.targets.choose(now, needs, 0), Choice::Send(_))
             })
     }
 
@@ -241,10 +260,14 @@
             return sending.await;
         }
         let patience = Duration::from_millis(stream::first_event_patience_ms(&request.route));
+        let began = Instant::now();
         let silence = async {
-            tokio::time::sleep(patience).await;
-            while !self.can_move(self.sends + 1) {
+            loop {
                 tokio::time::sleep(LOOK_FOR_OTHERS).await;
+                let is_silent = began.elapsed() >= patience && self.can_move(self.sends + 1);
+                if is_silent || self.is_outdated(place) {
+                    return;
+                }
             }
         };
         tokio::select! {
@@ -254,6 +277,15 @@
         }
     }
 
+    /// Whether a request that has not begun may not begin at the target any
+    /// more, since its weights are too old by now.
+    pub fn is_outdated(&self, place: &Place) -> bool {
+        let view = self.node.view();
+        let least = self.node.least_version(&view, &self.request.service);
+        let version = place.candidate.version;
+        least.is_some_and(|least| version.is_some_and(|version| version < least))
+    }
+
     /// The answer when no target brought one.
     pub fn give_up(&mut self, reason: GiveUp) -> Answer {
         if let Some((reply, body)) = self.failed_reply.take() {
--- a/crates/moleroad_gateway/src/front/stream.rs
+++ b/crates/moleroad_gateway/src/front/stream.rs
@@ -120,13 +120,18 @@
 ) -> First {
     let request = &attempts.request;
     let until = node.clock.instant(request.until);
-    let mut look = Instant::now() + Duration::from_millis(first_event_patience_ms(&request.route));
+    let patience = Duration::from_millis(first_event_patience_ms(&request.route));
+    let silent_at = Instant::now() + patience;
     loop {
+        let look = Instant::now() + LOOK_FOR_OTHERS;
         match tokio::time::timeout_at(until.min(look), running.reply.body.frame()).await {
-            Err(_) if Instant::now() >= until || attempts.can_move(attempts.sends()) => {
-                return First::Broken;
+            Err(_) => {
+                let now = Instant::now();
+                let is_silent = now >= silent_at && attempts.can_move(attempts.sends());
+                if now >= until || is_silent || attempts.is_outdated(&running.place) {
+                    return First::Broken;
+                }
             }
-            Err(_) => look = Instant::now() + LOOK_FOR_OTHERS,
             Ok(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else {
                     continue;
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -20,12 +20,23 @@
     pub prompt_tokens: u64,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
-    /// Until when a place still makes the wanted latency.
-    pub wanted_by: Millis,
-    /// Until when a place is of any use.
+    /// When a first event is wanted; `None` when late is better than never.
+    pub wanted_by: Option<Millis>,
+    /// Until when the request waits for a place.
     pub until: Millis,
 }
 
+impl Ask {
+    fn needs(&self, now: Millis, least: Option<u64>) -> Needs<'_> {
+        Needs {
+            tried: &self.tried,
+            least,
+            prompt_tokens: self.prompt_tokens,
+            within_ms: self.wanted_by.map(|wanted_by| wanted_by.since(now)),
+        }
+    }
+}
+
 /// Why there is no place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoPlace {
@@ -85,8 +96,8 @@
                 self.queue.leave(id);
                 continue;
             };
-            let tried = &waiting.ask.tried;
-            let Choice::Send(candidate) = self.targets.choose(now, tried, least, id.0) else {
+            let needs = waiting.ask.needs(now, least);
+            let Choice::Send(candidate) = self.targets.choose(now, needs, id.0) else {
                 break;
             };
             self.queue.leave(id);
@@ -110,7 +121,7 @@
             id,
             priority: ask.priority,
             since: now,
-            wanted_by: ask.wanted_by,
+            wanted_by: ask.wanted_by.unwrap_or(ask.until),
             until: ask.until,
         });
         if !entered {
@@ -210,7 +221,7 @@
             && let Choice::Send(candidate) =
                 places
                     .targets
-                    .choose(now, &ask.tried, least, rand::random())
+                    .choose(now, ask.needs(now, least), rand::random())
         {
             places.targets.started(&candidate.id, ask.prompt_tokens);
             return Ok(place(candidate));
@@ -236,15 +247,15 @@
     }
 }
 
-/// Time for one waiting request to be served, as callers are told.
-const RETRY_AFTER_EACH_MS: u64 = 10;
-const RETRY_AFTER_LEAST_MS: u64 = 200;
-const RETRY_AFTER_MOST_MS: u64 = 2_000;
+/// Shortest time after which a refused request may come back, in milliseconds.
+const RETRY_AFTER_LEAST_MS: u64 = 300;
+/// Part of that time over which returns are spread.
+const RETRY_AFTER_SPREAD_MS: u64 = 900;
 
 fn no_place(waiting: usize) -> NoPlace {
-    let wanted = waiting as u64 * RETRY_AFTER_EACH_MS;
+    let spread = rand::random::<u64>() % RETRY_AFTER_SPREAD_MS;
     NoPlace {
-        retry_after_ms: wanted.clamp(RETRY_AFTER_LEAST_MS, RETRY_AFTER_MOST_MS),
+        retry_after_ms: RETRY_AFTER_LEAST_MS + spread,
         waiting,
     }
 }
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -19,10 +19,13 @@
 /// Part of a target's connections that entries share; the rest is left for
 /// those that an entry has not yet noticed to be closed.
 const CONNECTIONS_USED: f64 = 0.8;
-/// How long before the bound requests stop going to older weights, in
-/// milliseconds: time on the way and in the target's queue.
-const VERSION_MARGIN_MS: u64 = 900;
+/// Part of the time for a version that is left when requests stop going to
+/// older weights: time on the way and in the target's queue.
+const VERSION_MARGIN_PART: u64 = 5;
 
+/// How much longer a pass is than its bare steps, with requests that write and
+/// the rest of the pass that a new prompt waits for.
+const PASS_SLOWNESS: f64 = 1.6;
 /// Most versions of a model whose times are remembered: older ones have long
 /// been due.
 const MOST_NAMED: usize = 8;
@@ -192,7 +195,7 @@
     pub fn least_version(&self, now: Millis, service: &Service, version_ms: u64) -> Option<u64> {
         let model = service.models.first()?;
         let named = self.named.get(&model.name)?;
-        named.due(now, version_ms.saturating_sub(VERSION_MARGIN_MS))
+        named.due(now, version_ms - version_ms / VERSION_MARGIN_PART)
     }
 
     /// Number of entries that share the targets.
@@ -235,6 +238,7 @@
                     .map(|steps| ReadingSpeed {
                         tokens_per_ms: steps.prompt_tokens_per_s / 1_000.0,
                         usual_prompt: steps.usual_prompt,
+                        pass_ms: steps.step_ms * steps.steps_per_pass.max(1) as f64 * PASS_SLOWNESS,
                     });
             places.targets.set(candidates);
         }
