Predict first events by passes; compare a third of the free targets

Change: the prediction counts passes; each choice compares a third of the free targets, drawn anew. The log of an answer says what was believed of the engine and how old that was.

--- a/crates/moleroad_config/src/configuration.rs
+++ b/crates/moleroad_config/src/configuration.rs
@@ -70,6 +70,8 @@
     pub prompt_tokens_per_s: f64,
     /// Token steps in one pass.
     pub steps_per_pass: u64,
+    /// Most prompt tokens read in one pass; 0 unset.
+    pub tokens_per_pass: u64,
     /// Usual prompt, in tokens.
     pub usual_prompt: f64,
     /// Usual answer, in tokens.
--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -83,9 +83,31 @@
     pub tokens_per_ms: f64,
     /// Tokens of a usual prompt.
     pub usual_prompt: f64,
-    /// Time of one pass, after which the first event of a prompt that was read
-    /// comes, in milliseconds.
-    pub pass_ms: f64,
+    /// Time of the steps of one pass, after which the first event of a prompt
+    /// that was read comes, in milliseconds.
+    pub steps_ms: f64,
+    /// Most tokens read in one pass; 0 unbounded.
+    pub tokens_per_pass: f64,
+}
+
+impl ReadingSpeed {
+    /// Time until the first event of a prompt of `own` tokens that is sent to
+    /// an engine with `unread` tokens before it, of which `running` requests
+    /// write: half of the pass under way, then passes until all is read, each
+    /// with its steps.
+    pub fn first_event_ms(&self, own: f64, unread: f64, running: f64) -> f64 {
+        let rate = self.tokens_per_ms.max(0.001);
+        let per_pass = if self.tokens_per_pass > 0.0 {
+            self.tokens_per_pass
+        } else {
+            f64::INFINITY
+        };
+        let busy = running.min(1.0);
+        let under_way = (self.steps_ms + unread.min(per_pass) / rate) * busy / 2.0;
+        let tokens = own + unread;
+        let passes = (tokens / per_pass).ceil().max(1.0);
+        under_way + tokens / rate + passes * self.steps_ms
+    }
 }
 
 /// What a request asks of a target.
@@ -102,6 +124,29 @@
     pub within_ms: Option<u64>,
 }
 
+/// Part of the free targets that are compared: entries decide on the same
+/// reports without asking each other, and would all choose the same target.
+const COMPARED_PART: usize = 3;
+/// Fewest targets that are compared.
+const FEWEST_COMPARED: usize = 2;
+
+/// Some of the free targets, in an order that `draw` decides.
+fn sample<'a>(free: &[&'a Candidate], draw: u64) -> Vec<&'a Candidate> {
+    let count = free.len().div_ceil(COMPARED_PART).max(FEWEST_COMPARED);
+    let mut left: Vec<&Candidate> = free.to_vec();
+    let mut state = draw;
+    let mut drawn = Vec::with_capacity(count);
+    while drawn.len() < count && !left.is_empty() {
+        // Constants of a linear congruential generator (Knuth, MMIX).
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        let at = (state >> 33) as usize % left.len();
+        drawn.push(left.swap_remove(at));
+    }
+    drawn
+}
+
 /// The targets of one service, and what is in flight at each.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
@@ -178,17 +223,13 @@
             .iter()
             .filter(|candidate| self.has_place(now, candidate))
             .filter(|candidate| self.is_in_time(now, candidate, needs));
-        let count = self.candidates.len().max(1) as u64;
-        let ranked = free
-            .enumerate()
-            .min_by(|(left_at, left), (right_at, right)| {
-                let rank = |at: usize| (at as u64 + draw) % count;
-                self.cost_ms(now, left)
-                    .total_cmp(&self.cost_ms(now, right))
-                    .then(rank(*left_at).cmp(&rank(*right_at)))
-            });
-        match ranked {
-            Some((_, best)) => Choice::Send((*best).clone()),
+        let free: Vec<&Candidate> = free.copied().collect();
+        let sample = sample(&free, draw);
+        let best = sample
+            .iter()
+            .min_by(|left, right| self.cost_ms(now, left).total_cmp(&self.cost_ms(now, right)));
+        match best {
+            Some(best) => Choice::Send((*best).clone()),
             None => Choice::Full,
         }
     }
@@ -203,8 +244,9 @@
             return true;
         };
         let load = self.load(&candidate.id);
-        let unread = load.unread_tokens(now, reading.usual_prompt) + needs.prompt_tokens as f64;
-        let first_event_ms = unread / reading.tokens_per_ms.max(0.001) + reading.pass_ms;
+        let unread = load.unread_tokens(now, reading.usual_prompt);
+        let own = needs.prompt_tokens as f64;
+        let first_event_ms = reading.first_event_ms(own, unread, load.requests(now));
         first_event_ms * candidate.slowness <= within_ms as f64
     }
 
@@ -217,8 +259,8 @@
             None => BUSY_COST_MS * requests / slots,
             Some(reading) => {
                 let unread = load.unread_tokens(now, reading.usual_prompt);
-                let reading_ms = unread / reading.tokens_per_ms.max(0.001);
-                reading_ms * candidate.slowness + BUSY_ENGINE_COST_MS * requests / slots
+                let first_ms = reading.first_event_ms(0.0, unread, requests);
+                first_ms * candidate.slowness + BUSY_ENGINE_COST_MS * requests / slots
             }
         };
         let beyond = (requests + 1.0 - slots).max(0.0) * FULL_COST_MS / slots;
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -6,7 +6,7 @@
 use crate::front::request::{Accepted, forwarded};
 use crate::front::stream;
 use crate::node::Node;
-use crate::places::{Ask, NoPlace, Place, acquire};
+use crate::places::{Ask, Belief, NoPlace, Place, acquire};
 use bytes::Bytes;
 use hyper::Response;
 use hyper::header::HeaderMap;
@@ -40,6 +40,22 @@
     unreachable: usize,
     may_have_run: bool,
     failed_reply: Option<(Reply, Bytes)>,
+    last: Option<Sent>,
+}
+
+/// The last send of a request, for the log.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// The target.
+    pub target: TargetId,
+    /// Number of the send.
+    pub send: u32,
+    /// How long the request had waited for this place, in milliseconds.
+    pub waited_ms: u64,
+    /// What was believed of the target.
+    pub belief: Belief,
+    /// Version of its weights; 0 for plain targets.
+    pub weights: u64,
 }
 
 /// A target at work on the request.
@@ -72,6 +88,7 @@
             unreachable: 0,
             may_have_run: false,
             failed_reply: None,
+            last: None,
         }
     }
 
@@ -80,6 +97,11 @@
         self.sends
     }
 
+    /// The last send, for the log.
+    pub fn last_send(&self) -> Option<Sent> {
+        self.last.clone()
+    }
+
     /// Whether it may run at more than one target.
     pub fn is_idempotent(&self) -> bool {
         let route = &self.request.route;
@@ -98,6 +120,13 @@
                 let view = self.node.view();
                 self.node.least_version(&view, &self.request.service)
             };
+            self.last = Some(Sent {
+                target: place.candidate.id.clone(),
+                send: self.sends + 1,
+                waited_ms: self.node.clock.now().since(self.request.arrived),
+                belief: place.belief,
+                weights: place.candidate.version.unwrap_or(0),
+            });
             self.tried.push(place.candidate.id.clone());
             let sent = self.send(&place, least, last_event).await;
             self.log_send(&place, &sent);
@@ -341,20 +370,16 @@
             return;
         }
         let now = self.node.clock.now();
-        let load = {
-            let view = self.node.view();
-            let places = view.services.get(&self.request.service);
-            places.map(|places| places.targets.load(&candidate.id))
-        };
-        let load = load.unwrap_or_default();
+        let belief = place.belief;
         log::info!(
             event = "send",
             request = self.request.id.to_str().unwrap_or("-"),
             target:% = candidate.id,
             outcome = outcome,
             send = self.sends + 1,
-            believed_requests = load.requests(now),
-            report_age_ms = load.report_age(now).unwrap_or(0),
+            believed_requests = belief.requests,
+            believed_unread_tokens = belief.unread_tokens,
+            report_age_ms = belief.report_age_ms.unwrap_or(0),
             weights = candidate.version.unwrap_or(0),
             elapsed_ms = now.since(self.request.arrived);
             ""
@@ -377,6 +402,19 @@
 /// Sends a request that is no stream and answers it.
 pub async fn answer_whole(node: &Arc<Node>, request: Accepted) -> Answer {
     let mut attempts = Attempts::new(node.clone(), request);
+    let mut answer = try_whole(node, &mut attempts).await;
+    note_last_send(&attempts, &mut answer);
+    answer
+}
+
+/// Leaves the last send with the answer, for the log.
+pub fn note_last_send(attempts: &Attempts, answer: &mut Answer) {
+    if let Some(sent) = attempts.last_send() {
+        answer.extensions_mut().insert(sent);
+    }
+}
+
+async fn try_whole(node: &Arc<Node>, attempts: &mut Attempts) -> Answer {
     loop {
         let mut running = match attempts.next_run(None).await {
             Ok(running) => running,
--- a/crates/moleroad_gateway/src/front/serve.rs
+++ b/crates/moleroad_gateway/src/front/serve.rs
@@ -1,6 +1,7 @@
 //! Taking callers' connections.
 
 use crate::front::answer::{Answer, OwnAnswer, close_after};
+use crate::front::attempt::Sent;
 use crate::front::{attempt, request, stream};
 use crate::node::Node;
 use hyper::Request;
@@ -127,6 +128,8 @@
     node.metrics
         .first_byte_s
         .observe(elapsed_ms as f64 / 1_000.0);
+    let sent = answer.extensions().get::<Sent>();
+    let belief = sent.map(|sent| sent.belief).unwrap_or_default();
     let (route, config_version) = description.unwrap_or_else(|| ("-".into(), 0));
     log::info!(
         event = "answer",
@@ -134,7 +137,14 @@
         route = route.as_str(),
         configuration = config_version,
         status = status,
-        elapsed_ms = elapsed_ms;
+        elapsed_ms = elapsed_ms,
+        target = sent.map_or("-", |sent| sent.target.as_str()),
+        sends = sent.map_or(0, |sent| sent.send),
+        waited_ms = sent.map_or(elapsed_ms, |sent| sent.waited_ms),
+        weights = sent.map_or(0, |sent| sent.weights),
+        believed_requests = belief.requests,
+        believed_unread_tokens = belief.unread_tokens,
+        report_age_ms = belief.report_age_ms.unwrap_or(0);
         ""
     );
 }
--- a/crates/moleroad_gateway/src/front/stream.rs
+++ b/crates/moleroad_gateway/src/front/stream.rs
@@ -2,7 +2,7 @@
 //! the head of the first one, or ended so that they do not look complete.
 
 use crate::front::answer::{Answer, AnswerBody};
-use crate::front::attempt::{Attempts, LOOK_FOR_OTHERS, Running, passed_on};
+use crate::front::attempt::{Attempts, LOOK_FOR_OTHERS, Running, note_last_send, passed_on};
 use crate::front::events::EventSplitter;
 use crate::front::exchange::Verdict;
 use crate::front::request::Accepted;
@@ -50,7 +50,11 @@
     loop {
         let mut running = match attempts.next_run(None).await {
             Ok(running) => running,
-            Err(reason) => return attempts.give_up(reason),
+            Err(reason) => {
+                let mut answer = attempts.give_up(reason);
+                note_last_send(&attempts, &mut answer);
+                return answer;
+            }
         };
         if running.reply.verdict == Verdict::Final {
             return pass_on_final(node, &attempts, running).await;
@@ -159,7 +163,8 @@
     events: Bytes,
 ) -> Answer {
     let (parts, body) = mpsc::channel(PARTS_AHEAD);
-    let answer = passed_on(&running.reply, AnswerBody::Parts(body));
+    let mut answer = passed_on(&running.reply, AnswerBody::Parts(body));
+    note_last_send(&attempts, &mut answer);
     let relay = Relay {
         node: node.clone(),
         attempts,
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -139,8 +139,21 @@
     }
 }
 
+/// What was believed of a target when a place there was taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Belief {
+    /// Requests in flight there.
+    pub requests: f64,
+    /// Prompt tokens that it had not read.
+    pub unread_tokens: f64,
+    /// Age of its agent's last report, in milliseconds; `None` without one.
+    pub report_age_ms: Option<u64>,
+}
+
 /// A place at a target; given back when dropped.
 pub struct Place {
+    /// What was believed of the target.
+    pub belief: Belief,
     node: Arc<Node>,
     service: String,
     /// The target.
@@ -204,7 +217,8 @@
 /// [`NoPlace`] when there is none until [`Ask::until`], or too many wait.
 pub async fn acquire(node: &Arc<Node>, ask: &Ask) -> Result<Place, NoPlace> {
     let now = node.clock.now();
-    let place = |candidate| Place {
+    let place = |candidate: Candidate| Place {
+        belief: belief(node, ask, &candidate),
         node: node.clone(),
         service: ask.service.clone(),
         candidate,
@@ -224,6 +238,7 @@
                     .choose(now, ask.needs(now, least), rand::random())
         {
             places.targets.started(&candidate.id, ask.prompt_tokens);
+            drop(view);
             return Ok(place(candidate));
         }
         match places.wait(now, ask) {
@@ -247,6 +262,24 @@
     }
 }
 
+fn belief(node: &Node, ask: &Ask, candidate: &Candidate) -> Belief {
+    let now = node.clock.now();
+    let view = node.view();
+    let Some(places) = view.services.get(&ask.service) else {
+        return Belief::default();
+    };
+    let load = places.targets.load(&candidate.id);
+    let usual = places
+        .targets
+        .reading
+        .map_or(0.0, |reading| reading.usual_prompt);
+    Belief {
+        requests: load.requests(now),
+        unread_tokens: load.unread_tokens(now, usual),
+        report_age_ms: load.report_age(now),
+    }
+}
+
 /// Shortest time after which a refused request may come back, in milliseconds.
 const RETRY_AFTER_LEAST_MS: u64 = 300;
 /// Part of that time over which returns are spread.
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -23,9 +23,8 @@
 /// older weights: time on the way and in the target's queue.
 const VERSION_MARGIN_PART: u64 = 5;
 
-/// How much longer a pass is than its bare steps, with requests that write and
-/// the rest of the pass that a new prompt waits for.
-const PASS_SLOWNESS: f64 = 1.6;
+/// How much longer a step is than its bare time when many requests write.
+const STEP_SLOWNESS: f64 = 1.1;
 /// Most versions of a model whose times are remembered: older ones have long
 /// been due.
 const MOST_NAMED: usize = 8;
@@ -238,7 +237,10 @@
                     .map(|steps| ReadingSpeed {
                         tokens_per_ms: steps.prompt_tokens_per_s / 1_000.0,
                         usual_prompt: steps.usual_prompt,
-                        pass_ms: steps.step_ms * steps.steps_per_pass.max(1) as f64 * PASS_SLOWNESS,
+                        steps_ms: steps.step_ms
+                            * steps.steps_per_pass.max(1) as f64
+                            * STEP_SLOWNESS,
+                        tokens_per_pass: steps.tokens_per_pass as f64,
                     });
             places.targets.set(candidates);
         }
