--- a/crates/moleroad_gateway/src/core.rs
+++ b/crates/moleroad_gateway/src/core.rs
@@ -158,6 +158,9 @@
     replies: BTreeMap<ProposalTicket, oneshot::Sender<Committed>>,
     placed: BTreeMap<LogIndex, (Term, ProposalTicket)>,
     told_leader: Option<(Term, Option<MemberId>)>,
+    told_members: Option<Configuration>,
+    /// Whether the members changed since this process began.
+    replaced: bool,
     reopen_at: Millis,
     retired: bool,
 }
@@ -186,6 +189,8 @@
             replies: BTreeMap::new(),
             placed: BTreeMap::new(),
             told_leader: None,
+            told_members: None,
+            replaced: false,
             reopen_at: Millis(0),
             retired: false,
         }
@@ -218,6 +223,7 @@
                 self.feed(Event::Tick);
             }
             self.tell_leader();
+            self.note_members();
             self.compact();
         }
     }
@@ -410,6 +416,27 @@
         let _ = self.output.send(CoreOutput::State(self.state.clone()));
     }
 
+    /// Logs a change of the members, and whether it brought a member that was
+    /// not there before.
+    fn note_members(&mut self) {
+        let members = self.replica.configuration();
+        if self.told_members.as_ref() == Some(members) {
+            return;
+        }
+        let earlier = self.told_members.as_ref();
+        let is_new = |id: &MemberId| earlier.is_some_and(|e| !e.voters.contains(id));
+        log::info!(
+            event = "control_members",
+            voters = members.voters.len() as u64,
+            learners = members.learners.len() as u64,
+            changing = members.is_joint(),
+            replaced = self.replaced || members.voters.iter().any(is_new);
+            ""
+        );
+        self.replaced |= members.voters.iter().any(is_new);
+        self.told_members = Some(members.clone());
+    }
+
     fn tell_leader(&mut self) {
         let leader = self.replica.leader_info().cloned();
         let now = (self.replica.term(), leader.as_ref().map(|info| info.id));
