Prepare agents before the control group is certain; test weights, growth and events

Cause: after a loss of power everywhere agents learned what to fetch only once a leader was elected (0.6 s of the outage). The log at the start, committed or not, is enough to prepare: agents stage by it, requests do not go by it. Refusals in an outage name a later time.

--- a/crates/moleroad_consensus/tests/failures.rs
+++ b/crates/moleroad_consensus/tests/failures.rs
@@ -360,3 +360,58 @@
         let _ = Storage::open(disk, MemberId(1), "instance-1");
     }
 }
+
+#[test]
+fn a_group_grows_to_the_wanted_number_of_voters_and_then_stands_two_losses() {
+    let mut group = Group::new(11, 3, 10);
+    group.wanted_voters = 5;
+    let ids: Vec<MemberId> = group.members.keys().copied().collect();
+    for id in ids {
+        group.kill(id, 0);
+        group.start(id);
+    }
+    group.accept(b"before");
+    let spares = [
+        group.add_member(21, "fourth"),
+        group.add_member(22, "fifth"),
+    ];
+    for _ in 0..40 {
+        let leader = group.await_leader();
+        for spare in &spares {
+            group.event(leader, Event::SpareSeen(spare.clone()));
+        }
+        group.run(200);
+    }
+    let leader = group.await_leader();
+    let replica = &group.members[&leader].running.as_ref().unwrap().replica;
+    assert_eq!(replica.configuration().voters.len(), 5);
+    assert!(!replica.configuration().is_joint());
+    let lost: Vec<MemberId> = group.members.keys().copied().take(2).collect();
+    for id in lost {
+        group.lose_disk(id);
+    }
+    group.accept(b"after two losses");
+    assert!(group.accepted.values().any(|data| data == b"before"));
+    group.check_nothing_lost();
+}
+
+#[test]
+fn a_group_of_the_wanted_size_takes_no_spare_member() {
+    let mut group = Group::new(12, 3, 10);
+    group.wanted_voters = 3;
+    let ids: Vec<MemberId> = group.members.keys().copied().collect();
+    for id in ids {
+        group.kill(id, 0);
+        group.start(id);
+    }
+    let spare = group.add_member(21, "fourth");
+    for _ in 0..10 {
+        let leader = group.await_leader();
+        group.event(leader, Event::SpareSeen(spare.clone()));
+        group.run(200);
+    }
+    let leader = group.await_leader();
+    let replica = &group.members[&leader].running.as_ref().unwrap().replica;
+    assert_eq!(replica.configuration().voters.len(), 3);
+    assert!(!replica.configuration().voters.contains(&spare.id));
+}
--- a/crates/moleroad_consensus/tests/support/mod.rs
+++ b/crates/moleroad_consensus/tests/support/mod.rs
@@ -182,6 +182,8 @@
     pending: BTreeMap<ProposalTicket, Vec<u8>>,
     timing: Timing,
     compact_after: usize,
+    /// Voters that members started from now on grow the group to.
+    pub wanted_voters: usize,
 }
 
 impl Group {
@@ -206,6 +208,7 @@
             pending: BTreeMap::new(),
             timing,
             compact_after,
+            wanted_voters: 0,
         };
         let infos: Vec<MemberInfo> = (1..=count)
             .map(|id| group.add_member(id, &format!("instance-{id}")))
@@ -251,6 +254,7 @@
             .as_ref()
             .map_or(Vec::new(), |snapshot| decode(&snapshot.state));
         let replica = Replica::new(id, timing, seed, restored, now);
+        let replica = replica.with_wanted_voters(self.wanted_voters);
         member.running = Some(Running {
             replica,
             storage,
--- a/crates/moleroad_gateway/src/agent/bring.rs
+++ b/crates/moleroad_gateway/src/agent/bring.rs
@@ -75,8 +75,8 @@
 pub fn wanted(node: &Node) -> Option<Wanted> {
     let view = node.view();
     let service = node.settings.service.as_ref()?;
-    let models = view.catalog.models.iter();
-    let model = models.filter(|model| model.service == *service).next()?;
+    let mut models = view.catalog.models.iter();
+    let model = models.find(|model| model.service == *service)?;
     if model.pieces == 0 {
         return None;
     }
--- a/crates/moleroad_gateway/src/core.rs
+++ b/crates/moleroad_gateway/src/core.rs
@@ -59,6 +59,9 @@
     Send(MemberInfo, Message),
     /// This is in force.
     State(Arc<ControlState>),
+    /// This was in the log at the start and is not known to be committed:
+    /// good enough to prepare for, not to act on.
+    Tentative(Arc<ControlState>),
     /// The leader of a term, as far as known.
     Leader(Term, Option<MemberInfo>),
     /// The disk failed or works again.
@@ -175,6 +178,8 @@
         restored: Restored,
     ) -> Self {
         let state = state_of(&restored);
+        let tentative = tentative_state(&state, &restored);
+        let _ = output.send(CoreOutput::Tentative(Arc::new(tentative)));
         let replica = Replica::new(own.id, TIMING, rand::random(), restored, clock.now());
         let replica = replica.with_wanted_voters(settings.tolerated_losses * 2 + 1);
         Self {
@@ -455,6 +460,19 @@
         .unwrap_or_default()
 }
 
+/// The state with all entries of the log applied, committed or not.
+fn tentative_state(state: &ControlState, restored: &Restored) -> ControlState {
+    let mut tentative = state.clone();
+    for entry in &restored.entries {
+        if let Payload::Command(data) = &entry.payload
+            && let Ok(command) = rmp_serde::from_slice::<ControlCommand>(data)
+        {
+            tentative.apply(&command);
+        }
+    }
+    tentative
+}
+
 fn decode_state(snapshot: &Snapshot) -> ControlState {
     if snapshot.state.is_empty() {
         return ControlState::default();
--- a/crates/moleroad_gateway/src/front/events.rs
+++ b/crates/moleroad_gateway/src/front/events.rs
@@ -96,6 +96,6 @@
 
 fn event_id(event: &[u8]) -> Option<&[u8]> {
     let lines = event.split(|byte| *byte == b'\n' || *byte == b'\r');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    ids.last().map(|id| id.trim_ascii())
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    ids.next_back().map(|id| id.trim_ascii())
 }
--- a/crates/moleroad_gateway/src/front/exchange.rs
+++ b/crates/moleroad_gateway/src/front/exchange.rs
@@ -142,7 +142,9 @@
     let same = head.headers.get(&names.request_id) == Some(&request.id);
     let not_executed = head.headers.contains_key(&names.not_executed)
         || head.status == StatusCode::MISDIRECTED_REQUEST;
-    if !same && !(not_executed && !head.headers.contains_key(&names.request_id)) {
+    // A target that runs nothing may answer before it has read the identity.
+    let is_other = !same && (!not_executed || head.headers.contains_key(&names.request_id));
+    if is_other {
         node.metrics.count("answer_of_another_request");
         return Err(SendError::Spoilt);
     }
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -167,6 +167,12 @@
         changed
     }
 
+    /// Lets agents prepare for a state that is not known to be in force.
+    pub fn prepare_for(&self, state: &ControlState) {
+        let now = self.clock.now();
+        self.view().prepare_for(now, state, &*self.interface);
+    }
+
     /// The least version of weights for `service`; see [`View::least_version`].
     pub fn least_version(&self, view: &View, service: &str) -> Option<u64> {
         let table = view.table.as_ref()?;
--- a/crates/moleroad_gateway/src/peer_server.rs
+++ b/crates/moleroad_gateway/src/peer_server.rs
@@ -88,10 +88,14 @@
                     Vec::new()
                 },
                 config_version: view.state.config_version(),
-                versions: view.version_ages(now),
+                versions: if from.role == DaemonRole::Agent {
+                    view.version_ages(now)
+                } else {
+                    view.named_ages(now)
+                },
                 leader: view.leader,
                 targets: targets.collect(),
-                catalog: (from.role == DaemonRole::Agent && view.table.is_some())
+                catalog: (from.role == DaemonRole::Agent && !view.catalog.models.is_empty())
                     .then(|| view.catalog.clone()),
             };
             let behind = from.role == DaemonRole::Entry
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -229,7 +229,7 @@
         let mut view = node.view();
         let least = node.least_version(&view, &ask.service);
         let Some(places) = view.services.get_mut(&ask.service) else {
-            return Err(no_place(0));
+            return Err(no_place(0, true));
         };
         if places.queue.is_empty()
             && let Choice::Send(candidate) =
@@ -243,7 +243,7 @@
         }
         match places.wait(now, ask) {
             Some(waiting) => waiting,
-            None => return Err(no_place(places.waiting())),
+            None => return Err(no_place(places.waiting(), false)),
         }
     };
     let _in_queue = InQueue {
@@ -256,8 +256,10 @@
         Ok(Ok(candidate)) => Ok(place(candidate)),
         _ => {
             let view = node.view();
-            let waiting = view.services.get(&ask.service).map_or(0, |p| p.waiting());
-            Err(no_place(waiting))
+            let places = view.services.get(&ask.service);
+            let waiting = places.map_or(0, |places| places.waiting());
+            let is_outage = places.is_none_or(|places| places.targets.candidates().is_empty());
+            Err(no_place(waiting, is_outage))
         }
     }
 }
@@ -285,10 +287,18 @@
 /// Part of that time over which returns are spread.
 const RETRY_AFTER_SPREAD_MS: u64 = 900;
 
-fn no_place(waiting: usize) -> NoPlace {
+/// The same when no target can take requests at all.
+const RETRY_AFTER_OUTAGE_MS: u64 = 1_800;
+
+fn no_place(waiting: usize, is_outage: bool) -> NoPlace {
     let spread = rand::random::<u64>() % RETRY_AFTER_SPREAD_MS;
+    let least = if is_outage {
+        RETRY_AFTER_OUTAGE_MS
+    } else {
+        RETRY_AFTER_LEAST_MS
+    };
     NoPlace {
-        retry_after_ms: RETRY_AFTER_LEAST_MS + spread,
+        retry_after_ms: least + spread,
         waiting,
     }
 }
--- a/crates/moleroad_gateway/src/run.rs
+++ b/crates/moleroad_gateway/src/run.rs
@@ -166,6 +166,7 @@
                     push(&node);
                 }
             }
+            CoreOutput::Tentative(state) => node.prepare_for(&state),
             CoreOutput::Leader(term, leader) => {
                 let hint = leader.map(|leader| LeaderHint {
                     term: term.0,
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -87,6 +87,8 @@
     pub catalog: Catalog,
     /// Versions of models that were named.
     pub named: BTreeMap<String, NamedVersions>,
+    /// Versions that agents prepare for, not known to be named.
+    pub prepared: BTreeMap<String, NamedVersions>,
     /// Targets and daemons.
     pub directory: Directory,
     /// Places at the targets of each service.
@@ -109,6 +111,7 @@
             table: None,
             catalog: Catalog::default(),
             named: BTreeMap::new(),
+            prepared: BTreeMap::new(),
             directory: Directory::new(),
             services: HashMap::new(),
             own,
@@ -138,6 +141,25 @@
         true
     }
 
+    /// Tells agents of the models of a state that is not known to be in force,
+    /// so that they fetch weights meanwhile; requests do not go by it.
+    pub fn prepare_for(&mut self, now: Millis, state: &ControlState, interface: &dyn Interface) {
+        let Some(document) = state
+            .configuration
+            .as_ref()
+            .filter(|_| self.table.is_none())
+        else {
+            return;
+        };
+        if let Ok(configuration) = interface.read_configuration(&document.bytes) {
+            self.catalog = catalog_of(&RouteTable::compile(&configuration));
+        }
+        for (model, version) in &state.versions {
+            let named = self.prepared.entry(model.clone()).or_default();
+            named.learn(*version, now);
+        }
+    }
+
     fn put_in_force(&mut self, interface: &dyn Interface) {
         let Some(document) = &self.state.configuration else {
             return;
@@ -172,12 +194,22 @@
         true
     }
 
-    /// Versions and their ages, for another daemon.
+    /// Versions that were named and their ages, for another entry.
+    pub fn named_ages(&self, now: Millis) -> BTreeMap<String, Vec<VersionAge>> {
+        let aged = |(model, named): (&String, &NamedVersions)| (model.clone(), named.ages(now));
+        self.named.iter().map(aged).collect()
+    }
+
+    /// Versions to bring and their ages, for an agent. Before anything is in
+    /// force, agents hear of what may be.
     pub fn version_ages(&self, now: Millis) -> BTreeMap<String, Vec<VersionAge>> {
-        let named = self.named.iter();
-        named
-            .map(|(model, named)| (model.clone(), named.ages(now)))
-            .collect()
+        let known = if self.table.is_some() {
+            &self.named
+        } else {
+            &self.prepared
+        };
+        let aged = |(model, named): (&String, &NamedVersions)| (model.clone(), named.ages(now));
+        known.iter().map(aged).collect()
     }
 
     /// Takes a belief about the leader if it is newer.
--- /dev/null
+++ b/crates/moleroad_gateway/tests/parts.rs
@@ -0,0 +1,192 @@
+//! Parts of the gateway that need no process: events, the control group's
+//! state, versions and settings.
+
+use bytes::Bytes;
+use moleroad_config::prelude::ConfigVersion;
+use moleroad_gateway::control_state::{ConfigDocument, ControlCommand, ControlState};
+use moleroad_gateway::front::events::{EventSplitter, MAX_EVENT_BYTES};
+use moleroad_gateway::settings::Settings;
+use moleroad_gateway::view::NamedVersions;
+use moleroad_types::prelude::Millis;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use serde_bytes::ByteBuf;
+use std::sync::Arc;
+
+#[test]
+fn events_come_out_whole_however_the_bytes_are_cut() {
+    let text = "id: 1\ndata: a\n\n: comment\n\nweight-versions: 2\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\n";
+    for step in 1..text.len() {
+        let mut splitter = EventSplitter::default();
+        let mut out = Vec::new();
+        for part in text.as_bytes().chunks(step) {
+            let events = splitter.push(part);
+            assert!(
+                events.is_empty() || events.ends_with(b"\n\n") || events.ends_with(b"\r\n\r\n")
+            );
+            out.extend_from_slice(&events);
+        }
+        assert_eq!(out, text.as_bytes(), "in steps of {step}");
+        assert_eq!(splitter.last_id().map(|id| &id[..]), Some(&b"3"[..]));
+        assert!(!splitter.has_rest());
+    }
+}
+
+#[test]
+fn half_an_event_is_held_and_dropped_when_its_target_is_lost() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(
+        &splitter.push(b"id: 1\ndata: a\n\nid: 2\nda")[..],
+        b"id: 1\ndata: a\n\n"
+    );
+    assert!(splitter.has_rest());
+    splitter.drop_rest();
+    // The other target begins with an event that was brought already.
+    let resumed = splitter.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    assert_eq!(&resumed[..], b"id: 2\ndata: b\n\n");
+}
+
+#[test]
+fn a_resumed_caller_gets_only_later_events() {
+    let mut splitter = EventSplitter::after(Some(Bytes::from_static(b"12")));
+    let events = splitter.push(b"id: 12\ndata: old\n\nid: 13\ndata: new\n\n");
+    assert_eq!(&events[..], b"id: 13\ndata: new\n\n");
+}
+
+#[test]
+fn an_event_without_end_is_noticed() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(&vec![b'x'; MAX_EVENT_BYTES + 1]);
+    assert!(splitter.is_too_long());
+}
+
+fn replace(version: u64, content: &str) -> ControlCommand {
+    ControlCommand::Replace(ConfigDocument {
+        version: ConfigVersion(version),
+        bytes: Arc::new(ByteBuf::from(content.as_bytes().to_vec())),
+    })
+}
+
+#[test]
+fn the_first_content_under_a_version_holds() {
+    let mut state = ControlState::default();
+    assert!(state.apply(&replace(5, "first")));
+    assert!(!state.apply(&replace(5, "second")));
+    assert!(!state.apply(&replace(4, "older")));
+    assert_eq!(&state.configuration.as_ref().unwrap().bytes[..], b"first");
+    assert!(state.includes(&replace(5, "second")));
+    assert!(!state.includes(&replace(6, "")));
+}
+
+#[test]
+fn daemons_that_hear_of_changes_in_any_order_end_alike_and_never_go_back() {
+    for seed in 0..3_000 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut changes: Vec<ControlCommand> = (1..8)
+            .map(|version| replace(version, &format!("content {version}")))
+            .collect();
+        changes.extend((1..5).map(|version| ControlCommand::NameVersion {
+            model: "m".into(),
+            version,
+        }));
+        let mut states = [ControlState::default(), ControlState::default()];
+        for state in &mut states {
+            changes.shuffle(&mut random);
+            for change in &changes {
+                let before = state.config_version();
+                state.apply(change);
+                assert!(state.config_version() >= before);
+                if random.random_bool(0.3) {
+                    let resent = changes[random.random_range(0..changes.len())].clone();
+                    let includes = state.includes(&resent);
+                    assert_eq!(state.apply(&resent), !includes);
+                }
+            }
+        }
+        assert_eq!(states[0], states[1], "seed {seed}");
+        let [mut one, other] = states;
+        assert!(!one.merge(&other));
+    }
+}
+
+#[test]
+fn each_version_is_due_by_its_own_time() {
+    let mut named = NamedVersions::default();
+    assert!(named.learn(2, Millis(1_000)));
+    assert!(named.learn(3, Millis(4_000)));
+    // A daemon that heard of it earlier is believed.
+    assert!(!named.learn(2, Millis(900)));
+    assert_eq!(named.newest(), Some(3));
+    assert_eq!(named.due(Millis(8_000), 8_000), None);
+    assert_eq!(named.due(Millis(8_900), 8_000), Some(2));
+    assert_eq!(named.due(Millis(12_000), 8_000), Some(3));
+    assert_eq!(named.waiting_since(1), Some(Millis(900)));
+    assert_eq!(named.waiting_since(2), Some(Millis(4_000)));
+    assert_eq!(named.waiting_since(3), None);
+}
+
+#[test]
+fn the_settings_that_are_deployed_can_be_read() {
+    // The gaps of the template as the platform fills them.
+    let fill = |template: &str| {
+        let mut text = String::new();
+        for line in template.lines() {
+            let value = match line.split_once("{{") {
+                None => line.to_string(),
+                Some((before, gap)) => {
+                    let name = gap.trim_end_matches("|json}}");
+                    let value = match name {
+                        "Ip" => "\"10.0.0.1\"",
+                        "Zones" => r#"{"hall-a":"region-a"}"#,
+                        "PortRange" => "[7700,7715]",
+                        "Seeds" => r#"["10.0.0.1:80"]"#,
+                        "Bootstrap" => "true",
+                        "DataDir" => "null",
+                        _ if name.starts_with("Listen") || name == "app" => "\"10.0.0.1:81\"",
+                        _ if name.starts_with("Bounds") || name.starts_with("Limits") => "2.5",
+                        "FaultTolerance.Machines" | "HeartbeatMs" => "1",
+                        _ => "\"name\"",
+                    };
+                    let value = if name.ends_with("MemoryMb") {
+                        "128"
+                    } else {
+                        value
+                    };
+                    format!("{before}{value}")
+                }
+            };
+            text.push_str(&value);
+            text.push('\n');
+        }
+        text
+    };
+    let entry = Settings::parse(&fill(include_str!("../../../deploy/entry.yaml"))).unwrap();
+    assert_eq!(entry.bounds.grace_ms, 2_500);
+    assert_eq!(entry.seed_peers(), vec!["10.0.0.1:7700".parse().unwrap()]);
+    assert_eq!(entry.region_of("hall-a"), "region-a");
+    let agent = Settings::parse(&fill(include_str!("../../../deploy/agent.yaml"))).unwrap();
+    assert_eq!(agent.engine, Some("10.0.0.1:81".parse().unwrap()));
+}
+
+#[test]
+fn wrong_settings_name_the_field() {
+    let sound = "instance: a\nrole: agent\nip: 127.0.0.1\nhall: h\nregion: r\npeer_ports: [1,2]\nengine: 127.0.0.1:1\n";
+    assert!(Settings::parse(sound).is_ok());
+    let cases = [
+        (
+            sound.replace("peer_ports: [1,2]", "peer_ports: [3,2]"),
+            "peer_ports",
+        ),
+        (sound.replace("engine: 127.0.0.1:1\n", ""), "engine"),
+        (
+            sound.replace("role: agent", "role: entry"),
+            "listen.frontend",
+        ),
+        (sound.replace("instance: a\n", ""), "instance"),
+    ];
+    for (text, field) in cases {
+        let error = Settings::parse(&text).expect_err(field).to_string();
+        assert!(error.contains(field), "{error}");
+    }
+}
