Share out the last places of an engine; do not rush one that becomes free

Change: beyond 0.7 of its slots each entry keeps to its own places, worked out from all entries' demand; between two reports each entry sends at most its part.

--- a/crates/moleroad_directory/tests/directory.rs
+++ b/crates/moleroad_directory/tests/directory.rs
@@ -22,6 +22,7 @@
         peer: format!("127.0.0.1:{port}").parse().unwrap(),
         frontend: Some(format!("127.0.0.1:{}", port + 1000).parse().unwrap()),
         control: None,
+        requests_per_s: 0.0,
         hall: hall.into(),
         region: region.into(),
         engine: None,
--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -41,6 +41,8 @@
     pub slots: u32,
     /// Most requests this entry may have there at once.
     pub most_own: u32,
+    /// Places there that belong to this entry when it is nearly full.
+    pub share: u32,
     /// How far it is.
     pub distance: Distance,
     /// Version of the weights that it holds whole; `None` for plain targets.
@@ -124,6 +126,9 @@
     pub within_ms: Option<u64>,
 }
 
+/// Part of its slots up to which any entry sends to a target; beyond it each
+/// entry keeps to its own places.
+const LIGHT_PART: f64 = 0.7;
 /// Part of the free targets that are compared: entries decide on the same
 /// reports without asking each other, and would all choose the same target.
 const COMPARED_PART: usize = 3;
@@ -176,8 +181,9 @@
     }
 
     /// Counts a send whose prompt has `tokens`.
-    pub fn started(&mut self, id: &TargetId, tokens: u64) {
-        self.loads.entry(id.clone()).or_default().started(tokens);
+    pub fn started(&mut self, now: Millis, id: &TargetId, tokens: u64) {
+        let load = self.loads.entry(id.clone()).or_default();
+        load.started(now, tokens);
     }
 
     /// Counts a prompt as read: the answer to it began, or never will.
@@ -236,7 +242,13 @@
 
     fn has_place(&self, now: Millis, candidate: &Candidate) -> bool {
         let load = self.load(&candidate.id);
-        load.own() < candidate.most_own && load.requests(now) < f64::from(candidate.slots)
+        let (requests, slots) = (load.requests(now), f64::from(candidate.slots));
+        // All entries see a target that has just become free: each sends only
+        // its part until a report tells what the others sent.
+        let is_crowd = self.reading.is_some() && load.unreported(now) >= candidate.share.max(1);
+        let is_light = requests + 1.0 <= slots * LIGHT_PART && !is_crowd;
+        let has_own = load.own() < candidate.share && requests < slots;
+        load.own() < candidate.most_own && (is_light || has_own)
     }
 
     fn is_in_time(&self, now: Millis, candidate: &Candidate, needs: Needs<'_>) -> bool {
--- a/crates/moleroad_dispatch/src/lib.rs
+++ b/crates/moleroad_dispatch/src/lib.rs
@@ -5,7 +5,7 @@
 //! ended. Each entry shares the targets with others that it does not ask:
 //! [`load`] estimates what they have in flight from what agents report,
 //! [`choice`] picks the cheapest target, [`queue`] orders those that wait for
-//! a place, [`health`] remembers what failed, and [`budget`] holds the entry's
+//! a place, [`share`] says whose the last places are, [`health`] remembers what failed, and [`budget`] holds the entry's
 //! share of the repeats that all entries may send.
 //!
 //! ```
@@ -23,6 +23,7 @@
 pub mod health;
 pub mod load;
 pub mod queue;
+pub mod share;
 
 /// The types most users of the crate need.
 pub mod prelude {
@@ -31,4 +32,5 @@
     pub use crate::health::{Health, Outcome};
     pub use crate::load::TargetLoad;
     pub use crate::queue::{WaitQueue, Waiter, WaiterId};
+    pub use crate::share::{EntryDemand, share};
 }
--- a/crates/moleroad_dispatch/src/load.rs
+++ b/crates/moleroad_dispatch/src/load.rs
@@ -3,6 +3,9 @@
 use crate::health::Health;
 use moleroad_types::prelude::Millis;
 
+/// Time after which a send counts as seen by others though no report came, in
+/// milliseconds.
+const UNREPORTED_MS: u64 = 250;
 /// Age up to which a report counts whole, in milliseconds.
 const REPORT_FRESH_MS: u64 = 1_000;
 /// Age at which a report no longer counts, in milliseconds.
@@ -21,6 +24,9 @@
     own: u32,
     own_unread: u32,
     own_unread_tokens: u64,
+    /// Sends since the last report, or since `sent_since`.
+    sent: u32,
+    sent_since: Millis,
     report: Option<Report>,
     /// The recent past.
     pub health: Health,
@@ -28,7 +34,12 @@
 
 impl TargetLoad {
     /// Counts a send whose prompt has `tokens`.
-    pub fn started(&mut self, tokens: u64) {
+    pub fn started(&mut self, now: Millis, tokens: u64) {
+        if now.since(self.sent_since) >= UNREPORTED_MS {
+            self.sent_since = now;
+            self.sent = 0;
+        }
+        self.sent += 1;
         self.own += 1;
         self.own_unread += 1;
         self.own_unread_tokens += tokens;
@@ -48,6 +59,8 @@
     /// Takes the number of requests that the target has from all entries:
     /// those that run, and those whose prompt is not read yet.
     pub fn reported(&mut self, now: Millis, running: u32, unread: u32) {
+        self.sent = 0;
+        self.sent_since = now;
         self.report = Some(Report {
             others: (running + unread).saturating_sub(self.own),
             others_unread: unread.saturating_sub(self.own_unread),
@@ -66,6 +79,15 @@
         own + others * weight_of(now.since(report.at))
     }
 
+    /// Sends that no report can have seen yet.
+    pub fn unreported(&self, now: Millis) -> u32 {
+        if now.since(self.sent_since) < UNREPORTED_MS {
+            self.sent
+        } else {
+            0
+        }
+    }
+
     /// Requests in flight from this entry.
     pub fn own(&self) -> u32 {
         self.own
--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -10,6 +10,7 @@
         address: "127.0.0.1:1".parse().unwrap(),
         slots: 4,
         most_own: 4,
+        share: 4,
         distance,
         version: Some(1),
         switching: false,
@@ -37,7 +38,7 @@
 fn the_near_target_is_filled_before_a_far_one_within_reason() {
     let mut targets = near_and_far();
     assert_eq!(chosen(&targets, 0).as_deref(), Some("near"));
-    targets.started(&TargetId::new("near"), 0);
+    targets.started(Millis(0), &TargetId::new("near"), 0);
     assert_eq!(chosen(&targets, 0).as_deref(), Some("far"));
 }
 
@@ -59,10 +60,10 @@
 #[test]
 fn what_others_have_in_flight_is_what_was_reported_beyond_ones_own() {
     let mut load = TargetLoad::default();
-    load.started(0);
+    load.started(Millis(0), 0);
     load.reported(Millis(0), 2, 1);
     assert_eq!(load.requests(Millis(10)), 3.0);
-    load.started(0);
+    load.started(Millis(0), 0);
     assert_eq!(load.requests(Millis(10)), 4.0);
     load.finished();
     load.finished();
@@ -73,7 +74,7 @@
 fn a_quick_refusal_does_not_attract_requests() {
     let mut targets = near_and_far();
     for _ in 0..2 {
-        targets.started(&TargetId::new("near"), 0);
+        targets.started(Millis(0), &TargetId::new("near"), 0);
         targets.finished(Millis(1), &TargetId::new("near"), Outcome::TurnedAway);
     }
     assert_eq!(chosen(&targets, 2).as_deref(), Some("far"));
@@ -82,7 +83,7 @@
 #[test]
 fn a_target_that_cannot_be_reached_is_avoided_and_tried_again() {
     let mut targets = near_and_far();
-    targets.started(&TargetId::new("near"), 0);
+    targets.started(Millis(0), &TargetId::new("near"), 0);
     targets.finished(Millis(0), &TargetId::new("near"), Outcome::Unreachable);
     assert!(
         targets
@@ -98,7 +99,7 @@
 fn when_all_targets_are_avoided_one_is_used_all_the_same() {
     let mut targets = Targets::default();
     targets.set(vec![candidate("only", Distance::SameHall)]);
-    targets.started(&TargetId::new("only"), 0);
+    targets.started(Millis(0), &TargetId::new("only"), 0);
     targets.finished(Millis(0), &TargetId::new("only"), Outcome::Unreachable);
     assert_eq!(chosen(&targets, 1).as_deref(), Some("only"));
 }
@@ -222,9 +223,9 @@
         candidate("reading", Distance::SameHall),
         candidate("running", Distance::SameHall),
     ]);
-    targets.started(&TargetId::new("reading"), 3_000);
+    targets.started(Millis(0), &TargetId::new("reading"), 3_000);
     for _ in 0..2 {
-        targets.started(&TargetId::new("running"), 3_000);
+        targets.started(Millis(0), &TargetId::new("running"), 3_000);
         targets.was_read(&TargetId::new("running"), 3_000);
     }
     assert_eq!(chosen(&targets, 0).as_deref(), Some("running"));
@@ -244,7 +245,7 @@
         tokens_per_pass: 2_000.0,
     });
     targets.set(vec![candidate("only", Distance::SameHall)]);
-    targets.started(&TargetId::new("only"), 2_000);
+    targets.started(Millis(0), &TargetId::new("only"), 2_000);
     let within = |within_ms| Needs {
         prompt_tokens: 1_000,
         within_ms,
@@ -257,3 +258,91 @@
     assert!(matches!(at(Some(525)), Choice::Send(_)));
     assert!(matches!(at(None), Choice::Send(_)));
 }
+
+#[test]
+fn the_places_of_a_target_are_shared_out_without_rest() {
+    let names: Vec<String> = (0..10).map(|index| format!("entry-{index}")).collect();
+    let demands = |per_s: fn(usize) -> f64| -> Vec<EntryDemand<'_>> {
+        let demand = |(index, name)| EntryDemand {
+            entry: name,
+            requests_per_s: per_s(index),
+        };
+        names
+            .iter()
+            .map(String::as_str)
+            .enumerate()
+            .map(demand)
+            .collect()
+    };
+    for entries in [demands(|_| 20.0), demands(|index| index as f64 * 7.0)] {
+        let mut totals = vec![0; names.len()];
+        for target in 0..200 {
+            let target = format!("target-{target}");
+            let shares: Vec<u32> = names
+                .iter()
+                .map(|name| share(name, &entries, &target, 16))
+                .collect();
+            assert_eq!(shares.iter().sum::<u32>(), 16, "{shares:?}");
+            totals.iter_mut().zip(&shares).for_each(|(t, s)| *t += s);
+        }
+        // Over many targets an entry has what its demand is worth.
+        assert!(totals.iter().all(|total| *total > 0), "{totals:?}");
+        assert!(totals[9] >= totals[1], "{totals:?}");
+    }
+    assert_eq!(share("entry-0", &demands(|_| 1.0)[..1], "target", 16), 16);
+}
+
+#[test]
+fn a_nearly_full_target_is_left_to_those_whose_places_are_free() {
+    let mut mine = candidate("target", Distance::SameHall);
+    mine.slots = 10;
+    mine.most_own = 10;
+    mine.share = 1;
+    let mut targets = Targets::default();
+    targets.set(vec![mine]);
+    let id = TargetId::new("target");
+    let takes = |targets: &Targets| {
+        matches!(
+            targets.choose(Millis(1), Needs::default(), 0),
+            Choice::Send(_)
+        )
+    };
+    targets.reported(Millis(0), &id, 6, 0);
+    assert!(takes(&targets), "it is not nearly full");
+    targets.reported(Millis(0), &id, 8, 0);
+    assert!(takes(&targets), "one of the last places is its own");
+    targets.started(Millis(1), &id, 0);
+    assert!(!takes(&targets), "its own place is used");
+    targets.finished(Millis(1), &id, Outcome::Answered);
+    targets.reported(Millis(1), &id, 11, 0);
+    assert!(!takes(&targets), "the target is over its slots");
+}
+
+#[test]
+fn a_target_that_has_just_become_free_is_not_rushed() {
+    let mut fresh = candidate("fresh", Distance::SameHall);
+    fresh.slots = 100;
+    fresh.most_own = 100;
+    fresh.share = 2;
+    let mut targets = Targets::default();
+    targets.reading = Some(ReadingSpeed {
+        tokens_per_ms: 30.0,
+        usual_prompt: 1_000.0,
+        steps_ms: 50.0,
+        tokens_per_pass: 2_000.0,
+    });
+    targets.set(vec![fresh]);
+    let id = TargetId::new("fresh");
+    let takes = |targets: &Targets, now| {
+        let choice = targets.choose(Millis(now), Needs::default(), 0);
+        matches!(choice, Choice::Send(_))
+    };
+    for _ in 0..2 {
+        assert!(takes(&targets, 10));
+        targets.started(Millis(10), &id, 100);
+    }
+    assert!(!takes(&targets, 10));
+    // A report, or time enough for one, makes room for more.
+    targets.reported(Millis(20), &id, 2, 0);
+    assert!(takes(&targets, 20));
+}
--- a/crates/moleroad_gateway/src/front/serve.rs
+++ b/crates/moleroad_gateway/src/front/serve.rs
@@ -70,6 +70,7 @@
 
 async fn handle(node: Arc<Node>, message: Request<Incoming>) -> Result<Answer, Infallible> {
     let _counted = InFlight::new(&node);
+    node.requests_since.fetch_add(1, Ordering::Relaxed);
     let arrived = node.clock.now();
     let id = message.headers().get(&node.interface.headers().request_id);
     let id = id.cloned();
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -36,6 +36,8 @@
     pub metrics: Metrics,
     /// Wakes whoever tells others of this daemon.
     pub news: Notify,
+    /// Requests that came since demand was last measured.
+    pub requests_since: AtomicUsize,
     /// Requests that are being answered.
     pub in_flight: AtomicUsize,
     seeds: Mutex<Vec<SocketAddr>>,
@@ -62,6 +64,7 @@
             pool: Pool::default(),
             metrics: Metrics::default(),
             news: Notify::new(),
+            requests_since: AtomicUsize::new(0),
             in_flight: AtomicUsize::new(0),
             seeds: Mutex::new(settings.seed_peers()),
             digests: Mutex::new(None),
@@ -108,6 +111,15 @@
         *seeds.unwrap_or_else(|error| error.into_inner()) = fresh;
     }
 
+    /// Measures demand over the last `span_ms` and tells others of it.
+    pub fn measure_demand(&self, span_ms: u64) {
+        let requests = self.requests_since.swap(0, Ordering::Relaxed);
+        let per_s = requests as f32 * 1_000.0 / span_ms.max(1) as f32;
+        let mut view = self.view();
+        let known = view.own.requests_per_s;
+        view.own.requests_per_s = known + (per_s - known) * DEMAND_WEIGHT;
+    }
+
     /// Whether this process was asked to stop.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
@@ -213,6 +225,9 @@
     }
 }
 
+/// Weight of the newest measure of demand.
+const DEMAND_WEIGHT: f32 = 0.3;
+
 fn own_record(settings: &Settings) -> DaemonRecord {
     let role = match settings.role {
         RoleSetting::Entry => DaemonRole::Entry,
@@ -227,6 +242,7 @@
         peer: settings.peer_address(),
         frontend: settings.listen.frontend,
         control: settings.listen.control,
+        requests_per_s: 0.0,
         hall: settings.hall.clone(),
         region: settings.region.clone(),
         engine: settings.engine,
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -106,7 +106,7 @@
             };
             let target = candidate.id.clone();
             let tokens = waiting.ask.prompt_tokens;
-            self.targets.started(&target, tokens);
+            self.targets.started(now, &target, tokens);
             if waiting.granted.send(candidate).is_err() {
                 self.targets.was_read(&target, tokens);
                 self.targets.finished(now, &target, Outcome::Abandoned);
@@ -237,7 +237,8 @@
                     .targets
                     .choose(now, ask.needs(now, least), rand::random())
         {
-            places.targets.started(&candidate.id, ask.prompt_tokens);
+            let tokens = ask.prompt_tokens;
+            places.targets.started(now, &candidate.id, tokens);
             drop(view);
             return Ok(place(candidate));
         }
--- a/crates/moleroad_gateway/src/run.rs
+++ b/crates/moleroad_gateway/src/run.rs
@@ -32,6 +32,8 @@
 const PUSH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time between looks at what expires.
 const HOUSEKEEPING: Duration = Duration::from_millis(50);
+/// Time over which demand is measured, in milliseconds.
+const DEMAND_SPAN_MS: u64 = 500;
 /// How much of the time to stop is left when requests are no longer begun.
 const LAST_PART_OF_GRACE: u64 = 4;
 /// How much of the time to stop is left when the process ends in any case.
@@ -211,6 +213,7 @@
 }
 
 async fn keep_house(node: Arc<Node>) {
+    let mut measured_at = node.clock.now();
     loop {
         tokio::time::sleep(HOUSEKEEPING).await;
         let now = node.clock.now();
@@ -220,6 +223,11 @@
             view.directory.hear_daemon(now, own, 0);
             view.refresh_candidates(now, &node.settings);
         }
+        let span_ms = now.since(measured_at);
+        if span_ms >= DEMAND_SPAN_MS {
+            measured_at = now;
+            node.measure_demand(span_ms);
+        }
         node.serve_waiting();
         node.pool.expire();
     }
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -239,7 +239,14 @@
         let Some(table) = self.table.clone() else {
             return;
         };
-        let entries = self.entry_count(now);
+        let ready: Vec<&DaemonRecord> = self.directory.ready_entries(now).collect();
+        let entries: Vec<EntryDemand<'_>> = ready
+            .iter()
+            .map(|entry| EntryDemand {
+                entry: entry.instance.as_str(),
+                requests_per_s: f64::from(entry.requests_per_s),
+            })
+            .collect();
         let mut lists: HashMap<&str, Vec<Candidate>> = HashMap::new();
         for service in table.services() {
             lists.entry(&service.name).or_default();
@@ -252,7 +259,7 @@
             if record.life != TargetLife::Ready {
                 continue;
             }
-            if let Some(candidate) = self.candidate(now, settings, service, record, entries) {
+            if let Some(candidate) = self.candidate(now, settings, service, record, &entries) {
                 lists.entry(&service.name).or_default().push(candidate);
             }
         }
@@ -286,7 +293,7 @@
         settings: &Settings,
         service: &Service,
         record: &TargetRecord,
-        entries: usize,
+        entries: &[EntryDemand<'_>],
     ) -> Option<Candidate> {
         let report = self.current_report(now, record);
         let version = match service.models.first() {
@@ -300,11 +307,12 @@
             }
         };
         let slots = record.slots.max(1);
-        let share = f64::from(service.max_connections) * CONNECTIONS_USED / entries as f64;
+        let count = entries.len().max(1) as f64;
+        let connections = f64::from(service.max_connections) * CONNECTIONS_USED / count;
         let most_own = if service.max_connections == 0 {
             slots
         } else {
-            (share as u32).clamp(1, slots)
+            (connections as u32).clamp(1, slots)
         };
         let distance = if record.hall == settings.hall {
             Distance::SameHall
@@ -320,6 +328,7 @@
             address: record.address,
             slots,
             most_own,
+            share: share(&settings.instance, entries, record.id.as_str(), slots),
             distance,
             version,
             switching: report.is_some_and(|report| report.switching),
