Compare near engines first; report to other regions less often

Change: half of the own region's free engines and a fifth of the others are compared; reports to other regions every 400 ms. The library's own lines on calls that failed are not logged.

--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -24,8 +24,8 @@
     fn cost_ms(self) -> f64 {
         match self {
             Distance::SameHall => 0.0,
-            Distance::SameRegion => 3.0,
-            Distance::OtherRegion => 12.0,
+            Distance::SameRegion => 4.0,
+            Distance::OtherRegion => 15.0,
         }
     }
 }
@@ -129,16 +129,27 @@
 /// Part of its slots up to which any entry sends to a target; beyond it each
 /// entry keeps to its own places.
 const LIGHT_PART: f64 = 0.7;
-/// Part of the free targets that are compared: entries decide on the same
-/// reports without asking each other, and would all choose the same target.
-const COMPARED_PART: usize = 3;
-/// Fewest targets that are compared.
+/// Part of the free targets of its own region that an entry compares: entries
+/// decide on the same reports without asking each other, and would all choose
+/// the same target.
+const NEAR_COMPARED_PART: usize = 2;
+/// Part of the free targets of other regions that are compared.
+const FAR_COMPARED_PART: usize = 5;
+/// Fewest targets of either kind that are compared.
 const FEWEST_COMPARED: usize = 2;
 
-/// Some of the free targets, in an order that `draw` decides.
+/// Some of the free targets, drawn anew for each choice.
 fn sample<'a>(free: &[&'a Candidate], draw: u64) -> Vec<&'a Candidate> {
-    let count = free.len().div_ceil(COMPARED_PART).max(FEWEST_COMPARED);
-    let mut left: Vec<&Candidate> = free.to_vec();
+    let is_far = |candidate: &&&Candidate| candidate.distance == Distance::OtherRegion;
+    let far: Vec<&Candidate> = free.iter().filter(is_far).copied().collect();
+    let near: Vec<&Candidate> = free.iter().filter(|c| !is_far(c)).copied().collect();
+    let mut drawn = draw_some(near, NEAR_COMPARED_PART, draw);
+    drawn.extend(draw_some(far, FAR_COMPARED_PART, draw));
+    drawn
+}
+
+fn draw_some(mut left: Vec<&Candidate>, part: usize, draw: u64) -> Vec<&Candidate> {
+    let count = left.len().div_ceil(part).max(FEWEST_COMPARED);
     let mut state = draw;
     let mut drawn = Vec::with_capacity(count);
     while drawn.len() < count && !left.is_empty() {
--- a/crates/moleroad_gateway/src/greeting.rs
+++ b/crates/moleroad_gateway/src/greeting.rs
@@ -13,6 +13,8 @@
 const ENTRY_GREETS_MS: u64 = 500;
 /// Time between greetings of an agent, in milliseconds.
 const AGENT_GREETS_MS: u64 = 1_000;
+/// The same for a daemon of another region: bytes that cross are paid for.
+const FAR_NEWS_MS: u64 = 400;
 /// Time between greetings while nothing is known to be in force, in
 /// milliseconds.
 const IGNORANT_GREETS_MS: u64 = 150;
@@ -84,33 +86,38 @@
         every
     };
     let (sequence, pieces) = (view.own.sequence, own_pieces(&view.own));
-    let mut others: Vec<(SocketAddr, DaemonRole)> = view
+    let is_far = |record: &DaemonRecord| {
+        record.role == DaemonRole::Entry
+            && record.region != view.own.region
+            && view.own.role == DaemonRole::Agent
+    };
+    let mut others: Vec<(SocketAddr, DaemonRole, bool)> = view
         .directory
         .daemons()
         .filter(|heard| greets(&view.own, &heard.record))
-        .map(|heard| (heard.record.peer, heard.record.role))
+        .map(|heard| &heard.record)
+        .map(|record| (record.peer, record.role, is_far(record)))
         .collect();
     drop(view);
-    others.extend(
-        node.seeds()
-            .into_iter()
-            .map(|seed| (seed, DaemonRole::Entry)),
-    );
-    others.sort_by_key(|(address, _)| *address);
-    others.dedup_by_key(|(address, _)| *address);
+    let seeds = node.seeds().into_iter();
+    others.extend(seeds.map(|seed| (seed, DaemonRole::Entry, false)));
+    // What is known of a seed goes before its bare address.
+    others.sort_by_key(|(address, _, is_far)| (*address, !is_far));
+    others.dedup_by_key(|(address, _, _)| *address);
     let greeted = lock(greeted);
-    let is_due = |(address, role): &(SocketAddr, DaemonRole)| {
+    let is_due = |(address, role, is_far): &(SocketAddr, DaemonRole, bool)| {
         let told = greeted.told.get(address).copied().unwrap_or_default();
         let has_news = match role {
             DaemonRole::Entry => told.sequence != sequence,
             DaemonRole::Agent => told.pieces != pieces,
         };
         let regular = *role == DaemonRole::Entry && now >= told.at + every;
-        let is_time = regular || (has_news && now >= told.at + NEWS_MS);
+        let pause = if *is_far { FAR_NEWS_MS } else { NEWS_MS };
+        let is_time = regular || (has_news && now >= told.at + pause);
         *address != own && !greeted.waiting.contains(address) && is_time
     };
     let due = others.into_iter().filter(is_due);
-    due.map(|(address, _)| address).collect()
+    due.map(|(address, _, _)| address).collect()
 }
 
 fn own_pieces(own: &DaemonRecord) -> u32 {
--- a/crates/moleroad_gateway/src/logging.rs
+++ b/crates/moleroad_gateway/src/logging.rs
@@ -36,7 +36,7 @@
     let instance = instance.to_string();
     let started = env_logger::Builder::new()
         .filter_level(log::LevelFilter::Info)
-        .filter_module("tarpc", log::LevelFilter::Error)
+        .filter_module("tarpc", log::LevelFilter::Off)
         .format(move |buffer, record| writeln!(buffer, "{}", line_of(&instance, record)))
         .target(env_logger::Target::Pipe(Box::new(Buffer { lines })))
         .try_init();
