--- a/crates/moleroad_gateway/src/front/answer.rs
+++ b/crates/moleroad_gateway/src/front/answer.rs
@@ -149,6 +149,8 @@
         let body = Bytes::from(format!("{number} {text}\n"));
         let mut response = Response::new(AnswerBody::Whole(Some(body)));
         *response.status_mut() = status;
+        // For the log.
+        response.extensions_mut().insert(self);
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         if let Some(ms) = retry_after_ms {
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -330,12 +330,29 @@
             };
         }
         match reason {
-            GiveUp::NoPlace(no_place) => OwnAnswer::NoPlace.response(Some(no_place.retry_after_ms)),
+            GiveUp::NoPlace(no_place) => {
+                self.log_no_place(&no_place);
+                OwnAnswer::NoPlace.response(Some(no_place.retry_after_ms))
+            }
             GiveUp::TimeOver => OwnAnswer::TooLateNotRun.response(Some(0)),
             GiveUp::NotAgain => OwnAnswer::TurnedAway.response(Some(TURNED_AWAY_RETRY_MS)),
         }
     }
 
+    fn log_no_place(&self, no_place: &NoPlace) {
+        log::info!(
+            event = "no_place",
+            request = self.request.id.to_str().unwrap_or("-"),
+            service = self.request.service.as_str(),
+            candidates = no_place.candidates as u64,
+            free_places = no_place.free_places,
+            waiting = no_place.waiting as u64,
+            retry_after_ms = no_place.retry_after_ms,
+            prompt_tokens = self.request.prompt_tokens;
+            ""
+        );
+    }
+
     fn failed_answer(&self, reply: Reply, body: Bytes) -> Answer {
         // Callers would take the status as a promise that nothing ran.
         if is_promise(reply.status) {
--- a/crates/moleroad_gateway/src/front/serve.rs
+++ b/crates/moleroad_gateway/src/front/serve.rs
@@ -138,6 +138,7 @@
         route = route.as_str(),
         configuration = config_version,
         status = status,
+        result = answer.extensions().get::<OwnAnswer>().map_or("-", |own| own.parts().1),
         elapsed_ms = elapsed_ms,
         target = sent.map_or("-", |sent| sent.target.as_str()),
         sends = sent.map_or(0, |sent| sent.send),
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -44,6 +44,10 @@
     pub retry_after_ms: u64,
     /// Requests that waited.
     pub waiting: usize,
+    /// Targets that might take requests.
+    pub candidates: usize,
+    /// Places believed to be free at them, rounded down.
+    pub free_places: u64,
 }
 
 struct Waiting {
@@ -229,7 +233,7 @@
         let mut view = node.view();
         let least = node.least_version(&view, &ask.service);
         let Some(places) = view.services.get_mut(&ask.service) else {
-            return Err(no_place(0, true));
+            return Err(no_place(now, None));
         };
         if places.queue.is_empty()
             && let Choice::Send(candidate) =
@@ -244,7 +248,7 @@
         }
         match places.wait(now, ask) {
             Some(waiting) => waiting,
-            None => return Err(no_place(places.waiting(), false)),
+            None => return Err(no_place(now, Some(places))),
         }
     };
     let _in_queue = InQueue {
@@ -258,9 +262,7 @@
         _ => {
             let view = node.view();
             let places = view.services.get(&ask.service);
-            let waiting = places.map_or(0, |places| places.waiting());
-            let is_outage = places.is_none_or(|places| places.targets.candidates().is_empty());
-            Err(no_place(waiting, is_outage))
+            Err(no_place(node.clock.now(), places))
         }
     }
 }
@@ -291,7 +293,9 @@
 /// The same when no target can take requests at all.
 const RETRY_AFTER_OUTAGE_MS: u64 = 1_800;
 
-fn no_place(waiting: usize, is_outage: bool) -> NoPlace {
+fn no_place(now: Millis, places: Option<&ServicePlaces>) -> NoPlace {
+    let candidates = places.map_or(0, |places| places.targets.candidates().len());
+    let is_outage = candidates == 0;
     let spread = rand::random::<u64>() % RETRY_AFTER_SPREAD_MS;
     let least = if is_outage {
         RETRY_AFTER_OUTAGE_MS
@@ -300,6 +304,8 @@
     };
     NoPlace {
         retry_after_ms: least + spread,
-        waiting,
+        waiting: places.map_or(0, |places| places.waiting()),
+        candidates,
+        free_places: places.map_or(0, |places| places.targets.free_places(now) as u64),
     }
 }
--- a/crates/moleroad_gateway/tests/parts.rs
+++ b/crates/moleroad_gateway/tests/parts.rs
@@ -190,3 +190,62 @@
         assert!(error.contains(field), "{error}");
     }
 }
+
+/// The rows of the table of results, by number.
+fn result_rows() -> std::collections::BTreeMap<&'static str, &'static str> {
+    let table = include_str!("../../../docs/errors/gateway.md");
+    let rows = table.lines().filter(|line| line.starts_with("| MR-"));
+    rows.map(|row| (row[2..].split(' ').next().unwrap(), row))
+        .collect()
+}
+
+#[test]
+fn every_answer_of_our_own_stands_in_the_table_with_its_status() {
+    use moleroad_gateway::front::answer::OwnAnswer::*;
+    let rows = result_rows();
+    let all = [
+        NoConfiguration,
+        NoRoute,
+        UnknownKey,
+        BadRequest,
+        TooSlow,
+        TooLarge,
+        NoPlace,
+        Leaving,
+        TurnedAway,
+        TooLateNotRun,
+        Broken,
+        TimedOut,
+    ];
+    for own in all {
+        let (status, number, text) = own.parts();
+        let row = rows
+            .get(number)
+            .unwrap_or_else(|| panic!("no row for {number}"));
+        assert!(row.contains(&format!("| {} |", status.as_u16())), "{row}");
+        // A promise in the table is one in the answer, and the other way round.
+        assert_eq!(
+            row.contains("| not run |"),
+            text.ends_with("not run"),
+            "{row}"
+        );
+    }
+}
+
+#[test]
+fn every_number_in_the_sources_stands_in_the_table_and_the_other_way_round() {
+    let rows = result_rows();
+    let sources = concat!(
+        include_str!("../src/settings.rs"),
+        include_str!("../src/system_calls.rs"),
+        include_str!("../src/front/answer.rs"),
+        include_str!("../../moleroad_config/src/check.rs"),
+        include_str!("../../../platform/src/main.rs"),
+    );
+    let mut used = std::collections::BTreeSet::new();
+    for (at, _) in sources.match_indices("MR-") {
+        used.insert(&sources[at..at + 7]);
+    }
+    let listed: std::collections::BTreeSet<&str> = rows.keys().copied().collect();
+    assert_eq!(used, listed);
+}
