Fetch the next version while the engine takes an earlier one

Change: pieces are kept in memory and staged as they come, or, while the store is left to an earlier version, once that was taken; a version of which three quarters are here is finished first. bring.rs is split into bring, digests, fetch and pieces.

--- a/crates/moleroad_directory/src/daemon.rs
+++ b/crates/moleroad_directory/src/daemon.rs
@@ -112,8 +112,17 @@
     pub engine: Option<SocketAddr>,
     /// Service of that engine.
     pub service: Option<String>,
-    /// Pieces it can give.
-    pub pieces: Option<PieceMap>,
+    /// Pieces it can give: of the version that its engine's store holds, and
+    /// of one that it fetches.
+    pub pieces: Vec<PieceMap>,
     /// What it last read from the engine.
     pub report: Option<EngineReport>,
 }
+
+impl DaemonRecord {
+    /// The pieces of a version that it can give.
+    pub fn pieces_of(&self, model: &str, version: u64) -> Option<&PieceMap> {
+        let mut maps = self.pieces.iter();
+        maps.find(|map| map.model == model && map.version == version)
+    }
+}
--- a/crates/moleroad_directory/tests/directory.rs
+++ b/crates/moleroad_directory/tests/directory.rs
@@ -27,7 +27,7 @@
         region: region.into(),
         engine: None,
         service: None,
-        pieces: None,
+        pieces: Vec::new(),
         report: None,
     }
 }
--- a/crates/moleroad_gateway/src/agent/change.rs
+++ b/crates/moleroad_gateway/src/agent/change.rs
@@ -1,10 +1,13 @@
 //! Letting the engine take the weights that are staged.
 
-use crate::agent::bring::{Held, Wanted, held_version, wanted};
+use crate::agent::bring::{Held, LOOK_EVERY, Wanted, held_version};
 use crate::agent::calls::call;
+use crate::agent::fetch::Fetched;
+use crate::agent::pieces;
 use crate::agent::watch;
 use crate::interface::{PieceDigests, StartMode};
 use crate::node::Node;
+use bytes::Bytes;
 use moleroad_directory::prelude::*;
 use moleroad_directory::target::whole_version;
 use moleroad_rollout::prelude::*;
@@ -12,9 +15,8 @@
 use sha2::{Digest, Sha256};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::mpsc;
 
-/// Time between looks at whether it is this engine's turn.
-const LOOK_EVERY: Duration = Duration::from_millis(40);
 /// Time in which entries learn that the engine gets nothing new.
 const SETTLE: Duration = Duration::from_millis(60);
 /// Time for the engine to take an order.
@@ -38,32 +40,80 @@
 pub enum Changed {
     /// The engine serves the version.
     Done,
-    /// These pieces turned bad in the store.
-    BadPieces(Vec<u32>),
-    /// Another version is wanted by now.
-    Overtaken,
+    /// Pieces were lost that are not in memory either; they must be fetched.
+    Incomplete,
+    /// A newer version is here and goes first.
+    Overtaken(Box<Fetched>),
 }
 
-/// Waits for this engine's turn, checks what is staged, gives the order and
-/// waits until the engine serves the version.
-pub async fn change(node: &Arc<Node>, target: &Wanted, digests: &PieceDigests) -> Changed {
-    while !is_turn(node, target) {
-        if is_overtaken(node, target) {
-            return Changed::Overtaken;
+/// Stages what was fetched, waits for this engine's turn, checks what is
+/// staged, gives the order and waits until the engine serves the version.
+pub async fn change(
+    node: &Arc<Node>,
+    fetched: &Fetched,
+    newer: &mut mpsc::Receiver<Fetched>,
+) -> Changed {
+    let target = &fetched.wanted;
+    pieces::begin_staging(node, target.version);
+    stage(node, target, &pieces::not_staged(node, target.version)).await;
+    loop {
+        while !is_turn(node, target) {
+            if let Ok(newer) = newer.try_recv() {
+                return Changed::Overtaken(Box::new(newer));
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
         }
-        tokio::time::sleep(LOOK_EVERY).await;
+        if !is_staged(node, fetched).await {
+            return Changed::Incomplete;
+        }
+        watch::set_switching(node, true);
+        tokio::time::sleep(SETTLE).await;
+        drain(node, target).await;
+        let is_served = order_until_served(node, target).await;
+        watch::set_switching(node, false);
+        if is_served {
+            return Changed::Done;
+        }
+    }
+}
+
+/// Whether all that is staged is sound; what turned bad is staged again.
+async fn is_staged(node: &Node, fetched: &Fetched) -> bool {
+    let target = &fetched.wanted;
+    let bad = bad_pieces(node, target, &fetched.digests).await;
+    if bad.is_empty() {
+        return true;
+    }
+    log::info!(event = "pieces_turned_bad", count = bad.len() as u64; "");
+    let in_memory = pieces::in_memory(node, target.version);
+    let again: Vec<(u32, Bytes)> = in_memory
+        .into_iter()
+        .filter(|(piece, _)| bad.contains(piece))
+        .collect();
+    stage(node, target, &again).await;
+    let still_bad = bad_pieces(node, target, &fetched.digests).await;
+    pieces::lost(node, &target.model, target.version, &still_bad);
+    still_bad.is_empty()
+}
+
+async fn stage(node: &Node, target: &Wanted, staged: &[(u32, Bytes)]) {
+    for (piece, bytes) in staged {
+        // What did not arrive is found when all is checked.
+        stage_piece(node, target, *piece, bytes).await;
     }
-    let bad = bad_pieces(node, target, digests).await;
-    if !bad.is_empty() {
-        log::info!(event = "pieces_turned_bad", count = bad.len() as u64; "");
-        return Changed::BadPieces(bad);
+}
+
+/// Puts a piece into the engine's store.
+pub async fn stage_piece(node: &Node, target: &Wanted, piece: u32, bytes: &Bytes) {
+    let Some(engine) = node.settings.engine else {
+        return;
+    };
+    let model = &target.model.model;
+    let put = node.interface.put_staged(model, piece, bytes.to_vec());
+    let stored = call(node, engine, put, STORE_TIMEOUT).await;
+    if stored.is_some_and(|(status, _)| status.is_success()) {
+        pieces::note_staged(node, target.version, piece);
     }
-    watch::set_switching(node, true);
-    tokio::time::sleep(SETTLE).await;
-    drain(node, target).await;
-    let changed = order_until_served(node, target).await;
-    watch::set_switching(node, false);
-    changed
 }
 
 /// Waits until running requests have ended, but no longer than a usual one
@@ -80,7 +130,8 @@
     }
 }
 
-async fn order_until_served(node: &Arc<Node>, target: &Wanted) -> Changed {
+/// Gives the order once; false when it had no effect.
+async fn order_until_served(node: &Arc<Node>, target: &Wanted) -> bool {
     let mut ordered_at = None;
     loop {
         let state = watch::read(node).await;
@@ -90,24 +141,19 @@
         if let Held::Version(version) = held_version(node, &target.model)
             && version >= target.version
         {
-            return Changed::Done;
+            return true;
         }
         let now = node.clock.now();
-        let may_order = ordered_at.is_none_or(|at| now.since(at) >= ORDER_AGAIN_MS);
-        if let Some(state) = state
-            && !state.busy
-            && may_order
-        {
-            if ordered_at.is_some() {
-                // The order had no effect: what is staged is looked at again.
-                return Changed::BadPieces(Vec::new());
+        let is_over = ordered_at.is_some_and(|at| now.since(at) >= ORDER_AGAIN_MS);
+        if let Some(state) = state.filter(|state| !state.busy) {
+            if is_over {
+                return false;
+            }
+            if ordered_at.is_none() {
+                let taken = order(node, target, state.orders_taken).await;
+                log::info!(event = "order", version = target.version, taken = taken; "");
+                ordered_at = Some(now);
             }
-            let taken = order(node, target, state.orders_taken).await;
-            log::info!(event = "order", version = target.version, taken = taken; "");
-            ordered_at = Some(now);
-        }
-        if ordered_at.is_none() && is_overtaken(node, target) {
-            return Changed::Overtaken;
         }
         tokio::time::sleep(LOOK_EVERY).await;
     }
@@ -125,10 +171,6 @@
     answer.is_some_and(|(status, _)| status.is_success())
 }
 
-fn is_overtaken(node: &Node, target: &Wanted) -> bool {
-    wanted(node).map(|now| now.version) != Some(target.version)
-}
-
 fn is_turn(node: &Node, target: &Wanted) -> bool {
     let now = node.clock.now();
     let view = node.view();
@@ -175,10 +217,8 @@
         Some(_) => EngineStage::Old,
         None => return None,
     };
-    let staged = other
-        .pieces
-        .as_ref()
-        .is_some_and(|map| map.version == target.version && map.count() == model.pieces);
+    let map = other.pieces_of(&model.model, target.version);
+    let staged = map.is_some_and(|map| map.count() == model.pieces);
     Some((other.instance.clone(), stage, staged))
 }
 
--- /dev/null
+++ b/crates/moleroad_gateway/src/agent/digests.rs
@@ -0,0 +1,113 @@
+//! The digests of a version, from another agent or the origin.
+
+use crate::agent::bring::Wanted;
+use crate::agent::calls::call;
+use crate::agent::fetch::members;
+use crate::interface::PieceDigests;
+use crate::node::Node;
+use crate::peer::CatalogOrigin;
+use crate::view::View;
+use moleroad_directory::prelude::*;
+use moleroad_rollout::prelude::*;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time for the digests of a version.
+const DIGESTS_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// The digests of a version: from an agent that has them, or, when it is this
+/// agent's part or nobody has them for a while, from the origin.
+pub async fn digests(node: &Node, wanted: &Wanted, idle_ms: u64) -> Option<PieceDigests> {
+    let (holders, may_ask_origin, origins) = digest_sources(node, wanted, idle_ms);
+    let draw = rand::random::<u32>() as usize;
+    if let Some(holder) = holders.get(draw % holders.len().max(1)) {
+        let (model, version) = (wanted.model.model.clone(), wanted.version);
+        let call = |client: crate::peer::PeerClient, context| async move {
+            client.digests(context, model, version).await
+        };
+        let shared = node.peers.call(*holder, DIGESTS_TIMEOUT, call).await;
+        if let Ok(Some(shared)) = shared {
+            let digests = PieceDigests {
+                version: wanted.version,
+                digests: shared.0,
+            };
+            return checked(node, wanted, digests);
+        }
+    }
+    for origin in origins.iter().filter(|_| may_ask_origin) {
+        let asked = node
+            .interface
+            .ask_digests(&wanted.model.model, wanted.version);
+        let answer = call(node, origin.address, asked, DIGESTS_TIMEOUT).await;
+        if let Some((status, body)) = answer
+            && status.is_success()
+            && let Some(digests) = node.interface.read_digests(&body)
+        {
+            return checked(node, wanted, digests);
+        }
+    }
+    None
+}
+
+fn checked(node: &Node, wanted: &Wanted, digests: PieceDigests) -> Option<PieceDigests> {
+    let complete = digests.digests.len() == wanted.model.pieces as usize;
+    if !complete || digests.version != wanted.version {
+        return None;
+    }
+    node.remember_digests(&wanted.model.model, &digests);
+    Some(digests)
+}
+
+/// Stands for the digests among the pieces when agents share out the work.
+const DIGESTS_AS_PIECE: u32 = u32::MAX;
+
+fn digest_sources(
+    node: &Node,
+    wanted: &Wanted,
+    idle_ms: u64,
+) -> (Vec<SocketAddr>, bool, Vec<CatalogOrigin>) {
+    let view = node.view();
+    let own = &view.own;
+    let others = fellows(&view);
+    let members = members(own, &others, wanted);
+    let region = origin_region(node, &view);
+    let patience = Patience::for_pieces(wanted.model.piece_bytes, node.settings.link_mbps);
+    let allowed = permission(
+        &own.instance,
+        &members,
+        region.as_deref(),
+        DIGESTS_AS_PIECE,
+        patience,
+        idle_ms,
+    );
+    let has_digests = |other: &&&DaemonRecord| {
+        let map = other.pieces_of(&wanted.model.model, wanted.version);
+        map.is_some()
+    };
+    let mut holders: Vec<&&DaemonRecord> = others.iter().filter(has_digests).collect();
+    if holders.iter().any(|holder| holder.region == own.region) {
+        holders.retain(|holder| holder.region == own.region);
+    }
+    let holders = holders.into_iter().map(|holder| holder.peer).collect();
+    (holders, allowed.from_origin, view.catalog.origins.clone())
+}
+
+/// Region of the origin, if that is known.
+pub fn origin_region(node: &Node, view: &View) -> Option<String> {
+    let origin = view.catalog.origins.first()?;
+    let hall = origin.hall.as_ref()?;
+    Some(node.settings.region_of(hall).to_string())
+}
+
+/// The other agents that bring weights to engines of the same service.
+pub fn fellows(view: &View) -> Vec<&DaemonRecord> {
+    let own = &view.own;
+    let records = view.directory.daemons().map(|heard| &heard.record);
+    records
+        .filter(|other| {
+            other.role == DaemonRole::Agent
+                && other.service == own.service
+                && other.instance != own.instance
+        })
+        .collect()
+}
--- a/crates/moleroad_gateway/src/agent/mod.rs
+++ b/crates/moleroad_gateway/src/agent/mod.rs
@@ -2,13 +2,17 @@
 //! instance, gives pieces to other agents, and tells entries how busy the
 //! engine is.
 //!
-//! [`watch`] reads the engine, [`bring`] fetches and stages pieces, [`change`]
-//! lets the engine take them, [`uploads`] gives pieces to others, [`calls`]
-//! are the HTTP calls to the engine and the origin.
+//! [`watch`] reads the engine, [`bring`] decides what is wanted, [`digests`]
+//! and [`fetch`] get it, [`pieces`] knows what is here, [`change`] lets the
+//! engine take it, [`uploads`] gives pieces to others, [`calls`] are the HTTP
+//! calls to the engine and the origin.
 
 pub mod bring;
 pub mod calls;
 pub mod change;
+pub mod digests;
+pub mod fetch;
+pub mod pieces;
 pub mod uploads;
 pub mod watch;
 
--- a/crates/moleroad_gateway/src/agent/uploads.rs
+++ b/crates/moleroad_gateway/src/agent/uploads.rs
@@ -1,8 +1,11 @@
 //! Giving pieces to other agents.
 
 use crate::agent::calls::call;
+use crate::agent::pieces;
 use crate::node::Node;
+use bytes::Bytes;
 use serde_bytes::ByteBuf;
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -56,18 +59,26 @@
     let _giving = Giving::begin()?;
     let has_piece = |node: &Node| {
         let view = node.view();
-        let pieces = view.own.pieces.as_ref();
-        pieces.is_some_and(|map| map.model == model && map.version == version && map.has(piece))
+        let map = view.own.pieces_of(model, version);
+        map.is_some_and(|map| map.has(piece))
     };
     if !has_piece(node) {
         return None;
     }
-    let asked = node.interface.get_staged(model, piece);
-    let (status, bytes) = call(node, engine, asked, STORE_TIMEOUT).await?;
+    let bytes = match pieces::from_memory(node, version, piece) {
+        Some(bytes) => bytes,
+        None => from_store(node, engine, model, piece).await?,
+    };
     // Another version may have been staged meanwhile.
-    if !status.is_success() || !has_piece(node) {
+    if !has_piece(node) {
         return None;
     }
     wait_for_link(bytes.len(), node.settings.link_mbps).await;
     Some(ByteBuf::from(bytes.to_vec()))
 }
+
+async fn from_store(node: &Node, engine: SocketAddr, model: &str, piece: u32) -> Option<Bytes> {
+    let asked = node.interface.get_staged(model, piece);
+    let (status, bytes) = call(node, engine, asked, STORE_TIMEOUT).await?;
+    status.is_success().then_some(bytes)
+}
--- a/crates/moleroad_gateway/src/greeting.rs
+++ b/crates/moleroad_gateway/src/greeting.rs
@@ -120,10 +120,10 @@
     due.map(|(address, _, _)| address).collect()
 }
 
+/// Changes when there are more pieces to give, or of another version.
 fn own_pieces(own: &DaemonRecord) -> u32 {
-    let pieces = own.pieces.as_ref();
-    // Another version with as many pieces is news as well.
-    pieces.map_or(0, |map| map.count() + (map.version as u32) * 4_096)
+    let weigh = |map: &PieceMap| map.count() + (map.version as u32) * 4_096;
+    own.pieces.iter().map(weigh).sum()
 }
 
 /// Entries greet entries; agents greet entries, and agents of their service
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! What all tasks of one process share.
 
+use crate::agent::pieces::PieceMemory;
 use crate::clock::Clock;
 use crate::control_state::{ControlCommand, ControlState};
 use crate::core::Core;
@@ -36,12 +37,14 @@
     pub metrics: Metrics,
     /// Wakes whoever tells others of this daemon.
     pub news: Notify,
+    /// Pieces of weights in memory.
+    pub pieces: Mutex<PieceMemory>,
     /// Requests that came since demand was last measured.
     pub requests_since: AtomicUsize,
     /// Requests that are being answered.
     pub in_flight: AtomicUsize,
     seeds: Mutex<Vec<SocketAddr>>,
-    digests: Mutex<Option<(String, PieceDigests)>>,
+    digests: Mutex<Vec<(String, PieceDigests)>>,
     leaving: AtomicBool,
     ending: AtomicBool,
     view: Mutex<View>,
@@ -64,10 +67,11 @@
             pool: Pool::default(),
             metrics: Metrics::default(),
             news: Notify::new(),
+            pieces: Mutex::default(),
             requests_since: AtomicUsize::new(0),
             in_flight: AtomicUsize::new(0),
             seeds: Mutex::new(settings.seed_peers()),
-            digests: Mutex::new(None),
+            digests: Mutex::default(),
             leaving: AtomicBool::new(false),
             ending: AtomicBool::new(false),
             view: Mutex::new(View::new(own)),
@@ -86,17 +90,24 @@
             .digests
             .lock()
             .unwrap_or_else(|error| error.into_inner());
-        let (name, digests) = known.as_ref()?;
-        (name == model && digests.version == version).then(|| digests.digests.clone())
+        let mut of_model = known.iter().filter(|(name, _)| name == model);
+        let found = of_model.find(|(_, digests)| digests.version == version);
+        found.map(|(_, digests)| digests.digests.clone())
     }
 
-    /// Remembers the digests of a version in place of any others.
+    /// Remembers the digests of a version, and forgets those of the oldest.
     pub fn remember_digests(&self, model: &str, digests: &PieceDigests) {
-        let mut known = self
-            .digests
-            .lock()
-            .unwrap_or_else(|error| error.into_inner());
-        *known = Some((model.to_string(), digests.clone()));
+        let known = self.digests.lock();
+        let mut known = known.unwrap_or_else(|error| error.into_inner());
+        if !known
+            .iter()
+            .any(|(name, kept)| name == model && kept == digests)
+        {
+            known.push((model.to_string(), digests.clone()));
+        }
+        if known.len() > MOST_DIGESTS {
+            known.remove(0);
+        }
     }
 
     /// Daemons to begin with, by their peer addresses.
@@ -225,6 +236,8 @@
     }
 }
 
+/// Versions whose digests are remembered.
+const MOST_DIGESTS: usize = 3;
 /// Weight of the newest measure of demand.
 const DEMAND_WEIGHT: f32 = 0.3;
 
@@ -247,7 +260,7 @@
         region: settings.region.clone(),
         engine: settings.engine,
         service: settings.service.clone(),
-        pieces: None,
+        pieces: Vec::new(),
         report: None,
     }
 }
