--- a/crates/moleroad_gateway/tests/parts.rs
+++ b/crates/moleroad_gateway/tests/parts.rs
@@ -249,3 +249,31 @@
     let listed: std::collections::BTreeSet<&str> = rows.keys().copied().collect();
     assert_eq!(used, listed);
 }
+
+#[test]
+fn every_setting_stands_in_the_reference() {
+    let reference = include_str!("../../../docs/operations/gateway-settings.md");
+    let source = include_str!("../src/settings.rs");
+    let mut count = 0;
+    for name in ["Settings", "Bounds"] {
+        let start = format!("pub struct {name} {{");
+        let (_, after) = source.split_once(&start).expect("the type");
+        let (fields, _) = after.split_once("\n}").expect("its end");
+        let mut renamed = None;
+        for line in fields.lines().map(str::trim) {
+            if let Some((_, rest)) = line.split_once("rename = \"") {
+                renamed = rest.split('"').next();
+            }
+            let Some(field) = line.strip_prefix("pub ") else {
+                continue;
+            };
+            let key = renamed.take().or(field.split(':').next()).expect("a key");
+            assert!(
+                reference.contains(&format!("| `{key}` |")),
+                "no row for {key}"
+            );
+            count += 1;
+        }
+    }
+    assert!(count > 20, "the settings were found");
+}
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -118,6 +118,7 @@
 fn proofs_name_tests_that_exist() {
     let sources = files_below(&root().join("crates"), ".rs")
         .into_iter()
+        .chain(files_below(&root().join("platform"), ".rs"))
         .chain(files_below(&root().join("tests"), ".rs"));
     let code: String = sources.map(read).collect();
     let tests: BTreeSet<&str> = code
