Hold the port of a test that needs it taken

Other tests of the file start processes meanwhile; a child holds a copy of every open listener from fork to exec, so the port was in use for that moment. Ruled out: another test's address (each draws its network at random), a port of the platform's tests (other binaries run after this one).

--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -93,7 +93,9 @@
 #[test]
 fn an_address_in_use_ends_the_process() {
     let scratch = Scratch::new();
-    let taken = TcpListener::bind(free()).unwrap();
+    // Taken at once: a port that is only looked up could be held a moment
+    // longer by a process that another test is just starting.
+    let taken = TcpListener::bind((AddressPool::new().next_ip(), 0)).unwrap();
     let text = control_settings(
         &scratch.0.join("state"),
         "entry-1",
