--- a/crates/moleroad_directory/src/daemon.rs
+++ b/crates/moleroad_directory/src/daemon.rs
@@ -102,6 +102,8 @@
     pub frontend: Option<SocketAddr>,
     /// Address that takes targets' and operators' calls.
     pub control: Option<SocketAddr>,
+    /// Whether it has a disk for the log of the control group.
+    pub has_log: bool,
     /// Requests that it has to place in a second; entries only.
     pub requests_per_s: f32,
     /// Data hall.
--- a/crates/moleroad_directory/src/directory.rs
+++ b/crates/moleroad_directory/src/directory.rs
@@ -1,11 +1,10 @@
 //! The tables of targets and daemons, and how they are merged.
 
+use crate::changes::{Changes, Difference};
 use crate::daemon::{DaemonRecord, DaemonRole, DaemonState};
 use crate::target::{TargetId, TargetLife, TargetRecord};
 use moleroad_types::prelude::{InstanceId, Millis};
-use std::collections::BTreeMap;
-use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 /// Silence after which a daemon is not named to callers, in milliseconds.
@@ -15,6 +14,9 @@
 /// How long a target that is gone is remembered, in milliseconds: longer than
 /// any call of it can be late.
 pub const GONE_REMEMBERED_MS: u64 = 60_000;
+/// Time after which a target that has nothing new to say is passed on again, in
+/// milliseconds: well below the time after which it is forgotten.
+const TARGET_RENEWED_MS: u64 = 10_000;
 /// Silence after which a target is forgotten, in milliseconds.
 pub const TARGET_FORGOTTEN_MS: u64 = 45_000;
 /// Most targets that are kept; further ones are not taken.
@@ -33,6 +35,8 @@
     pub record: T,
     /// When it was last said.
     pub at: Millis,
+    /// When it last changed, in the order of this directory.
+    pub changes: Changes,
 }
 
 /// What hearing of a target changed.
@@ -49,8 +53,10 @@
 /// All that one daemon knows of targets and daemons.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
-    daemons: BTreeMap<InstanceId, Heard<DaemonRecord>>,
-    targets: BTreeMap<TargetId, Heard<TargetRecord>>,
+    pub(crate) daemons: BTreeMap<InstanceId, Heard<DaemonRecord>>,
+    pub(crate) targets: BTreeMap<TargetId, Heard<TargetRecord>>,
+    /// Number of the last change; each change gets the next one.
+    pub(crate) position: u64,
 }
 
 impl Directory {
@@ -59,9 +65,15 @@
         Self::default()
     }
 
+    /// Number of the last change.
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
     /// Takes what a target said `age_ms` ago.
     pub fn hear_target(&mut self, now: Millis, record: TargetRecord, age_ms: u64) -> TargetChange {
         let at = Millis(now.0.saturating_sub(age_ms));
+        let position = self.position + 1;
         let Some(known) = self.targets.get_mut(&record.id) else {
             return self.add_target(at, record);
         };
@@ -70,11 +82,12 @@
             // A late call can still tell that the target leaves.
             let changed = life > known.record.life;
             known.record.life = life;
-            return if changed {
-                TargetChange::Changed
-            } else {
-                TargetChange::Stale
-            };
+            if !changed {
+                return TargetChange::Stale;
+            }
+            known.changes.note_record(position, at);
+            self.position = position;
+            return TargetChange::Changed;
         }
         known.at = known.at.max(at);
         let next = TargetRecord { life, ..record };
@@ -87,6 +100,11 @@
             TargetChange::Changed
         };
         known.record = next;
+        let passed_on_at = known.changes.record_at;
+        if change == TargetChange::Changed || known.at.since(passed_on_at) >= TARGET_RENEWED_MS {
+            known.changes.note_record(position, known.at);
+            self.position = position;
+        }
         change
     }
 
@@ -102,12 +120,21 @@
         for other in others {
             if other.at <= at {
                 other.record.life = TargetLife::Gone;
+                self.position += 1;
+                other.changes.note_record(self.position, at);
             } else {
                 life = TargetLife::Gone;
             }
         }
         let record = TargetRecord { life, ..record };
-        self.targets.insert(record.id.clone(), Heard { record, at });
+        self.position += 1;
+        let changes = Changes::new(self.position, at);
+        let heard = Heard {
+            record,
+            at,
+            changes,
+        };
+        self.targets.insert(heard.record.id.clone(), heard);
         TargetChange::Changed
     }
 
@@ -118,6 +145,10 @@
                 let news = known.record.life != TargetLife::Gone;
                 known.record.life = TargetLife::Gone;
                 known.at = known.at.max(now);
+                if news {
+                    self.position += 1;
+                    known.changes.note_record(self.position, now);
+                }
                 news
             }
             None => false,
@@ -128,10 +159,16 @@
     /// sign of life.
     pub fn hear_daemon(&mut self, now: Millis, record: DaemonRecord, age_ms: u64) -> bool {
         let at = Millis(now.0.saturating_sub(age_ms));
+        let position = self.position + 1;
         let Some(known) = self.daemons.get_mut(&record.instance) else {
             if self.daemons.len() < MAX_DAEMONS {
-                let instance = record.instance.clone();
-                self.daemons.insert(instance, Heard { record, at });
+                self.position = position;
+                let heard = Heard {
+                    at,
+                    changes: Changes::new(position, at),
+                    record,
+                };
+                self.daemons.insert(heard.record.instance.clone(), heard);
             }
             return true;
         };
@@ -145,9 +182,20 @@
             return false;
         }
         known.at = known.at.max(at);
-        let changed = known.record != record;
+        if same_life && record.sequence == known.record.sequence {
+            // Entries leave out the pieces of agents.
+            if !known.record.pieces.is_empty() || record.pieces.is_empty() {
+                return false;
+            }
+        }
+        let difference = Difference::between(&known.record, &record);
         known.record = record;
-        changed
+        if difference.is_none() {
+            return false;
+        }
+        known.changes.note(difference, position, at);
+        self.position = position;
+        true
     }
 
     /// Drops what was not renewed for long.
@@ -190,6 +238,15 @@
             .find(|daemon| daemon.record.engine == Some(address))
     }
 
+    /// The agents by the addresses of their engines.
+    pub fn agents(&self) -> HashMap<SocketAddr, &Heard<DaemonRecord>> {
+        let with_engine = |daemon| {
+            let daemon: &Heard<DaemonRecord> = daemon;
+            daemon.record.engine.map(|engine| (engine, daemon))
+        };
+        self.daemons.values().filter_map(with_engine).collect()
+    }
+
     /// Entries that were heard lately and are not leaving.
     pub fn ready_entries(&self, now: Millis) -> impl Iterator<Item = &DaemonRecord> {
         let ready = move |daemon: &&Heard<DaemonRecord>| {
@@ -219,17 +276,6 @@
             .take(MOST_NAMED)
             .collect()
     }
-
-    /// Changes with the set of daemons, their lives and their states.
-    pub fn daemons_digest(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        for daemon in self.daemons.values() {
-            daemon.record.instance.hash(&mut hasher);
-            daemon.record.incarnation.hash(&mut hasher);
-            (daemon.record.state == DaemonState::Leaving).hash(&mut hasher);
-        }
-        hasher.finish()
-    }
 }
 
 fn distance(entry: &DaemonRecord, hall: &str, region: &str) -> u8 {
--- a/crates/moleroad_directory/src/lib.rs
+++ b/crates/moleroad_directory/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Soft state: targets and daemons tell of themselves, daemons pass on what
 //! they heard together with its age, and what is not renewed expires. Merging
-//! two views gives the same result in any order.
+//! two views gives the same result in any order. [`relays`] says who passes on
+//! what, [`changes`] that only differences are passed on.
 //!
 //! ```
 //! use moleroad_directory::prelude::*;
@@ -15,12 +16,15 @@
 //! ```
 #![warn(missing_docs)]
 
+pub mod changes;
 pub mod daemon;
 pub mod directory;
+pub mod relays;
 pub mod target;
 
 /// The types most users of the crate need.
 pub mod prelude {
+    pub use crate::changes::{Aged, Cursor, Life, LoadNews, News, Question, Scope};
     pub use crate::daemon::{DaemonRecord, DaemonRole, DaemonState, EngineReport, PieceMap};
     pub use crate::directory::{Directory, Heard, TargetChange};
     pub use crate::target::{Holding, TargetId, TargetLife, TargetRecord};
--- a/crates/moleroad_directory/tests/directory.rs
+++ b/crates/moleroad_directory/tests/directory.rs
@@ -22,6 +22,7 @@
         peer: format!("127.0.0.1:{port}").parse().unwrap(),
         frontend: Some(format!("127.0.0.1:{}", port + 1000).parse().unwrap()),
         control: None,
+        has_log: false,
         requests_per_s: 0.0,
         hall: hall.into(),
         region: region.into(),
@@ -100,9 +101,9 @@
     let mut leaving = entry("a1", "h1", "r1", 1);
     leaving.state = DaemonState::Leaving;
     leaving.sequence = 2;
-    let digest = directory.daemons_digest();
+    let position = directory.position();
     assert!(directory.hear_daemon(Millis(2), leaving, 0));
-    assert_ne!(digest, directory.daemons_digest());
+    assert_ne!(position, directory.position());
     assert_eq!(directory.addresses_for(Millis(3), "h1", "r1").len(), 2);
     assert!(
         directory
--- /dev/null
+++ b/crates/moleroad_directory/tests/relays.rs
@@ -0,0 +1,240 @@
+//! What daemons of a data hall tell their relays reaches every daemon, and
+//! only differences are told.
+
+use moleroad_directory::prelude::*;
+use moleroad_types::prelude::*;
+
+fn daemon(name: &str, hall: &str, role: DaemonRole, port: u16) -> DaemonRecord {
+    DaemonRecord {
+        instance: InstanceId::new(name),
+        incarnation: 1,
+        sequence: 1,
+        role,
+        state: DaemonState::Ready,
+        peer: format!("127.0.0.1:{port}").parse().unwrap(),
+        frontend: None,
+        control: None,
+        has_log: false,
+        requests_per_s: 0.0,
+        hall: hall.into(),
+        region: hall.into(),
+        engine: None,
+        service: None,
+        pieces: Vec::new(),
+        report: None,
+    }
+}
+
+fn agent(name: &str, hall: &str, port: u16) -> DaemonRecord {
+    DaemonRecord {
+        pieces: vec![PieceMap::empty("m", 1, 48)],
+        report: Some(EngineReport::default()),
+        ..daemon(name, hall, DaemonRole::Agent, port)
+    }
+}
+
+fn all_since(cursor: Cursor) -> Question {
+    Question {
+        scope: Scope::All,
+        after: cursor,
+        lives: false,
+        pieces: true,
+    }
+}
+
+const RELAY: u64 = 7;
+
+fn asker() -> InstanceId {
+    InstanceId::new("asker")
+}
+
+fn news(directory: &Directory, at: u64, question: Question) -> News {
+    directory.news(Millis(at), RELAY, "h1", &asker(), question)
+}
+
+/// A directory with two entries and one agent in each of two data halls.
+fn two_halls() -> Directory {
+    let mut directory = Directory::new();
+    for (at, hall) in ["h1", "h2"].into_iter().enumerate() {
+        let port = at as u16 * 10;
+        for number in 0..2 {
+            let name = format!("{hall}-entry-{number}");
+            let entry = daemon(&name, hall, DaemonRole::Entry, port + number);
+            directory.hear_daemon(Millis(0), entry, 0);
+        }
+        let name = format!("{hall}-agent");
+        directory.hear_daemon(Millis(0), agent(&name, hall, port + 5), 0);
+    }
+    directory
+}
+
+#[test]
+fn who_asks_again_gets_only_what_changed() {
+    let mut directory = two_halls();
+    let first = news(&directory, 1, all_since(Cursor::default()));
+    assert_eq!(first.daemons.len(), 6);
+    let second = news(&directory, 2, all_since(first.cursor));
+    assert!(second.daemons.is_empty() && second.loads.is_empty());
+
+    let mut busy = agent("h1-agent", "h1", 5);
+    busy.sequence = 2;
+    busy.report = Some(EngineReport {
+        running: 9,
+        ..EngineReport::default()
+    });
+    assert!(directory.hear_daemon(Millis(3), busy.clone(), 0));
+    let third = news(&directory, 4, all_since(second.cursor));
+    assert!(third.daemons.is_empty());
+    assert_eq!(third.loads.len(), 1);
+
+    // The news bring another directory to the same record.
+    let mut other = two_halls();
+    let (life, load) = third.loads[0].record.clone();
+    assert!(other.hear_load(Millis(5), &life, load, third.loads[0].age_ms));
+    let known = other.daemon(&busy.instance).unwrap();
+    assert_eq!(known.record, busy);
+}
+
+#[test]
+fn a_relay_that_restarted_tells_all_again() {
+    let directory = two_halls();
+    let first = news(&directory, 1, all_since(Cursor::default()));
+    let restarted = directory.news(
+        Millis(2),
+        RELAY + 1,
+        "h1",
+        &asker(),
+        all_since(first.cursor),
+    );
+    assert_eq!(restarted.daemons.len(), 6);
+}
+
+#[test]
+fn another_hall_is_told_of_this_hall_and_of_who_calls_here() {
+    let mut directory = two_halls();
+    let question = Question {
+        scope: Scope::CalleesHall,
+        ..all_since(Cursor::default())
+    };
+    assert_eq!(news(&directory, 1, question).daemons.len(), 3);
+    directory.note_first_hand(Millis(1), &InstanceId::new("h2-agent"));
+    assert_eq!(news(&directory, 2, question).daemons.len(), 4);
+    // Not for ever: by then it calls a relay of its own hall.
+    assert_eq!(news(&directory, 5_000, question).daemons.len(), 3);
+}
+
+#[test]
+fn an_entry_that_wants_no_pieces_is_not_told_of_them() {
+    let mut directory = two_halls();
+    let first = news(&directory, 1, all_since(Cursor::default()));
+    let mut fetching = agent("h1-agent", "h1", 5);
+    fetching.sequence = 2;
+    fetching.pieces[0].set(3, true);
+    assert!(directory.hear_daemon(Millis(2), fetching.clone(), 0));
+    let without = Question {
+        pieces: false,
+        ..all_since(first.cursor)
+    };
+    assert!(news(&directory, 3, without).daemons.is_empty());
+    let with = news(&directory, 3, all_since(first.cursor));
+    assert_eq!(with.daemons[0].record, fetching);
+}
+
+#[test]
+fn a_record_without_pieces_does_not_take_known_pieces_away() {
+    let mut directory = two_halls();
+    let mut stripped = agent("h1-agent", "h1", 5);
+    stripped.pieces.clear();
+    assert!(!directory.hear_daemon(Millis(1), stripped, 0));
+    let known = directory.daemon(&InstanceId::new("h1-agent")).unwrap();
+    assert_eq!(known.record.pieces.len(), 1);
+}
+
+#[test]
+fn signs_of_life_keep_daemons_from_falling_silent() {
+    let mut relay = two_halls();
+    let mut entry = two_halls();
+    for at in [1_000, 2_000, 3_000, 4_000] {
+        let now = Millis(at);
+        let heard: Vec<DaemonRecord> = relay.daemons().map(|d| d.record.clone()).collect();
+        for record in heard {
+            relay.hear_daemon(now, record, 0);
+        }
+        let question = Question {
+            lives: true,
+            ..all_since(Cursor {
+                incarnation: RELAY,
+                position: relay.position(),
+            })
+        };
+        let news = news(&relay, at + 100, question);
+        assert!(news.daemons.is_empty());
+        for life in &news.lives {
+            assert!(entry.hear_life(Millis(at + 100), &life.record, life.age_ms));
+        }
+    }
+    assert_eq!(entry.ready_entries(Millis(4_500)).count(), 4);
+    let unknown = Life {
+        instance: InstanceId::new("stranger"),
+        incarnation: 1,
+        sequence: 1,
+    };
+    assert!(!entry.hear_life(Millis(5_000), &unknown, 0));
+}
+
+#[test]
+fn targets_are_told_when_they_change_and_now_and_then() {
+    let mut directory = Directory::new();
+    let record = |sequence| TargetRecord {
+        sequence,
+        ..TargetRecord::new(TargetId::new("t"), "chat", "127.0.0.1:1".parse().unwrap())
+    };
+    directory.hear_target(Millis(0), record(1), 0);
+    let first = news(&directory, 1, all_since(Cursor::default()));
+    assert_eq!(first.targets.len(), 1);
+    directory.hear_target(Millis(1_200), record(2), 0);
+    assert!(
+        news(&directory, 1_201, all_since(first.cursor))
+            .targets
+            .is_empty()
+    );
+    directory.hear_target(Millis(12_000), record(3), 0);
+    assert_eq!(
+        news(&directory, 12_001, all_since(first.cursor))
+            .targets
+            .len(),
+        1
+    );
+    let second = news(&directory, 12_002, all_since(first.cursor));
+    directory.target_gone(Millis(12_003), &TargetId::new("t"));
+    let third = news(&directory, 12_004, all_since(second.cursor));
+    assert_eq!(third.targets[0].record.life, TargetLife::Gone);
+}
+
+#[test]
+fn all_daemons_agree_on_the_relays_and_silent_ones_are_replaced() {
+    let mut directory = Directory::new();
+    for number in 0..8 {
+        let name = format!("e{number}");
+        directory.hear_daemon(Millis(0), daemon(&name, "h", DaemonRole::Entry, number), 0);
+    }
+    let names = |directory: &Directory, at| -> Vec<String> {
+        let relays = directory.relays(Millis(at), "h");
+        relays.iter().map(|r| r.instance.to_string()).collect()
+    };
+    let first = names(&directory, 1);
+    assert_eq!(first.len(), 3);
+    // All but the first relay are heard again.
+    let others: Vec<DaemonRecord> = directory
+        .daemons()
+        .map(|heard| heard.record.clone())
+        .filter(|record| record.instance.to_string() != first[0])
+        .collect();
+    for record in others {
+        directory.hear_daemon(Millis(3_000), record, 0);
+    }
+    let second = names(&directory, 3_001);
+    assert_eq!(second.len(), 3);
+    assert!(!second.contains(&first[0]));
+    assert_eq!(second[..2], first[1..]);
+}
--- /dev/null
+++ b/crates/moleroad_gateway/src/greeting/contacts.rs
@@ -0,0 +1,359 @@
+//! Whom a daemon greets, how often, and what it asks them.
+
+use moleroad_directory::prelude::*;
+use moleroad_directory::relays::weight;
+use moleroad_rollout::prelude::{Member, carriers};
+use moleroad_types::prelude::Millis;
+use std::cmp::Reverse;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+/// Time between greetings of entries that have nothing new to tell, in
+/// milliseconds.
+const ENTRY_GREETS_MS: u64 = 500;
+/// Time between greetings of an agent that has nothing new to tell, in
+/// milliseconds.
+const AGENT_GREETS_MS: u64 = 1_000;
+/// The same while it fetches weights.
+const FETCHING_GREETS_MS: u64 = 250;
+/// Time between questions of an entry to its relay while it has requests, in
+/// milliseconds.
+const BUSY_ASKS_MS: u64 = 120;
+/// Time between questions to a relay of another data hall while there are
+/// requests, in milliseconds: bytes that cross are paid for.
+const FAR_ASKS_MS: u64 = 300;
+/// Time between greetings while nothing is known to be in force, in
+/// milliseconds.
+const IGNORANT_GREETS_MS: u64 = 150;
+/// Shortest time between greetings of one daemon when there is news, in
+/// milliseconds.
+const NEWS_MS: u64 = 120;
+/// Time between tries to reach a daemon that fell silent, in milliseconds.
+const PROBE_MS: u64 = 1_000;
+/// Without news for this long a daemon turns to its seeds, in milliseconds.
+pub const LONG_SILENT_MS: u64 = 1_000;
+/// Agents of its region that an agent tells of new pieces.
+const FELLOWS_TOLD: usize = 16;
+/// Entries that an agent without relays in its data hall turns to.
+const FAR_RELAYS: usize = 2;
+
+/// A daemon to greet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Contact {
+    /// Its peer address.
+    pub address: SocketAddr,
+    /// What it is asked.
+    pub scope: Scope,
+    /// Whether pieces of weights are asked for.
+    pub pieces: bool,
+    /// Time between greetings; `None` when it is greeted for news only.
+    pub every_ms: Option<u64>,
+    /// Shortest time between greetings when there is news for it.
+    pub news_ms: Option<u64>,
+    /// Position of this daemon's directory at which there was last news for it.
+    pub changed_at: u64,
+    /// Whether it is told of pieces that it brings into its region.
+    pub carries: bool,
+}
+
+/// What the choice of contacts depends on.
+pub struct Standing<'a> {
+    /// Now.
+    pub now: Millis,
+    /// What is known of daemons.
+    pub directory: &'a Directory,
+    /// This daemon.
+    pub own: &'a DaemonRecord,
+    /// Peer addresses to begin with.
+    pub seeds: &'a [SocketAddr],
+    /// Daemons that did not answer lately.
+    pub resting: &'a HashSet<SocketAddr>,
+    /// Whether there are requests.
+    pub is_busy: bool,
+    /// Whether nothing is known to be in force.
+    pub is_ignorant: bool,
+    /// Whether no news came for long.
+    pub is_lost: bool,
+    /// Position of the directory when carriers were last told of pieces.
+    pub carried_position: u64,
+}
+
+impl Standing<'_> {
+    /// All daemons to greet, each once.
+    pub fn contacts(&self) -> Vec<Contact> {
+        let mut contacts = match self.own.role {
+            DaemonRole::Entry => self.of_entry(),
+            DaemonRole::Agent => self.of_agent(),
+        };
+        if self.is_lost {
+            let seeds = self.seeds.iter().copied();
+            contacts.extend(seeds.map(|seed| self.asked(seed, Scope::All, ENTRY_GREETS_MS)));
+        }
+        contacts.retain(|contact| contact.address != self.own.peer);
+        // Whoever is asked for more goes first.
+        contacts.sort_by_key(|contact| {
+            let asked = match contact.scope {
+                Scope::All => 0,
+                Scope::CalleesHall => 1,
+                Scope::Nothing => 2,
+            };
+            (contact.address, asked, contact.every_ms.unwrap_or(u64::MAX))
+        });
+        contacts.dedup_by_key(|contact| contact.address);
+        contacts
+    }
+
+    fn of_entry(&self) -> Vec<Contact> {
+        let relays = self.directory.relays(self.now, &self.own.hall);
+        let is_relay = relays.iter().any(|relay| self.is_own(relay));
+        let mut contacts = if is_relay {
+            self.of_relay(&relays)
+        } else {
+            self.first_sound(relays)
+                .map(|relay| self.asked(relay.peer, Scope::All, self.busy_every(BUSY_ASKS_MS)))
+                .into_iter()
+                .collect()
+        };
+        if self.own.has_log {
+            let members = self.others().filter(|other| other.has_log);
+            contacts.extend(members.map(|other| self.told(other.peer, ENTRY_GREETS_MS)));
+        }
+        contacts
+    }
+
+    fn of_relay(&self, relays: &[&DaemonRecord]) -> Vec<Contact> {
+        let others = relays.iter().filter(|relay| !self.is_own(relay));
+        let mut contacts: Vec<Contact> = others
+            .map(|relay| self.asked(relay.peer, Scope::All, ENTRY_GREETS_MS))
+            .collect();
+        for hall in self.directory.entry_halls() {
+            if hall != self.own.hall {
+                contacts.extend(self.far_relay(hall));
+            }
+        }
+        contacts.extend(self.probe());
+        contacts
+    }
+
+    /// The relay of another data hall to ask.
+    fn far_relay(&self, hall: &str) -> Option<Contact> {
+        let mut entries = self.directory.relays(self.now, hall);
+        if entries.is_empty() {
+            let own = self.own.instance.as_str();
+            entries = self.directory.silent_entries(hall, own);
+        }
+        let relay = self.first_sound(entries)?;
+        let every = self.busy_every(FAR_ASKS_MS);
+        Some(Contact {
+            news_ms: None,
+            ..self.asked(relay.peer, Scope::CalleesHall, every)
+        })
+    }
+
+    /// One entry of the own data hall that fell silent, or a seed: it may be
+    /// back, or the cut may be over that parted its relays from these.
+    fn probe(&self) -> Option<Contact> {
+        let own = self.own.instance.as_str();
+        let entries = self.directory.silent_entries(&self.own.hall, own);
+        let is_silent = |record: &&DaemonRecord| {
+            let heard = self.directory.daemon(&record.instance);
+            heard.is_some_and(|heard| self.is_silent(heard))
+        };
+        let silent = entries.into_iter().filter(is_silent);
+        let silent = silent.map(|record| record.peer);
+        let known = |seed: &SocketAddr| {
+            let mut daemons = self.directory.daemons();
+            daemons.any(|heard| heard.record.peer == *seed && !self.is_silent(heard))
+        };
+        let seeds = self.seeds.iter().copied().filter(|seed| !known(seed));
+        let probed: Vec<SocketAddr> = silent.chain(seeds).collect();
+        // Another one each time.
+        let turn = (self.now.0 / PROBE_MS) as usize;
+        let address = probed.get(turn % probed.len().max(1))?;
+        Some(self.asked(*address, Scope::All, PROBE_MS))
+    }
+
+    fn is_silent(&self, heard: &Heard<DaemonRecord>) -> bool {
+        self.now.since(heard.at) >= moleroad_directory::directory::DAEMON_QUIET_MS
+    }
+
+    fn of_agent(&self) -> Vec<Contact> {
+        let mut relays = self.directory.relays(self.now, &self.own.hall);
+        if relays.iter().all(|relay| self.rests(relay)) {
+            relays = self.far_relays();
+        }
+        let is_fetching = self.fetched_pieces().is_some();
+        let every = if is_fetching {
+            FETCHING_GREETS_MS
+        } else {
+            AGENT_GREETS_MS
+        };
+        let asked = self.first_sound(relays.clone()).map(|relay| relay.peer);
+        let contact = |relay: &DaemonRecord| {
+            if Some(relay.peer) == asked {
+                self.asked(relay.peer, Scope::All, every)
+            } else {
+                self.told(relay.peer, AGENT_GREETS_MS)
+            }
+        };
+        let mut contacts: Vec<Contact> = relays.into_iter().map(contact).collect();
+        contacts.extend(self.fellows().into_iter().map(|peer| Contact {
+            every_ms: None,
+            changed_at: self.pieces_changed_at(),
+            ..self.told(peer, AGENT_GREETS_MS)
+        }));
+        contacts.extend(self.carriers());
+        contacts
+    }
+
+    /// Entries of other data halls for an agent whose own has none: the
+    /// nearest.
+    fn far_relays(&self) -> Vec<&DaemonRecord> {
+        let halls = self.directory.entry_halls();
+        let relays = halls
+            .into_iter()
+            .flat_map(|hall| self.directory.relays(self.now, hall));
+        let mut relays: Vec<&DaemonRecord> = relays.filter(|relay| !self.rests(relay)).collect();
+        relays.sort_by_key(|relay| {
+            let rank = Reverse(weight(self.own.instance.as_str(), &relay.instance));
+            (relay.region != self.own.region, rank)
+        });
+        relays.truncate(FAR_RELAYS);
+        relays
+    }
+
+    /// Agents of the own region and service that are told of new pieces.
+    fn fellows(&self) -> Vec<SocketAddr> {
+        let is_near = |other: &&DaemonRecord| {
+            other.role == DaemonRole::Agent
+                && other.service == self.own.service
+                && other.region == self.own.region
+        };
+        let mut fellows: Vec<&DaemonRecord> = self.others().filter(is_near).collect();
+        let own = self.own.instance.as_str();
+        fellows.sort_by_cached_key(|fellow| Reverse(weight(own, &fellow.instance)));
+        fellows.truncate(FELLOWS_TOLD);
+        fellows.into_iter().map(|fellow| fellow.peer).collect()
+    }
+
+    /// Agents of other regions that wait for a piece which this agent has and
+    /// which they bring into their regions.
+    fn carriers(&self) -> Vec<Contact> {
+        let changed_at = self.pieces_changed_at();
+        let Some(fetched) = self.fetched_pieces() else {
+            return Vec::new();
+        };
+        if changed_at <= self.carried_position {
+            return Vec::new();
+        }
+        let agents: Vec<&DaemonRecord> = self
+            .others()
+            .filter(|other| other.role == DaemonRole::Agent && other.service == self.own.service)
+            .collect();
+        let far = agents.iter().filter(|a| a.region != self.own.region);
+        let members: Vec<Member> = far
+            .map(|agent| Member {
+                instance: agent.instance.clone(),
+                region: agent.region.clone(),
+            })
+            .collect();
+        let held = (0..fetched.bits.len() as u32 * u64::BITS).filter(|piece| fetched.has(*piece));
+        let chosen: HashSet<_> = held
+            .flat_map(|piece| {
+                let waits = move |name: &&&_| {
+                    let agent = self.directory.daemon(name);
+                    let map = agent
+                        .and_then(|agent| agent.record.pieces_of(&fetched.model, fetched.version));
+                    map.is_none_or(|map| !map.has(piece))
+                };
+                let carriers = carriers(&members, &self.own.region, piece);
+                carriers.iter().filter(waits).copied().collect::<Vec<_>>()
+            })
+            .collect();
+        let chosen = agents.iter().filter(|a| chosen.contains(&a.instance));
+        let contact = |agent: &&DaemonRecord| Contact {
+            every_ms: None,
+            changed_at,
+            carries: true,
+            ..self.told(agent.peer, AGENT_GREETS_MS)
+        };
+        chosen.map(contact).collect()
+    }
+
+    /// The newest version of which this agent has pieces.
+    fn fetched_pieces(&self) -> Option<&PieceMap> {
+        let maps = self.own.pieces.iter();
+        maps.max_by_key(|map| map.version)
+    }
+
+    fn pieces_changed_at(&self) -> u64 {
+        let own = self.directory.daemon(&self.own.instance);
+        own.map_or(0, |heard| heard.changes.pieces)
+    }
+
+    fn own_changed_at(&self) -> u64 {
+        let own = self.directory.daemon(&self.own.instance);
+        own.map_or(0, |heard| {
+            let changes = heard.changes;
+            changes.record.max(changes.load).max(changes.pieces)
+        })
+    }
+
+    /// A contact that is asked for news.
+    fn asked(&self, address: SocketAddr, scope: Scope, every_ms: u64) -> Contact {
+        let every_ms = if self.is_ignorant {
+            every_ms.min(IGNORANT_GREETS_MS)
+        } else {
+            every_ms
+        };
+        Contact {
+            address,
+            scope,
+            pieces: true,
+            every_ms: Some(every_ms),
+            news_ms: Some(NEWS_MS),
+            changed_at: self.own_changed_at(),
+            carries: false,
+        }
+    }
+
+    /// A contact that is only told of this daemon.
+    fn told(&self, address: SocketAddr, every_ms: u64) -> Contact {
+        Contact {
+            pieces: false,
+            every_ms: Some(every_ms),
+            ..self.asked(address, Scope::Nothing, every_ms)
+        }
+    }
+
+    fn busy_every(&self, busy_ms: u64) -> u64 {
+        if self.is_busy {
+            busy_ms
+        } else {
+            ENTRY_GREETS_MS
+        }
+    }
+
+    /// The one to ask: by weight, those that answer first.
+    fn first_sound<'a>(&self, records: Vec<&'a DaemonRecord>) -> Option<&'a DaemonRecord> {
+        let own = self.own.instance.as_str();
+        let rank = |record: &&DaemonRecord| {
+            let weight = Reverse(weight(own, &record.instance));
+            (self.rests(record), weight)
+        };
+        records.into_iter().min_by_key(rank)
+    }
+
+    fn rests(&self, record: &DaemonRecord) -> bool {
+        self.resting.contains(&record.peer)
+    }
+
+    fn is_own(&self, record: &DaemonRecord) -> bool {
+        record.instance == self.own.instance
+    }
+
+    fn others(&self) -> impl Iterator<Item = &DaemonRecord> {
+        let records = self.directory.daemons().map(|heard| &heard.record);
+        records.filter(|record| !self.is_own(record))
+    }
+}
--- /dev/null
+++ b/crates/moleroad_gateway/src/greeting/mod.rs
@@ -0,0 +1,290 @@
+//! Telling other daemons of this one, and learning from their answers.
+//!
+//! [`contacts`] says whom to greet and how often, [`answer`] is the callee's
+//! side, [`take`] puts to use what was heard. Daemons tell and ask the relays
+//! of their data hall, and relays ask one relay of every other data hall, so
+//! that what one daemon sends grows with the daemons of its hall and with the
+//! number of halls.
+
+pub mod answer;
+pub mod contacts;
+pub mod take;
+
+use crate::node::Node;
+use crate::peer::{Hello, HelloAnswer, Speaker};
+use crate::settings::RoleSetting;
+use contacts::{Contact, LONG_SILENT_MS, Standing};
+use moleroad_directory::prelude::*;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// Time between looks at whom to greet, in milliseconds.
+const LOOK_MS: u64 = 50;
+/// Time for an answer.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long a daemon that did not answer is asked only when no other can be,
+/// in milliseconds.
+const REST_MS: u64 = 1_500;
+/// Time between signs of life of daemons without other news, in milliseconds.
+const LIVES_EVERY_MS: u64 = 500;
+/// Time for a whole state to arrive.
+const PULL_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// What passed between this daemon and another one.
+#[derive(Clone, Copy, Default)]
+struct Told {
+    /// When it was last greeted.
+    at: u64,
+    /// Position of this daemon's directory when it was last told of this
+    /// daemon.
+    position: u64,
+    /// Number of the last call of a target that it was told of.
+    calls: u64,
+    /// Up to where its directory is known.
+    cursor: Cursor,
+    /// When it last gave signs of life.
+    lives_at: u64,
+    /// Whether it answered the last time.
+    answers: bool,
+    /// Until when it rests, since it did not answer.
+    rests_until: u64,
+}
+
+#[derive(Default)]
+struct Greeted {
+    told: HashMap<SocketAddr, Told>,
+    /// Daemons whose answer is waited for.
+    waiting: HashSet<SocketAddr>,
+    /// When news last came.
+    news_at: Option<u64>,
+    /// Target that this daemon's pieces were last told to, by position.
+    carried_position: u64,
+}
+
+impl Greeted {
+    fn told(&self, address: SocketAddr) -> Told {
+        self.told.get(&address).copied().unwrap_or_default()
+    }
+}
+
+/// Greets others until the process ends.
+pub async fn greet(node: Arc<Node>) {
+    let greeted: Arc<Mutex<Greeted>> = Arc::default();
+    loop {
+        for contact in due(&node, &greeted) {
+            lock(&greeted).waiting.insert(contact.address);
+            tokio::spawn(greet_one(node.clone(), contact, greeted.clone()));
+        }
+        let look = Duration::from_millis(LOOK_MS);
+        let _ = tokio::time::timeout(look, node.news.notified()).await;
+        let now = node.clock.now();
+        node.view().directory.expire(now);
+    }
+}
+
+fn lock(greeted: &Mutex<Greeted>) -> MutexGuard<'_, Greeted> {
+    greeted.lock().unwrap_or_else(|error| error.into_inner())
+}
+
+/// Contacts to greet now.
+fn due(node: &Node, greeted: &Mutex<Greeted>) -> Vec<Contact> {
+    let now = node.clock.now();
+    let seeds = node.seeds();
+    let mut view = node.view();
+    let own = view.own.clone();
+    view.directory.hear_daemon(now, own, 0);
+    let mut greeted = lock(greeted);
+    let silent_ms = greeted.news_at.map_or(u64::MAX, |at| now.0 - at);
+    let resting: HashSet<SocketAddr> = greeted
+        .told
+        .iter()
+        .filter(|(_, told)| now.0 < told.rests_until)
+        .map(|(address, _)| *address)
+        .collect();
+    let standing = Standing {
+        now,
+        directory: &view.directory,
+        own: &view.own,
+        seeds: &seeds,
+        resting: &resting,
+        is_busy: node.in_flight.load(std::sync::atomic::Ordering::Relaxed) > 0,
+        is_ignorant: view.table.is_none() && view.catalog.models.is_empty(),
+        is_lost: silent_ms >= LONG_SILENT_MS,
+        carried_position: greeted.carried_position,
+    };
+    let contacts = standing.contacts();
+    let is_due = |contact: &Contact| {
+        let told = greeted.told(contact.address);
+        let has_news = contact.changed_at > told.position;
+        let pause = contact.news_ms.filter(|_| has_news);
+        let every = pause.into_iter().chain(contact.every_ms).min();
+        let is_time = every.is_some_and(|every| now.0 >= told.at + every);
+        is_time && !greeted.waiting.contains(&contact.address)
+    };
+    let due: Vec<Contact> = contacts.into_iter().filter(is_due).collect();
+    if due.iter().any(|contact| contact.carries) {
+        greeted.carried_position = view.directory.position();
+    }
+    due
+}
+
+async fn greet_one(node: Arc<Node>, contact: Contact, greeted: Arc<Mutex<Greeted>>) {
+    let address = contact.address;
+    let told = lock(&greeted).told(address);
+    let (hello, mut next) = hello(&node, &contact, told);
+    {
+        let mut greeted = lock(&greeted);
+        let kept = greeted.told.entry(address).or_default();
+        kept.at = next.at;
+    }
+    let answer = node
+        .peers
+        .call(address, HELLO_TIMEOUT, |client, context| async move {
+            client.hello(context, hello).await
+        })
+        .await;
+    let was_answering = told.answers;
+    if answer.is_ok() != was_answering {
+        let event = if was_answering {
+            "peer_lost"
+        } else {
+            "peer_heard"
+        };
+        log::info!(event = event, peer:% = address, reason:? = answer.as_ref().err(); "");
+    }
+    let now = node.clock.now().0;
+    match &answer {
+        Ok(answer) => {
+            next.answers = true;
+            next.rests_until = 0;
+            if contact.scope != Scope::Nothing {
+                next.cursor = answer.news.cursor;
+            }
+            if answer.unknown_caller {
+                next.position = 0;
+            }
+        }
+        Err(_) => {
+            next = Told {
+                at: next.at,
+                rests_until: now + REST_MS,
+                // What it was told may not have arrived.
+                cursor: told.cursor,
+                ..Told::default()
+            };
+        }
+    }
+    {
+        let mut greeted = lock(&greeted);
+        greeted.waiting.remove(&address);
+        greeted.told.insert(address, next);
+        if answer.is_ok() && contact.scope != Scope::Nothing {
+            greeted.news_at = Some(now);
+        }
+    }
+    if let Ok(answer) = answer {
+        let is_complete = take_answer(&node, address, answer).await;
+        if !is_complete && let Some(told) = lock(&greeted).told.get_mut(&address) {
+            told.cursor = Cursor::default();
+        }
+    }
+}
+
+/// What this daemon tells a contact, and what that contact then was told.
+fn hello(node: &Node, contact: &Contact, told: Told) -> (Hello, Told) {
+    let now = node.clock.now();
+    let mut view = node.view();
+    let own = view.own.clone();
+    view.directory.hear_daemon(now, own, 0);
+    let called = |heard: &&Heard<TargetRecord>| {
+        let call = view.called_here.get(&heard.record.id);
+        call.is_some_and(|call| *call > told.calls)
+    };
+    let targets = view.directory.targets().filter(called);
+    let targets = targets.map(|heard| heard.aged(now)).collect();
+    let lives = contact.scope != Scope::Nothing && now.0 >= told.lives_at + LIVES_EVERY_MS;
+    let hello = Hello {
+        from: speaker(&view.directory, &view.own, told),
+        member: node.core.as_ref().map(|core| core.own.clone()),
+        config_version: view.state.config_version(),
+        versions: view.state.versions.clone(),
+        leader: view.leader,
+        targets,
+        question: Question {
+            scope: contact.scope,
+            after: told.cursor,
+            lives,
+            pieces: contact.pieces,
+        },
+        catalog_digest: view.catalog.digest(),
+    };
+    let next = Told {
+        at: now.0,
+        position: view.directory.position(),
+        calls: view.calls,
+        lives_at: if lives { now.0 } else { told.lives_at },
+        ..told
+    };
+    (hello, next)
+}
+
+/// As little of this daemon as the callee needs.
+fn speaker(directory: &Directory, own: &DaemonRecord, told: Told) -> Speaker {
+    let changes = directory.daemon(&own.instance).map(|heard| heard.changes);
+    let is_new = told.position == 0;
+    match changes.filter(|_| !is_new) {
+        Some(changes) if changes.record.max(changes.pieces) <= told.position => {
+            if changes.load > told.position {
+                Speaker::Load(Life::of(own), LoadNews::of(own))
+            } else {
+                Speaker::Same(Life::of(own))
+            }
+        }
+        _ => Speaker::Record(Box::new(own.clone())),
+    }
+}
+
+/// Takes an answer; false when the callee speaks of daemons that are not
+/// known here, so that all must be asked for again.
+async fn take_answer(node: &Arc<Node>, address: SocketAddr, answer: HelloAnswer) -> bool {
+    let now = node.clock.now();
+    let (taken, behind) = {
+        let mut view = node.view();
+        let taken = take::take_news(&mut view, now, answer.news);
+        for (model, versions) in &answer.versions {
+            for version in versions {
+                view.name_version(now, model, version.version, version.age_ms);
+            }
+        }
+        if let Some(catalog) = answer.catalog {
+            view.catalog = catalog;
+        }
+        view.take_leader(answer.leader);
+        (taken, answer.config_version > view.state.config_version())
+    };
+    if node.settings.role == RoleSetting::Entry {
+        take::put_to_use(node, taken.changed);
+        if behind {
+            pull(node, address).await;
+        }
+    }
+    taken.is_complete
+}
+
+/// Takes what another daemon has in force, unless it is being fetched.
+pub async fn pull(node: &Arc<Node>, address: SocketAddr) {
+    let Some(_pulling) = node.begin_pull() else {
+        return;
+    };
+    let pulled = node
+        .peers
+        .call(address, PULL_TIMEOUT, |client, context| async move {
+            client.pull(context).await
+        })
+        .await;
+    if let Ok(state) = pulled {
+        node.take_state(&state);
+    }
+}
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -45,6 +45,7 @@
     pub in_flight: AtomicUsize,
     seeds: Mutex<Vec<SocketAddr>>,
     digests: Mutex<Vec<(String, PieceDigests)>>,
+    pulling: AtomicBool,
     leaving: AtomicBool,
     ending: AtomicBool,
     view: Mutex<View>,
@@ -72,6 +73,7 @@
             in_flight: AtomicUsize::new(0),
             seeds: Mutex::new(settings.seed_peers()),
             digests: Mutex::default(),
+            pulling: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             ending: AtomicBool::new(false),
             view: Mutex::new(View::new(own)),
@@ -127,8 +129,18 @@
         let requests = self.requests_since.swap(0, Ordering::Relaxed);
         let per_s = requests as f32 * 1_000.0 / span_ms.max(1) as f32;
         let mut view = self.view();
-        let known = view.own.requests_per_s;
-        view.own.requests_per_s = known + (per_s - known) * DEMAND_WEIGHT;
+        view.demand_per_s += (per_s - view.demand_per_s) * DEMAND_WEIGHT;
+        let (told, now) = (view.own.requests_per_s, view.demand_per_s);
+        if (now - told).abs() > (told * DEMAND_NEWS_PART).max(1.0) {
+            view.own.requests_per_s = now;
+            view.own.sequence += 1;
+        }
+    }
+
+    /// Begins to fetch what is in force; `None` while that is under way.
+    pub fn begin_pull(&self) -> Option<Pulling<'_>> {
+        let was_pulling = self.pulling.swap(true, Ordering::Relaxed);
+        (!was_pulling).then_some(Pulling(&self.pulling))
     }
 
     /// Whether this process was asked to stop.
@@ -236,8 +248,19 @@
     }
 }
 
+/// A fetch of what is in force, while it is under way.
+pub struct Pulling<'a>(&'a AtomicBool);
+
+impl Drop for Pulling<'_> {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Relaxed);
+    }
+}
+
 /// Versions whose digests are remembered.
 const MOST_DIGESTS: usize = 3;
+/// Part by which demand must change for others to be told.
+const DEMAND_NEWS_PART: f32 = 0.15;
 /// Weight of the newest measure of demand.
 const DEMAND_WEIGHT: f32 = 0.3;
 
@@ -255,6 +278,7 @@
         peer: settings.peer_address(),
         frontend: settings.listen.frontend,
         control: settings.listen.control,
+        has_log: settings.data_dir.is_some(),
         requests_per_s: 0.0,
         hall: settings.hall.clone(),
         region: settings.region.clone(),
--- a/crates/moleroad_gateway/src/peer.rs
+++ b/crates/moleroad_gateway/src/peer.rs
@@ -3,21 +3,14 @@
 use crate::control_state::{ControlCommand, ControlState};
 use moleroad_config::prelude::ConfigVersion;
 use moleroad_consensus::prelude::{MemberInfo, Message};
-use moleroad_directory::prelude::{DaemonRecord, TargetId, TargetRecord};
+use moleroad_directory::prelude::*;
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use std::collections::BTreeMap;
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
-/// A record and how long ago its subject spoke, in milliseconds.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Aged<T> {
-    /// What was said.
-    pub record: T,
-    /// How long ago, in milliseconds.
-    pub age_ms: u64,
-}
-
 /// The leader of the control group, as a daemon believes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct LeaderHint {
@@ -27,15 +20,24 @@
     pub address: SocketAddr,
 }
 
-/// A daemon tells of itself and of what it knows.
+/// What a caller says of itself.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Speaker {
+    /// Its whole record.
+    Record(Box<DaemonRecord>),
+    /// That only its load changed.
+    Load(Life, LoadNews),
+    /// That it lives; its record did not change since the callee took it.
+    Same(Life),
+}
+
+/// A daemon tells of itself and asks for news.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Hello {
     /// The daemon.
-    pub from: DaemonRecord,
+    pub from: Speaker,
     /// Its disk, if it could be a member of the control group.
     pub member: Option<MemberInfo>,
-    /// Changes with the set of daemons that it knows.
-    pub daemons_digest: u64,
     /// Version of the configuration that it has in force.
     pub config_version: ConfigVersion,
     /// Versions of models that it knows to be named.
@@ -44,8 +46,10 @@
     pub leader: Option<LeaderHint>,
     /// Targets that called it since its last hello.
     pub targets: Vec<Aged<TargetRecord>>,
-    /// Whether it wants all targets.
-    pub wants_targets: bool,
+    /// What it wants to hear.
+    pub question: Question,
+    /// Digest of the [`Catalog`] that it knows; agents only.
+    pub catalog_digest: u64,
 }
 
 /// A version of a model and how long ago it was named.
@@ -58,7 +62,7 @@
 }
 
 /// A model that engines of a service run.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CatalogModel {
     /// Service of the engines.
     pub service: String,
@@ -75,7 +79,7 @@
 }
 
 /// An origin of weights.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CatalogOrigin {
     /// Address that serves manifests and pieces.
     pub address: SocketAddr,
@@ -90,7 +94,7 @@
 pub struct SharedDigests(pub Vec<[u8; 32]>);
 
 /// What agents need of the configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Catalog {
     /// Models.
     pub models: Vec<CatalogModel>,
@@ -98,20 +102,29 @@
     pub origins: Vec<CatalogOrigin>,
 }
 
+impl Catalog {
+    /// Changes with what it holds.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
 /// Answers a [`Hello`].
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct HelloAnswer {
-    /// All daemons, when the caller's digest differs.
-    pub daemons: Vec<Aged<DaemonRecord>>,
+    /// Whether the callee does not have the caller's record.
+    pub unknown_caller: bool,
+    /// What the caller asked for.
+    pub news: News,
     /// Version of the configuration that the callee has in force.
     pub config_version: ConfigVersion,
     /// Versions of models.
     pub versions: BTreeMap<String, Vec<VersionAge>>,
     /// The leader, as the callee believes.
     pub leader: Option<LeaderHint>,
-    /// Targets, when they were wanted.
-    pub targets: Vec<Aged<TargetRecord>>,
-    /// What agents need of the configuration.
+    /// What agents need of the configuration, when it changed.
     pub catalog: Option<Catalog>,
 }
 
--- a/crates/moleroad_gateway/src/run.rs
+++ b/crates/moleroad_gateway/src/run.rs
@@ -11,8 +11,10 @@
 use crate::peer_server;
 use crate::settings::{RoleSetting, Settings};
 use crate::system_calls;
-use crate::target_news::other_entries;
+use crate::view::View;
+use moleroad_config::prelude::ConfigVersion;
 use moleroad_consensus::prelude::{Configuration, MemberId, MemberInfo, Message};
+use moleroad_types::prelude::Millis;
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
@@ -158,6 +160,7 @@
 
 /// Carries out what the member of the control group asks for.
 async fn carry_out(node: Arc<Node>, mut outputs: mpsc::UnboundedReceiver<CoreOutput>) {
+    let mut pushed = ConfigVersion::default();
     while let Some(output) = outputs.recv().await {
         match output {
             CoreOutput::Send(to, message) => {
@@ -165,7 +168,7 @@
             }
             CoreOutput::State(state) => {
                 if node.take_state(&state) {
-                    push(&node);
+                    push(&node, &mut pushed);
                 }
             }
             CoreOutput::Tentative(state) => node.prepare_for(&state),
@@ -198,10 +201,25 @@
     let _ = node.peers.call(to.address, MESSAGE_TIMEOUT, call).await;
 }
 
-/// Brings what is in force to all other entries at once.
-fn push(node: &Arc<Node>) {
-    let state = node.view().state.clone();
-    for address in other_entries(node) {
+/// Brings what is in force to the relays of all data halls at once; the other
+/// entries learn of it when they ask their relays.
+fn push(node: &Arc<Node>, pushed: &mut ConfigVersion) {
+    let (state, relays) = {
+        let view = node.view();
+        let is_leader = view
+            .leader
+            .is_some_and(|leader| leader.address == view.own.peer);
+        if !is_leader {
+            return;
+        }
+        let mut state = view.state.clone();
+        if state.config_version() == *pushed {
+            state.configuration = None;
+        }
+        *pushed = view.state.config_version();
+        (state, relays_of_all_halls(&view, node.clock.now()))
+    };
+    for address in relays {
         let (node, state) = (node.clone(), state.clone());
         tokio::spawn(async move {
             let call = |client: crate::peer::PeerClient, context| async move {
@@ -212,6 +230,13 @@
     }
 }
 
+fn relays_of_all_halls(view: &View, now: Millis) -> Vec<SocketAddr> {
+    let halls = view.directory.entry_halls().into_iter();
+    let relays = halls.flat_map(|hall| view.directory.relays(now, hall));
+    let others = relays.filter(|relay| relay.instance != view.own.instance);
+    others.map(|relay| relay.peer).collect()
+}
+
 async fn keep_house(node: Arc<Node>) {
     let mut measured_at = node.clock.now();
     loop {
--- a/crates/moleroad_gateway/src/target_news.rs
+++ b/crates/moleroad_gateway/src/target_news.rs
@@ -1,7 +1,7 @@
 //! What targets say, spread to all entries before it is acknowledged.
 
 use crate::node::Node;
-use crate::peer::{Aged, TargetNews};
+use crate::peer::TargetNews;
 use moleroad_directory::prelude::*;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -36,7 +36,11 @@
             ""
         );
         applied(node);
-        spread(node, TargetNews::Changed(Aged { record, age_ms: 0 })).await;
+        // Entries learn the rest from their relays; that a target leaves they
+        // must know before its word is acknowledged.
+        if record.life != TargetLife::Ready {
+            spread(node, TargetNews::Changed(Aged { record, age_ms: 0 })).await;
+        }
     }
 }
 
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -95,6 +95,8 @@
     pub services: HashMap<String, ServicePlaces>,
     /// What this daemon tells of itself.
     pub own: DaemonRecord,
+    /// Requests that this daemon has to place in a second.
+    pub demand_per_s: f32,
     /// The leader of the control group, as believed.
     pub leader: Option<LeaderHint>,
     /// Targets that called this daemon, with the number of the call.
@@ -115,6 +117,7 @@
             directory: Directory::new(),
             services: HashMap::new(),
             own,
+            demand_per_s: 0.0,
             leader: None,
             called_here: HashMap::new(),
             calls: 0,
@@ -247,6 +250,7 @@
                 requests_per_s: f64::from(entry.requests_per_s),
             })
             .collect();
+        let agents = self.directory.agents();
         let mut lists: HashMap<&str, Vec<Candidate>> = HashMap::new();
         for service in table.services() {
             lists.entry(&service.name).or_default();
@@ -259,7 +263,9 @@
             if record.life != TargetLife::Ready {
                 continue;
             }
-            if let Some(candidate) = self.candidate(now, settings, service, record, &entries) {
+            let agent = agents.get(&record.address).copied();
+            let report = agent.and_then(|agent| current_report(now, agent));
+            if let Some(candidate) = candidate(settings, service, record, report, &entries) {
                 lists.entry(&service.name).or_default().push(candidate);
             }
         }
@@ -286,61 +292,58 @@
         self.services
             .retain(|name, places| table.service(name).is_some() || !places.is_idle());
     }
+}
 
-    fn candidate(
-        &self,
-        now: Millis,
-        settings: &Settings,
-        service: &Service,
-        record: &TargetRecord,
-        entries: &[EntryDemand<'_>],
-    ) -> Option<Candidate> {
-        let report = self.current_report(now, record);
-        let version = match service.models.first() {
-            None => None,
-            Some(model) => {
-                let holdings = match report {
-                    Some(report) => &report.holdings,
-                    None => record.holdings.as_ref()?,
-                };
-                Some(whole_version(holdings, &model.name, model.layers)?)
-            }
-        };
-        let slots = record.slots.max(1);
-        let count = entries.len().max(1) as f64;
-        let connections = f64::from(service.max_connections) * CONNECTIONS_USED / count;
-        let most_own = if service.max_connections == 0 {
-            slots
-        } else {
-            (connections as u32).clamp(1, slots)
-        };
-        let distance = if record.hall == settings.hall {
-            Distance::SameHall
-        } else if settings.region_of(&record.hall) == settings.region {
-            Distance::SameRegion
-        } else {
-            Distance::OtherRegion
-        };
-        let pace = report.map_or(1.0, |report| f64::from(report.pace));
-        let cold = if record.cold_left_ms > 0 { 1.0 } else { 0.0 };
-        Some(Candidate {
-            id: record.id.clone(),
-            address: record.address,
-            slots,
-            most_own,
-            share: share(&settings.instance, entries, record.id.as_str(), slots),
-            distance,
-            version,
-            switching: report.is_some_and(|report| report.switching),
-            slowness: pace + cold,
-        })
-    }
+fn candidate(
+    settings: &Settings,
+    service: &Service,
+    record: &TargetRecord,
+    report: Option<&EngineReport>,
+    entries: &[EntryDemand<'_>],
+) -> Option<Candidate> {
+    let version = match service.models.first() {
+        None => None,
+        Some(model) => {
+            let holdings = match report {
+                Some(report) => &report.holdings,
+                None => record.holdings.as_ref()?,
+            };
+            Some(whole_version(holdings, &model.name, model.layers)?)
+        }
+    };
+    let slots = record.slots.max(1);
+    let count = entries.len().max(1) as f64;
+    let connections = f64::from(service.max_connections) * CONNECTIONS_USED / count;
+    let most_own = if service.max_connections == 0 {
+        slots
+    } else {
+        (connections as u32).clamp(1, slots)
+    };
+    let distance = if record.hall == settings.hall {
+        Distance::SameHall
+    } else if settings.region_of(&record.hall) == settings.region {
+        Distance::SameRegion
+    } else {
+        Distance::OtherRegion
+    };
+    let pace = report.map_or(1.0, |report| f64::from(report.pace));
+    let cold = if record.cold_left_ms > 0 { 1.0 } else { 0.0 };
+    Some(Candidate {
+        id: record.id.clone(),
+        address: record.address,
+        slots,
+        most_own,
+        share: share(&settings.instance, entries, record.id.as_str(), slots),
+        distance,
+        version,
+        switching: report.is_some_and(|report| report.switching),
+        slowness: pace + cold,
+    })
+}
 
-    fn current_report(&self, now: Millis, record: &TargetRecord) -> Option<&EngineReport> {
-        let agent = self.directory.agent_of(record.address)?;
-        let current = now.since(agent.at) < REPORT_CURRENT_MS;
-        agent.record.report.as_ref().filter(|_| current)
-    }
+fn current_report(now: Millis, agent: &Heard<DaemonRecord>) -> Option<&EngineReport> {
+    let is_current = now.since(agent.at) < REPORT_CURRENT_MS;
+    agent.record.report.as_ref().filter(|_| is_current)
 }
 
 fn catalog_of(table: &RouteTable) -> Catalog {
--- a/crates/moleroad_rollout/src/lib.rs
+++ b/crates/moleroad_rollout/src/lib.rs
@@ -19,6 +19,6 @@
 
 /// The types most users of the crate need.
 pub mod prelude {
-    pub use crate::sources::{Member, Patience, Permission, permission};
+    pub use crate::sources::{Member, Patience, Permission, carriers, permission};
     pub use crate::waves::{EngineStage, WavePlan};
 }
--- a/crates/moleroad_rollout/src/sources.rs
+++ b/crates/moleroad_rollout/src/sources.rs
@@ -83,6 +83,18 @@
     }
 }
 
+/// The agents that bring `piece` into the regions other than `own_region`.
+pub fn carriers<'a>(members: &'a [Member], own_region: &str, piece: u32) -> Vec<&'a InstanceId> {
+    let mut regions: BTreeMap<&str, Vec<&InstanceId>> = BTreeMap::new();
+    let others = members.iter().filter(|m| m.region != own_region);
+    for member in others {
+        let region = regions.entry(&member.region).or_default();
+        region.push(&member.instance);
+    }
+    let chosen = regions.values().map(|agents| holder_of(agents, piece));
+    chosen.flatten().collect()
+}
+
 /// The agent of a region that brings `piece` into it: highest random weight,
 /// so that a change of agents moves few pieces.
 fn holder_of<'a>(agents: &[&'a InstanceId], piece: u32) -> Option<&'a InstanceId> {
