--- a/crates/moleroad_gateway/src/agent/bring.rs
+++ b/crates/moleroad_gateway/src/agent/bring.rs
@@ -8,6 +8,7 @@
 use crate::node::Node;
 use crate::peer::CatalogModel;
 use moleroad_directory::target::whole_version;
+use moleroad_rollout::prelude::Pause;
 use moleroad_types::prelude::Millis;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,6 +35,7 @@
     let (hand_over, handed) = mpsc::channel(1);
     tokio::spawn(take(node.clone(), handed));
     let mut missed: Option<(u64, Millis)> = None;
+    let mut origin_pause = Pause::default();
     loop {
         tokio::time::sleep(LOOK_EVERY).await;
         let Some(wanted) = wanted(&node) else {
@@ -53,7 +55,8 @@
         let now = node.clock.now();
         let same = missed.filter(|(version, _)| *version == wanted.version);
         let (_, since) = *missed.insert(same.unwrap_or((wanted.version, now)));
-        let Some(digests) = digests(&node, &wanted, now.since(since)).await else {
+        let Some(digests) = digests(&node, &wanted, now.since(since), &mut origin_pause).await
+        else {
             continue;
         };
         missed = None;
--- a/crates/moleroad_gateway/src/agent/digests.rs
+++ b/crates/moleroad_gateway/src/agent/digests.rs
@@ -9,6 +9,7 @@
 use crate::view::View;
 use moleroad_directory::prelude::*;
 use moleroad_rollout::prelude::*;
+use moleroad_types::prelude::Millis;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,7 +18,12 @@
 
 /// The digests of a version: from an agent that has them, or, when it is this
 /// agent's part or nobody has them for a while, from the origin.
-pub async fn digests(node: &Node, wanted: &Wanted, idle_ms: u64) -> Option<PieceDigests> {
+pub async fn digests(
+    node: &Node,
+    wanted: &Wanted,
+    idle_ms: u64,
+    origin_pause: &mut Pause,
+) -> Option<PieceDigests> {
     let (holders, may_ask_origin, origins) = digest_sources(node, wanted, idle_ms);
     let draw = rand::random::<u32>() as usize;
     if let Some(holder) = holders.get(draw % holders.len().max(1)) {
@@ -34,6 +40,7 @@
             return checked(node, wanted, digests);
         }
     }
+    let may_ask_origin = may_ask_origin && !origin_pause.lasts(node.clock.now());
     for origin in origins.iter().filter(|_| may_ask_origin) {
         let asked = node
             .interface
@@ -43,8 +50,10 @@
             && status.is_success()
             && let Some(digests) = node.interface.read_digests(&body)
         {
+            origin_pause.note(node.clock.now(), true, 0);
             return checked(node, wanted, digests);
         }
+        origin_pause.note(node.clock.now(), false, rand::random());
     }
     None
 }
@@ -68,7 +77,7 @@
 ) -> (Vec<SocketAddr>, bool, Vec<CatalogOrigin>) {
     let view = node.view();
     let own = &view.own;
-    let others = fellows(&view);
+    let others = fellows(&view, node.clock.now());
     let members = members(own, &others, wanted);
     let region = origin_region(node, &view);
     let patience = Patience::for_pieces(wanted.model.piece_bytes, node.settings.link_mbps);
@@ -99,15 +108,20 @@
     Some(node.settings.region_of(hall).to_string())
 }
 
-/// The other agents that bring weights to engines of the same service.
-pub fn fellows(view: &View) -> Vec<&DaemonRecord> {
+/// Silence after which an agent is not counted on, in milliseconds.
+const SILENT_MS: u64 = 3_000;
+
+/// The other agents that bring weights to engines of the same service and were
+/// heard lately.
+pub fn fellows(view: &View, now: Millis) -> Vec<&DaemonRecord> {
     let own = &view.own;
-    let records = view.directory.daemons().map(|heard| &heard.record);
-    records
-        .filter(|other| {
-            other.role == DaemonRole::Agent
-                && other.service == own.service
-                && other.instance != own.instance
-        })
-        .collect()
+    let is_fellow = |heard: &&Heard<DaemonRecord>| {
+        let other = &heard.record;
+        other.role == DaemonRole::Agent
+            && other.service == own.service
+            && other.instance != own.instance
+            && now.since(heard.at) < SILENT_MS
+    };
+    let fellows = view.directory.daemons().filter(is_fellow);
+    fellows.map(|heard| &heard.record).collect()
 }
--- a/crates/moleroad_gateway/src/agent/fetch.rs
+++ b/crates/moleroad_gateway/src/agent/fetch.rs
@@ -55,6 +55,7 @@
     resting: HashMap<(u32, Source), Millis>,
     progress_at: Millis,
     began_at: Millis,
+    origin_pause: Pause,
     from_origin: u32,
     not_given: u32,
 }
@@ -79,6 +80,7 @@
             resting: HashMap::new(),
             progress_at: node.clock.now(),
             began_at: node.clock.now(),
+            origin_pause: Pause::default(),
             from_origin: 0,
             not_given: 0,
         }
@@ -130,6 +132,7 @@
         let now = self.node.clock.now();
         if let Source::Origin(_) = source {
             self.from_origin += 1;
+            self.origin_pause.note(now, brought, rand::random());
         }
         if !brought {
             self.not_given += 1;
@@ -174,7 +177,7 @@
         let missing = self.missing();
         let view = self.node.view();
         let own = &view.own;
-        let others = fellows(&view);
+        let others = fellows(&view, now);
         let members = members(own, &others, &self.wanted);
         let origin_region = origin_region(&self.node, &view);
         let origins = self.free_origins(&view.catalog.origins, members.len());
@@ -259,7 +262,7 @@
         if allowed.across_regions && !holders.is_empty() && !self.crosses_regions(others) {
             return Some((Source::Agent(holders[draw % holders.len()].peer), 1));
         }
-        if allowed.from_origin {
+        if allowed.from_origin && !self.origin_pause.lasts(now) {
             let free = origins.iter().map(|origin| Source::Origin(*origin));
             return free.filter(|s| !rests(*s)).map(|source| (source, 0)).next();
         }
@@ -272,7 +275,9 @@
     let takes_part = |other: &&&DaemonRecord| {
         other.state != DaemonState::Leaving
             && other.report.is_some()
-            && other.pieces.iter().any(|map| map.version <= wanted.version)
+            // One that begins has no pieces yet.
+            && (other.pieces.is_empty()
+                || other.pieces.iter().any(|map| map.version <= wanted.version))
     };
     let member = |instance: &InstanceId, region: &str| Member {
         instance: instance.clone(),
--- a/crates/moleroad_rollout/src/sources.rs
+++ b/crates/moleroad_rollout/src/sources.rs
@@ -26,11 +26,11 @@
 /// How long an agent that gets nothing keeps to the division of work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Patience {
-    /// Without a new piece for this long it takes pieces from any agent, in
-    /// milliseconds.
+    /// Without a new piece for this long the next agent of the region takes
+    /// over from the one before it, in milliseconds.
     pub across_regions_ms: u64,
-    /// Without a new piece for this long it takes pieces from the origin, in
-    /// milliseconds.
+    /// Without a new piece for this long, beside its turn, an agent outside
+    /// the origin's region takes pieces from the origin, in milliseconds.
     pub origin_ms: u64,
 }
 
@@ -54,6 +54,11 @@
 
 /// What the agent `own` may do for `piece`, after `idle_ms` without a new one.
 ///
+/// In each region one agent, the first by weight, takes a piece from outside
+/// at once; the second may after one time of patience, the third after two,
+/// and so on: agents that all lose patience at the same time would take the
+/// connections of the origin from each other.
+///
 /// `members` are all agents that take part, the same for all of them;
 /// `origin_region` is where the origin stands, if that is known.
 pub fn permission(
@@ -64,22 +69,32 @@
     patience: Patience,
     idle_ms: u64,
 ) -> Permission {
-    let mut regions: BTreeMap<&str, Vec<&InstanceId>> = BTreeMap::new();
-    for member in members {
-        let region = regions.entry(&member.region).or_default();
-        region.push(&member.instance);
-    }
+    let Some(known) = members.iter().find(|member| member.instance == *own) else {
+        return Permission {
+            across_regions: true,
+            from_origin: true,
+        };
+    };
+    let is_member = |region: &&str| members.iter().any(|member| member.region == *region);
     let first_region = origin_region
-        .filter(|region| regions.contains_key(region))
-        .or_else(|| regions.keys().next().copied());
-    let own_region = members.iter().find(|member| member.instance == *own);
-    let own_region = own_region.map(|member| member.region.as_str());
-    let chosen = own_region.and_then(|region| holder_of(regions.get(region)?, piece));
-    let is_chosen = chosen.is_none_or(|chosen| chosen == own);
-    let in_first = own_region.is_none() || own_region == first_region;
-    Permission {
-        across_regions: (is_chosen && !in_first) || idle_ms >= patience.across_regions_ms,
-        from_origin: (is_chosen && in_first) || idle_ms >= patience.origin_ms,
+        .filter(is_member)
+        .or_else(|| members.iter().map(|member| member.region.as_str()).min());
+    let own_weight = weight(own, piece);
+    let goes_before = |member: &&Member| {
+        member.region == known.region && weight(&member.instance, piece) > own_weight
+    };
+    let rank = members.iter().filter(goes_before).count() as u64;
+    let turn_ms = rank * patience.across_regions_ms;
+    if Some(known.region.as_str()) == first_region {
+        Permission {
+            across_regions: idle_ms >= turn_ms + patience.across_regions_ms,
+            from_origin: idle_ms >= turn_ms,
+        }
+    } else {
+        Permission {
+            across_regions: idle_ms >= turn_ms,
+            from_origin: idle_ms >= turn_ms + patience.origin_ms,
+        }
     }
 }
 
@@ -95,14 +110,16 @@
     chosen.flatten().collect()
 }
 
-/// The agent of a region that brings `piece` into it: highest random weight,
-/// so that a change of agents moves few pieces.
+/// The agent of a region that brings `piece` into it first.
 fn holder_of<'a>(agents: &[&'a InstanceId], piece: u32) -> Option<&'a InstanceId> {
-    let weight = |agent: &&&InstanceId| {
-        let mut hasher = DefaultHasher::new();
-        agent.hash(&mut hasher);
-        piece.hash(&mut hasher);
-        hasher.finish()
-    };
-    agents.iter().max_by_key(weight).copied()
+    let first = agents.iter().max_by_key(|agent| weight(agent, piece));
+    first.copied()
+}
+
+/// Highest random weight, so that a change of agents moves few pieces.
+fn weight(agent: &InstanceId, piece: u32) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    agent.hash(&mut hasher);
+    piece.hash(&mut hasher);
+    hasher.finish()
 }
