Take over overdue pieces side by side

Cause: an agent measured its patience from its own last piece.

Ruled out: the origin's link (a piece came within 60 ms when asked for).

Change: from the time in which the origin's link carries one copy, a quarter added, missing pieces are overdue; the turns of the agents of a region count from then for all of them at once.

--- a/crates/moleroad_gateway/src/agent/fetch.rs
+++ b/crates/moleroad_gateway/src/agent/fetch.rs
@@ -173,9 +173,9 @@
     /// The next piece to fetch and where from.
     fn next(&mut self) -> Option<(u32, Source)> {
         let now = self.node.clock.now();
-        let idle_ms = now.since(self.progress_at);
         let missing = self.missing();
         let view = self.node.view();
+        let idle_ms = self.waited_ms(now, &view.catalog.origins);
         let own = &view.own;
         let others = fellows(&view, now);
         let members = members(own, &others, &self.wanted);
@@ -209,6 +209,22 @@
         best.map(|(piece, source, _)| (piece, source))
     }
 
+    /// How long nothing came, or the missing pieces are overdue: other agents
+    /// that should bring them may have stopped while the rest goes on.
+    fn waited_ms(&self, now: Millis, origins: &[CatalogOrigin]) -> u64 {
+        let model = &self.wanted.model;
+        let bytes = u64::from(model.pieces) * model.piece_bytes;
+        let fastest = origins.iter().map(|origin| origin.link_kbps).max();
+        let idle_ms = now.since(self.progress_at);
+        match fastest.filter(|kbps| *kbps > 0) {
+            None => idle_ms,
+            Some(kbps) => {
+                let overdue_ms = now.since(self.began_at + copy_ms(bytes, kbps));
+                idle_ms.max(overdue_ms)
+            }
+        }
+    }
+
     /// Whether a piece is under way from another region: one at a time, since
     /// requests share the links between regions.
     fn crosses_regions(&self, others: &[&DaemonRecord]) -> bool {
--- a/crates/moleroad_gateway/src/peer.rs
+++ b/crates/moleroad_gateway/src/peer.rs
@@ -85,6 +85,8 @@
     pub address: SocketAddr,
     /// Its data hall.
     pub hall: Option<String>,
+    /// Rate of its link, in kbit/s; 0 unset.
+    pub link_kbps: u64,
     /// Most connections that it takes from all agents; 0 unset.
     pub max_connections: u32,
 }
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -353,6 +353,7 @@
             catalog.origins.push(CatalogOrigin {
                 address: origin.address,
                 hall: service.hall.clone(),
+                link_kbps: (origin.link_mbps * 1_000.0) as u64,
                 max_connections: service.max_connections,
             });
         }
--- a/crates/moleroad_rollout/src/lib.rs
+++ b/crates/moleroad_rollout/src/lib.rs
@@ -21,6 +21,6 @@
 /// The types most users of the crate need.
 pub mod prelude {
     pub use crate::pause::Pause;
-    pub use crate::sources::{Member, Patience, Permission, carriers, permission};
+    pub use crate::sources::{Member, Patience, Permission, carriers, copy_ms, permission};
     pub use crate::waves::{EngineStage, WavePlan};
 }
--- a/crates/moleroad_rollout/src/sources.rs
+++ b/crates/moleroad_rollout/src/sources.rs
@@ -52,7 +52,18 @@
 const SHORTEST_PATIENCE_MS: u64 = 200;
 const LONGEST_PATIENCE_MS: u64 = 2_000;
 
-/// What the agent `own` may do for `piece`, after `idle_ms` without a new one.
+/// Time in which all pieces of a copy have left an origin, in milliseconds; a
+/// piece that is still missing then is not on its way.
+pub fn copy_ms(copy_bytes: u64, origin_kbps: u64) -> u64 {
+    let sending_ms = copy_bytes * 8 / origin_kbps.max(1);
+    sending_ms + sending_ms / COPY_MARGIN_PART
+}
+
+/// Part of the bare time of a copy that is allowed for delays.
+const COPY_MARGIN_PART: u64 = 4;
+
+/// What the agent `own` may do for `piece`, after `idle_ms` in which nothing
+/// came or the piece was overdue.
 ///
 /// In each region one agent, the first by weight, takes a piece from outside
 /// at once; the second may after one time of patience, the third after two,
--- a/crates/moleroad_rollout/tests/rollout.rs
+++ b/crates/moleroad_rollout/tests/rollout.rs
@@ -157,3 +157,34 @@
     pause.note(now, true, 0);
     assert!(!pause.lasts(now));
 }
+
+#[test]
+fn what_a_dead_agent_should_bring_is_overdue_after_one_copy_and_taken_over() {
+    // 48 pieces of 48 KiB over 15 Mbit/s: 1.26 s bare.
+    let copy = copy_ms(48 * 49_152, 15_000);
+    assert!((1_259..1_600).contains(&copy), "{copy}");
+    let member = |index: usize| Member {
+        instance: InstanceId::new(format!("agent-{index}")),
+        region: "south".into(),
+    };
+    let members: Vec<Member> = (0..25).map(member).collect();
+    let (dead, alive) = members.split_at(4);
+    let patience = Patience::for_pieces(49_152, 9.4);
+    let is_allowed = |member: &Member, piece, waited_ms| {
+        let own = &member.instance;
+        permission(own, &members, Some("south"), piece, patience, waited_ms).from_origin
+    };
+    let stuck: Vec<u32> = (0..48)
+        .filter(|piece| dead.iter().any(|member| is_allowed(member, *piece, 0)))
+        .collect();
+    assert!(!stuck.is_empty());
+    // All of them at the same time, not one after the other.
+    let waited_ms = 4 * patience.across_regions_ms;
+    for piece in stuck {
+        assert!(
+            alive
+                .iter()
+                .any(|member| is_allowed(member, piece, waited_ms))
+        );
+    }
+}
