Compare two near and two far targets for each request

Cause: an entry compared half of the free targets of its region.

Change: two of each are compared, whatever their number; the test sees 12 of 40 requests at one target with the earlier rule.

--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -137,19 +137,26 @@
 const FAR_COMPARED_PART: usize = 5;
 /// Fewest targets of either kind that are compared.
 const FEWEST_COMPARED: usize = 2;
+/// Most targets of the own region that are compared: the more choose by the
+/// same reports, the more the best of many is everybody's best.
+const MOST_NEAR_COMPARED: usize = 2;
+/// Most targets of other regions that are compared.
+const MOST_FAR_COMPARED: usize = 2;
 
 /// Some of the free targets, drawn anew for each choice.
 fn sample<'a>(free: &[&'a Candidate], draw: u64) -> Vec<&'a Candidate> {
     let is_far = |candidate: &&&Candidate| candidate.distance == Distance::OtherRegion;
     let far: Vec<&Candidate> = free.iter().filter(is_far).copied().collect();
     let near: Vec<&Candidate> = free.iter().filter(|c| !is_far(c)).copied().collect();
-    let mut drawn = draw_some(near, NEAR_COMPARED_PART, draw);
-    drawn.extend(draw_some(far, FAR_COMPARED_PART, draw));
+    let near_count = near.len().div_ceil(NEAR_COMPARED_PART);
+    let far_count = far.len().div_ceil(FAR_COMPARED_PART);
+    let mut drawn = draw_some(near, near_count.min(MOST_NEAR_COMPARED), draw);
+    drawn.extend(draw_some(far, far_count.min(MOST_FAR_COMPARED), draw));
     drawn
 }
 
-fn draw_some(mut left: Vec<&Candidate>, part: usize, draw: u64) -> Vec<&Candidate> {
-    let count = left.len().div_ceil(part).max(FEWEST_COMPARED);
+fn draw_some(mut left: Vec<&Candidate>, count: usize, draw: u64) -> Vec<&Candidate> {
+    let count = count.max(FEWEST_COMPARED);
     let mut state = draw;
     let mut drawn = Vec::with_capacity(count);
     while drawn.len() < count && !left.is_empty() {
--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -346,3 +346,34 @@
     targets.reported(Millis(20), &id, 2, 0);
     assert!(takes(&targets, 20));
 }
+
+#[test]
+fn many_entries_with_the_same_reports_do_not_all_send_to_the_same_target() {
+    let names: Vec<String> = (0..25).map(|index| format!("t{index}")).collect();
+    let mut targets = Targets::default();
+    targets.set(
+        names
+            .iter()
+            .map(|name| Candidate {
+                slots: 16,
+                most_own: 16,
+                ..candidate(name, Distance::SameHall)
+            })
+            .collect(),
+    );
+    for (index, name) in names.iter().enumerate() {
+        let running = 3 + (index as u32 * 7) % 6;
+        targets.reported(Millis(0), &TargetId::new(name), running, 0);
+    }
+    // Each of 40 entries decides on the same reports by a draw of its own.
+    let mut sent = std::collections::BTreeMap::<String, u32>::new();
+    for entry in 0..40_u64 {
+        let draw = (entry + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        match targets.choose(Millis(1), Needs::default(), draw) {
+            Choice::Send(candidate) => *sent.entry(candidate.id.to_string()).or_default() += 1,
+            other => panic!("{other:?}"),
+        }
+    }
+    let most = sent.values().max().copied().unwrap_or_default();
+    assert!(most <= 8, "{sent:?}");
+}
