--- a/crates/moleroad_gateway/src/core.rs
+++ b/crates/moleroad_gateway/src/core/member.rs
@@ -1,26 +1,16 @@
-//! The member of the control group: a thread that owns the replica and its
-//! disk, so that a slow disk holds up nothing else.
+//! The thread of the member: feeds the replica, carries out its actions.
 
+use super::{Committed, CoreInput, CoreOutput, CoreSettings, TIMING};
 use crate::clock::Clock;
 use crate::control_state::{ControlCommand, ControlState};
 use moleroad_consensus::prelude::*;
 use moleroad_types::prelude::{Millis, Term};
 use std::collections::BTreeMap;
-use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
-/// Periods of the control group. The lease ends before another member can be
-/// elected even if clocks drift by a tenth.
-pub const TIMING: Timing = Timing {
-    heartbeat_ms: 100,
-    election_min_ms: 600,
-    election_max_ms: 1_000,
-    lease_ms: 450,
-    repair_after_ms: 1_600,
-};
 /// Time between looks at the clock, in milliseconds.
 const TICK_MS: u64 = 25;
 /// Entries after which the log is replaced by a snapshot.
@@ -28,128 +18,14 @@
 /// Time between tries to use a disk that failed, in milliseconds.
 const REOPEN_MS: u64 = 300;
 
-/// What became of a change.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Committed {
-    /// It is durable on a majority and applied.
-    Yes,
-    /// This member does not lead; the leader, if it is known.
-    NotLeader(Option<MemberInfo>),
-    /// It may or may not come to be.
-    Unknown,
-}
-
-/// What the thread is told.
-pub enum CoreInput {
-    /// A message of another member.
-    Receive(MemberInfo, Message),
-    /// A change that an operator wants.
-    Propose(ControlCommand, oneshot::Sender<Committed>),
-    /// What is in force now, if this member leads under a lease.
-    Read(oneshot::Sender<Result<Arc<ControlState>, Option<MemberInfo>>>),
-    /// A member with a disk that may be in no configuration.
-    Spare(MemberInfo),
-    /// Gives up leadership and stands no more: the process stops.
-    Retire,
-}
-
-/// What the thread tells.
-pub enum CoreOutput {
-    /// Send a message to a member.
-    Send(MemberInfo, Message),
-    /// This is in force.
-    State(Arc<ControlState>),
-    /// This was in the log at the start and is not known to be committed:
-    /// good enough to prepare for, not to act on.
-    Tentative(Arc<ControlState>),
-    /// The leader of a term, as far as known.
-    Leader(Term, Option<MemberInfo>),
-    /// The disk failed or works again.
-    Disk(Result<(), String>),
-}
-
-/// How the thread begins.
-pub struct CoreSettings {
-    /// Folder that the member keeps its state in.
-    pub folder: PathBuf,
-    /// Identity if the folder is empty.
-    pub fresh: MemberId,
-    /// Name of the instance.
-    pub instance: String,
-    /// Address that takes messages.
-    pub address: std::net::SocketAddr,
-    /// The founding members, when this is the first start of all.
-    pub founding: Option<Configuration>,
-    /// Members that may be lost at once.
-    pub tolerated_losses: usize,
-}
-
-/// The way to the thread.
-#[derive(Clone)]
-pub struct Core {
-    input: Sender<CoreInput>,
-    /// This member; the identity is the one of the disk.
-    pub own: MemberInfo,
-}
-
-impl Core {
-    /// Starts the thread.
-    ///
-    /// # Errors
-    /// When the folder cannot be used at all.
-    pub fn start(
-        settings: CoreSettings,
-        clock: Clock,
-        output: mpsc::UnboundedSender<CoreOutput>,
-    ) -> Result<Self, StorageError> {
-        let (storage, restored) = open(&settings)?;
-        let own = MemberInfo::new(
-            storage.identity().member,
-            settings.instance.as_str(),
-            settings.address,
-        );
-        let (input, inputs) = channel();
-        let founding = settings.founding.clone();
-        let mut member = Member::new(settings, own.clone(), clock, output, storage, restored);
-        std::thread::Builder::new()
-            .name("control".into())
-            .stack_size(512 << 10)
-            .spawn(move || {
-                member.begin(founding);
-                member.run(&inputs);
-            })?;
-        Ok(Self { input, own })
-    }
-
-    /// Tells the thread something; it may have ended.
-    pub fn tell(&self, input: CoreInput) {
-        let _ = self.input.send(input);
-    }
-
-    /// Asks for a change.
-    pub async fn propose(&self, command: ControlCommand) -> Committed {
-        let (reply, answer) = oneshot::channel();
-        self.tell(CoreInput::Propose(command, reply));
-        answer.await.unwrap_or(Committed::Unknown)
-    }
-
-    /// What is in force now, or else the leader as far as it is known.
-    ///
-    /// # Errors
-    /// When this member cannot be certain.
-    pub async fn read(&self) -> Result<Arc<ControlState>, Option<MemberInfo>> {
-        let (reply, answer) = oneshot::channel();
-        self.tell(CoreInput::Read(reply));
-        answer.await.unwrap_or(Err(None))
-    }
-}
-
-fn open(settings: &CoreSettings) -> Result<(Storage<FolderDisk>, Restored), StorageError> {
+/// Opens the log and what was kept of it.
+pub fn open(settings: &CoreSettings) -> Result<(Storage<FolderDisk>, Restored), StorageError> {
     let disk = FolderDisk::open(&settings.folder)?;
     Storage::open(disk, settings.fresh, &settings.instance)
 }
 
-struct Member {
+/// What the thread works on.
+pub struct Member {
     settings: CoreSettings,
     own: MemberInfo,
     clock: Clock,
@@ -169,7 +45,8 @@
 }
 
 impl Member {
-    fn new(
+    /// A member that stands where its disk left it.
+    pub fn new(
         settings: CoreSettings,
         own: MemberInfo,
         clock: Clock,
@@ -201,14 +78,16 @@
         }
     }
 
-    fn begin(&mut self, founding: Option<Configuration>) {
+    /// Tells what the disk held, and founds the group if this is a first start.
+    pub fn begin(&mut self, founding: Option<Configuration>) {
         self.tell_state();
         if let Some(configuration) = founding {
             self.feed(Event::Found(configuration));
         }
     }
 
-    fn run(&mut self, inputs: &Receiver<CoreInput>) {
+    /// Works until the process stops.
+    pub fn run(&mut self, inputs: &Receiver<CoreInput>) {
         loop {
             let first = match inputs.recv_timeout(Duration::from_millis(TICK_MS)) {
                 Ok(input) => Some(input),
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -416,42 +416,9 @@
     answer
 }
 
-/// Sends a request that is no stream and answers it.
-pub async fn answer_whole(node: &Arc<Node>, request: Accepted) -> Answer {
-    let mut attempts = Attempts::new(node.clone(), request);
-    let mut answer = try_whole(node, &mut attempts).await;
-    note_last_send(&attempts, &mut answer);
-    answer
-}
-
 /// Leaves the last send with the answer, for the log.
 pub fn note_last_send(attempts: &Attempts, answer: &mut Answer) {
     if let Some(sent) = attempts.last_send() {
         answer.extensions_mut().insert(sent);
     }
 }
-
-async fn try_whole(node: &Arc<Node>, attempts: &mut Attempts) -> Answer {
-    loop {
-        let mut running = match attempts.next_run(None).await {
-            Ok(running) => running,
-            Err(reason) => return attempts.give_up(reason),
-        };
-        let until = attempts.request.until;
-        match running.reply.whole_body(node, until).await {
-            Ok(body) => {
-                running.place.ended(Outcome::Answered);
-                let answer = passed_on(&running.reply, AnswerBody::Whole(Some(body)));
-                running.reply.keep_connection(node);
-                return answer;
-            }
-            Err(_) => {
-                running.place.ended(Outcome::Broken);
-                attempts.broke_off();
-                if !attempts.is_idempotent() {
-                    return attempts.give_up(GiveUp::NotAgain);
-                }
-            }
-        }
-    }
-}
--- a/crates/moleroad_gateway/src/front/mod.rs
+++ b/crates/moleroad_gateway/src/front/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`serve`] takes connections, [`request`] reads and checks a request,
 //! [`attempt`] sends it until it has an answer, [`exchange`] is one send over
-//! a connection of the [`pool`], [`stream`] passes events on and resumes at
+//! a connection of the [`pool`], [`whole`] reads answers to their end, [`stream`] passes events on and resumes at
 //! another target, [`answer`] holds the answers of our own.
 
 pub mod answer;
@@ -13,3 +13,4 @@
 pub mod request;
 pub mod serve;
 pub mod stream;
+pub mod whole;
--- a/crates/moleroad_gateway/src/front/serve.rs
+++ b/crates/moleroad_gateway/src/front/serve.rs
@@ -2,7 +2,8 @@
 
 use crate::front::answer::{Answer, OwnAnswer, close_after};
 use crate::front::attempt::Sent;
-use crate::front::{attempt, request, stream};
+use crate::front::{request, stream, whole};
+use crate::listening::serve_each;
 use crate::node::Node;
 use hyper::Request;
 use hyper::body::Incoming;
@@ -18,26 +19,16 @@
 const IDLE_MS: u64 = 15_000;
 /// Largest request head, in bytes.
 const HEAD_BYTES: usize = 64 << 10;
-/// Pause after an accept that failed, as when descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Takes connections until the process ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((connection, _)) => {
-                tokio::spawn(serve_connection(node.clone(), connection));
-            }
-            Err(error) => {
-                log::warn!(event = "accept_failed"; "{error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    serve_each(listener, |connection| {
+        serve_connection(node.clone(), connection)
+    })
+    .await;
 }
 
 async fn serve_connection(node: Arc<Node>, connection: TcpStream) {
-    crate::peers::prepare(&connection);
     let limits = node.view().table.as_ref().map(|table| table.limits());
     let idle_ms = limits.map_or(IDLE_MS, |limits| limits.idle_timeout_ms);
     let head_bytes = limits.map_or(HEAD_BYTES, |limits| {
@@ -85,7 +76,7 @@
             if accepted.route.streaming {
                 stream::answer_stream(&node, accepted).await
             } else {
-                attempt::answer_whole(&node, accepted).await
+                whole::answer_whole(&node, accepted).await
             }
         }
     };
--- a/crates/moleroad_gateway/src/lib.rs
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod front;
 pub mod greeting;
 pub mod interface;
+pub mod listening;
 pub mod logging;
 pub mod metrics;
 pub mod node;
--- a/crates/moleroad_gateway/src/peer_server.rs
+++ b/crates/moleroad_gateway/src/peer_server.rs
@@ -2,41 +2,31 @@
 
 use crate::control_state::{ControlCommand, ControlState};
 use crate::core::CoreInput;
+use crate::listening::serve_each;
 use crate::node::Node;
 use crate::operator;
 use crate::peer::{CommitAnswer, Hello, HelloAnswer, LeaderHint, Peer, SharedDigests, TargetNews};
-use crate::peers::{prepare, transport};
+use crate::peers::transport;
 use futures::StreamExt;
 use moleroad_consensus::prelude::{MemberInfo, Message};
 use serde_bytes::ByteBuf;
 use std::sync::Arc;
-use std::time::Duration;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Most calls of one connection that are worked on at once.
 const MAX_CALLS: usize = 128;
-/// Pause after an accept that failed, as when descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Takes connections of other daemons until the process ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((connection, _)) => {
-                tokio::spawn(serve_connection(node.clone(), connection));
-            }
-            Err(error) => {
-                log::warn!(event = "accept_failed"; "{error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    serve_each(listener, |connection| {
+        serve_connection(node.clone(), connection)
+    })
+    .await;
 }
 
 async fn serve_connection(node: Arc<Node>, connection: TcpStream) {
-    prepare(&connection);
     let channel = BaseChannel::with_defaults(transport(connection));
     channel
         .max_concurrent_requests(MAX_CALLS)
--- a/crates/moleroad_gateway/src/run.rs
+++ b/crates/moleroad_gateway/src/run.rs
@@ -6,6 +6,7 @@
 use crate::front;
 use crate::greeting;
 use crate::interface::Interface;
+use crate::listening::listen;
 use crate::node::Node;
 use crate::peer::LeaderHint;
 use crate::peer_server;
@@ -22,12 +23,9 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 
-/// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1_024;
 /// Time for a message of the control group to arrive.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for what is in force to arrive at another entry.
@@ -107,13 +105,6 @@
     Ok(())
 }
 
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 fn start_core(
     settings: &Settings,
     clock: Clock,
--- a/crates/moleroad_gateway/src/system_calls.rs
+++ b/crates/moleroad_gateway/src/system_calls.rs
@@ -4,6 +4,7 @@
 use crate::control_state::{ConfigDocument, ControlCommand};
 use crate::front::answer::AnswerBody;
 use crate::interface::SystemCall;
+use crate::listening::serve_each;
 use crate::node::Node;
 use crate::{operator, target_news};
 use bytes::Bytes;
@@ -27,29 +28,19 @@
 const IDLE: Duration = Duration::from_secs(30);
 /// Time for a document to arrive.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
-/// Pause after an accept that failed, as when descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long callers keep an answer of the directory, in milliseconds, where
 /// the platform allows it. Some keep it three times as long.
 const ADDRESS_TTL_MS: u64 = 1_000;
 
 /// Takes connections until the process ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((connection, _)) => {
-                tokio::spawn(serve_connection(node.clone(), connection));
-            }
-            Err(error) => {
-                log::warn!(event = "accept_failed"; "{error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    serve_each(listener, |connection| {
+        serve_connection(node.clone(), connection)
+    })
+    .await;
 }
 
 async fn serve_connection(node: Arc<Node>, connection: TcpStream) {
-    crate::peers::prepare(&connection);
     let handling = service_fn(|request| handle(node.clone(), request));
     let served = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
