Bring an older version that agents have whole when the newest is stuck

Agents gave up the first version, of which they had less than three quarters each but all of it among them, and waited for the origin: no engine to send to for 4 to 5 s once the first version was due.

Ruled out: the waves (no engine had anything to take).

Change: what is fetched of an overtaken version stays in memory and is offered. When nothing of the newest comes for one time of patience, or its digests do not come for a second, the newest older version that all agents together have whole is brought and taken first.

--- a/crates/moleroad_gateway/src/agent/bring.rs
+++ b/crates/moleroad_gateway/src/agent/bring.rs
@@ -2,13 +2,13 @@
 //! taken by another, so that the next version is fetched while an earlier one
 //! is being taken.
 
-use crate::agent::digests::digests;
-use crate::agent::fetch::{Fetch, Fetched};
+use crate::agent::digests::{digests, fellows};
+use crate::agent::fetch::{Ended, Fetch, Fetched};
 use crate::agent::{change, pieces};
 use crate::node::Node;
 use crate::peer::CatalogModel;
 use moleroad_directory::target::whole_version;
-use moleroad_rollout::prelude::Pause;
+use moleroad_rollout::prelude::{Pause, fallback};
 use moleroad_types::prelude::Millis;
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,40 +35,82 @@
     let (hand_over, handed) = mpsc::channel(1);
     tokio::spawn(take(node.clone(), handed));
     let mut missed: Option<(u64, Millis)> = None;
+    let mut stuck: Option<u64> = None;
     let mut origin_pause = Pause::default();
     loop {
         tokio::time::sleep(LOOK_EVERY).await;
-        let Some(wanted) = wanted(&node) else {
+        let Some(newest) = wanted(&node) else {
             continue;
         };
-        match held_version(&node, &wanted.model) {
+        match held_version(&node, &newest.model) {
             Held::Unknown => continue,
-            Held::Version(version) if version >= wanted.version => {
-                pieces::offer_all(&node, &wanted.model, version);
+            Held::Version(version) if version >= newest.version => {
+                pieces::offer_all(&node, &newest.model, version);
                 continue;
             }
             Held::Version(_) | Held::Nothing => {}
         }
-        if pieces::taking(&node) == Some(wanted.version) {
+        if pieces::taking(&node) == Some(newest.version) {
             continue;
         }
+        let older = stuck.take().filter(|version| *version == newest.version);
+        let older = older.and_then(|_| fallback_of(&node, &newest));
+        let is_fallback = older.is_some();
+        let wanted = older.unwrap_or(newest);
         let now = node.clock.now();
         let same = missed.filter(|(version, _)| *version == wanted.version);
         let (_, since) = *missed.insert(same.unwrap_or((wanted.version, now)));
-        let Some(digests) = digests(&node, &wanted, now.since(since), &mut origin_pause).await
-        else {
+        let waited_ms = now.since(since);
+        let Some(digests) = digests(&node, &wanted, waited_ms, &mut origin_pause).await else {
+            if !is_fallback && waited_ms >= DIGESTS_STUCK_MS {
+                stuck = Some(wanted.version);
+            }
             continue;
         };
         missed = None;
-        if let Some(fetched) = Fetch::new(&node, &wanted, digests).run().await {
-            pieces::begin_taking(&node, fetched.wanted.version);
-            if hand_over.send(fetched).await.is_err() {
-                return;
+        match Fetch::new(&node, &wanted, is_fallback, digests).run().await {
+            Ended::Fetched(fetched) => {
+                pieces::begin_taking(&node, fetched.wanted.version);
+                if hand_over.send(fetched).await.is_err() {
+                    return;
+                }
             }
+            Ended::Overtaken => {}
+            Ended::Stuck => stuck = Some(wanted.version),
         }
     }
 }
 
+/// Time without the digests of the newest version after which an older one is
+/// brought, if it can be had, in milliseconds.
+const DIGESTS_STUCK_MS: u64 = 1_000;
+
+/// An older version than the newest that agents have whole, if it is newer
+/// than what the engine holds or is about to take.
+pub fn fallback_of(node: &Node, newest: &Wanted) -> Option<Wanted> {
+    let held = match held_version(node, &newest.model) {
+        Held::Version(version) => version,
+        Held::Nothing | Held::Unknown => 0,
+    };
+    let held = held.max(pieces::taking(node).unwrap_or(0));
+    let view = node.view();
+    let model = &newest.model;
+    let others = fellows(&view, node.clock.now());
+    let has = |version: u64, piece: u32| {
+        let mut records = others.iter().copied().chain([&view.own]);
+        records.any(|record| {
+            let map = record.pieces_of(&model.model, version);
+            map.is_some_and(|map| map.has(piece))
+        })
+    };
+    let named = view.named.get(&model.model)?;
+    let version = fallback(named.versions(), held, newest.version, model.pieces, has)?;
+    Some(Wanted {
+        version,
+        ..newest.clone()
+    })
+}
+
 /// Lets the engine take what was fetched, one version after the other.
 async fn take(node: Arc<Node>, mut handed: mpsc::Receiver<Fetched>) {
     while let Some(first) = handed.recv().await {
--- a/crates/moleroad_gateway/src/agent/fetch.rs
+++ b/crates/moleroad_gateway/src/agent/fetch.rs
@@ -1,6 +1,6 @@
 //! Fetching the pieces of one version into memory, checked one by one.
 
-use crate::agent::bring::{LOOK_EVERY, Wanted, wanted};
+use crate::agent::bring::{LOOK_EVERY, Wanted, fallback_of, wanted};
 use crate::agent::calls::call;
 use crate::agent::digests::{fellows, origin_region};
 use crate::agent::{change, pieces};
@@ -45,10 +45,22 @@
     Origin(SocketAddr),
 }
 
+/// How a fetch ended.
+pub enum Ended {
+    /// All pieces are here.
+    Fetched(Fetched),
+    /// It is better to go on with a newer version.
+    Overtaken,
+    /// Nothing comes, and an older version can be had.
+    Stuck,
+}
+
 /// Fetches one version.
 pub struct Fetch {
     node: Arc<Node>,
     wanted: Wanted,
+    /// Whether it stands in for a newer version that does not come.
+    is_fallback: bool,
     digests: PieceDigests,
     patience: Patience,
     under_way: HashMap<u32, Source>,
@@ -62,7 +74,12 @@
 
 impl Fetch {
     /// Begins with what is held of the version already.
-    pub fn new(node: &Arc<Node>, wanted: &Wanted, digests: PieceDigests) -> Self {
+    pub fn new(
+        node: &Arc<Node>,
+        wanted: &Wanted,
+        is_fallback: bool,
+        digests: PieceDigests,
+    ) -> Self {
         let model = &wanted.model;
         pieces::open_map(node, model, wanted.version);
         log::info!(
@@ -74,6 +91,7 @@
         Self {
             node: node.clone(),
             wanted: wanted.clone(),
+            is_fallback,
             digests,
             patience: Patience::for_pieces(model.piece_bytes, node.settings.link_mbps),
             under_way: HashMap::new(),
@@ -86,21 +104,23 @@
         }
     }
 
-    /// Fetches until all pieces are here; `None` when it is better to go on
-    /// with a newer version.
-    pub async fn run(mut self) -> Option<Fetched> {
+    /// Fetches until all pieces are here, or another version goes first. What
+    /// is here of this one stays.
+    pub async fn run(mut self) -> Ended {
         let mut fetches = FuturesUnordered::new();
         loop {
             if self.missing().is_empty() {
                 self.log_fetched();
-                return Some(Fetched {
+                return Ended::Fetched(Fetched {
                     wanted: self.wanted,
                     digests: self.digests,
                 });
             }
             if self.is_overtaken() {
-                pieces::drop_version(&self.node, self.wanted.version);
-                return None;
+                return Ended::Overtaken;
+            }
+            if self.is_stuck() {
+                return Ended::Stuck;
             }
             while fetches.len() < FETCHED_AT_ONCE {
                 let Some((piece, source)) = self.next() else {
@@ -151,8 +171,18 @@
         }
         let pieces = self.wanted.model.pieces as usize;
         let held = pieces - self.missing().len();
-        let idle_ms = self.node.clock.now().since(self.progress_at);
-        (held as f64) < pieces as f64 * FINISHED_FROM_SHARE || idle_ms > self.patience.origin_ms * 2
+        let is_little = (held as f64) < pieces as f64 * FINISHED_FROM_SHARE;
+        (is_little && !self.is_fallback) || self.idle_ms() > self.patience.origin_ms * 2
+    }
+
+    /// Whether nothing comes and an older version can be had.
+    fn is_stuck(&self) -> bool {
+        let is_idle = self.idle_ms() > self.patience.origin_ms;
+        is_idle && !self.is_fallback && fallback_of(&self.node, &self.wanted).is_some()
+    }
+
+    fn idle_ms(&self) -> u64 {
+        self.node.clock.now().since(self.progress_at)
     }
 
     fn log_fetched(&self) {
--- a/crates/moleroad_gateway/src/agent/pieces.rs
+++ b/crates/moleroad_gateway/src/agent/pieces.rs
@@ -80,9 +80,19 @@
 }
 
 /// The engine's store is about to hold `version`: what it held of earlier ones
-/// is overwritten.
+/// is overwritten, and only what is in memory is left of them.
 pub fn begin_staging(node: &Node, version: u64) {
-    change_maps(node, |maps| maps.retain(|map| map.version >= version));
+    let kept: BTreeSet<(u64, u32)> = memory(node).pieces.keys().copied().collect();
+    change_maps(node, |maps| {
+        for map in maps.iter_mut().filter(|map| map.version < version) {
+            let pieces = map.bits.len() as u32 * u64::BITS;
+            let lost = (0..pieces).filter(|piece| !kept.contains(&(map.version, *piece)));
+            lost.collect::<Vec<u32>>()
+                .into_iter()
+                .for_each(|piece| map.set(piece, false));
+        }
+        maps.retain(|map| map.version >= version || map.count() > 0);
+    });
 }
 
 /// These pieces are not here after all.
@@ -93,12 +103,6 @@
     });
 }
 
-/// Forgets a version that is not wanted any more.
-pub fn drop_version(node: &Node, version: u64) {
-    forget_memory(node, version);
-    change_maps(node, |maps| maps.retain(|map| map.version != version));
-}
-
 /// The version that the engine is about to take.
 pub fn taking(node: &Node) -> Option<u64> {
     Some(memory(node).taking).filter(|version| *version != 0)
@@ -146,7 +150,9 @@
     memory(node).pieces.get(&(version, piece)).cloned()
 }
 
-/// Frees the memory of the version and of earlier ones.
+/// Frees the memory of the version and of earlier ones; of those before it
+/// nothing is left.
 pub fn forget_memory(node: &Node, version: u64) {
     memory(node).pieces.retain(|(kept, _), _| *kept > version);
+    change_maps(node, |maps| maps.retain(|map| map.version >= version));
 }
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -52,6 +52,11 @@
         self.times.last_key_value().map(|(version, _)| *version)
     }
 
+    /// The versions, from the lowest.
+    pub fn versions(&self) -> impl Iterator<Item = u64> {
+        self.times.keys().copied()
+    }
+
     /// When the first version after `held` was named.
     pub fn waiting_since(&self, held: u64) -> Option<Millis> {
         let later = self.times.range(held + 1..);
--- a/crates/moleroad_rollout/src/lib.rs
+++ b/crates/moleroad_rollout/src/lib.rs
@@ -4,7 +4,8 @@
 //! Agents decide alike from the same knowledge, without a planner: one copy
 //! leaves the origin, one copy enters each region, and within a region
 //! agents give pieces to each other. [`sources`] says who may take a piece
-//! from where, [`pause`] for how long a source that refuses is left alone, [`waves`] when an engine may change its weights.
+//! from where, [`pause`] for how long a source that refuses is left alone, [`fallback`] what to
+//! bring when the newest version does not come, [`waves`] when an engine may change its weights.
 //!
 //! ```
 //! use moleroad_rollout::prelude::*;
@@ -14,12 +15,14 @@
 //! ```
 #![warn(missing_docs)]
 
+pub mod fallback;
 pub mod pause;
 pub mod sources;
 pub mod waves;
 
 /// The types most users of the crate need.
 pub mod prelude {
+    pub use crate::fallback::fallback;
     pub use crate::pause::Pause;
     pub use crate::sources::{Member, Patience, Permission, carriers, copy_ms, permission};
     pub use crate::waves::{EngineStage, WavePlan};
--- a/crates/moleroad_rollout/tests/rollout.rs
+++ b/crates/moleroad_rollout/tests/rollout.rs
@@ -188,3 +188,14 @@
         );
     }
 }
+
+#[test]
+fn an_older_version_that_agents_have_whole_stands_in_for_one_that_does_not_come() {
+    // Version 2 is whole among the agents, 3 lacks a piece, 4 is named last.
+    let has = |version: u64, piece: u32| version <= 2 || (version == 3 && piece != 7);
+    let stands_in = |held, newest| fallback([1, 2, 3, 4], held, newest, 48, has);
+    assert_eq!(stands_in(1, 4), Some(2));
+    assert_eq!(stands_in(1, 3), Some(2));
+    assert_eq!(stands_in(2, 4), None);
+    assert_eq!(stands_in(1, 2), None);
+}
