--- a/crates/moleroad_config/src/check.rs
+++ b/crates/moleroad_config/src/check.rs
@@ -28,9 +28,9 @@
         NoTimeout(route: String) {
             display("MR-6105 the time-out of route {} is 0", route)
         }
-        /// A key belongs to two tenants.
+        /// A key belongs to two accounts.
         SharedKey(first: String, second: String) {
-            display("MR-6106 tenants {} and {} share a key", first, second)
+            display("MR-6106 accounts {} and {} share a key", first, second)
         }
         /// A service is listed twice.
         SameService(service: String) {
@@ -77,17 +77,21 @@
     let mut places = HashSet::new();
     for route in &configuration.routes {
         let unknown = route
-            .backends
+            .weighted_services
             .iter()
-            .find(|backend| !services.contains(backend.service.as_str()));
-        if let Some(backend) = unknown {
-            let service = backend.service.clone();
+            .find(|weighted| !services.contains(weighted.service.as_str()));
+        if let Some(weighted) = unknown {
+            let service = weighted.service.clone();
             return Err(ConfigurationError::UnknownService(
                 route.name.clone(),
                 service,
             ));
         }
-        if route.backends.iter().all(|backend| backend.weight == 0) {
+        if route
+            .weighted_services
+            .iter()
+            .all(|weighted| weighted.weight == 0)
+        {
             return Err(ConfigurationError::NoWeight(route.name.clone()));
         }
         if route.timeout_ms == 0 {
@@ -107,11 +111,11 @@
 
 fn check_keys(configuration: &Configuration) -> Result<(), ConfigurationError> {
     let mut holders: std::collections::HashMap<&str, &str> = Default::default();
-    for tenant in &configuration.tenants {
-        for key in &tenant.keys {
-            let holder = holders.insert(key, &tenant.name);
-            if let Some(first) = holder.filter(|first| *first != tenant.name) {
-                let pair = (first.to_string(), tenant.name.clone());
+    for account in &configuration.accounts {
+        for key in &account.keys {
+            let holder = holders.insert(key, &account.name);
+            if let Some(first) = holder.filter(|first| *first != account.name) {
+                let pair = (first.to_string(), account.name.clone());
                 return Err(ConfigurationError::SharedKey(pair.0, pair.1));
             }
         }
--- a/crates/moleroad_config/src/configuration.rs
+++ b/crates/moleroad_config/src/configuration.rs
@@ -21,10 +21,10 @@
 
 /// One service that shares a route, and its share.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Backend {
+pub struct WeightedService {
     /// Name of the service.
     pub service: String,
-    /// Share of the route's requests, relative to the route's other backends.
+    /// Share of the route's requests, relative to its other services.
     pub weight: u64,
 }
 
@@ -38,7 +38,7 @@
     /// Beginning of the path.
     pub prefix: String,
     /// Services that requests go to.
-    pub backends: Vec<Backend>,
+    pub weighted_services: Vec<WeightedService>,
     /// Whether a request may run again.
     pub repeatability: Repeatability,
     /// Whether the answer is a stream of events.
@@ -145,7 +145,7 @@
 
 /// One client account and the keys that name it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Tenant {
+pub struct ClientAccount {
     /// Name that targets are shown.
     pub name: String,
     /// Keys that callers send.
@@ -166,5 +166,5 @@
     /// Bounds on what callers send.
     pub limits: Limits,
     /// Client accounts; without any, no request needs a key.
-    pub tenants: Vec<Tenant>,
+    pub accounts: Vec<ClientAccount>,
 }
--- a/crates/moleroad_config/src/lib.rs
+++ b/crates/moleroad_config/src/lib.rs
@@ -24,8 +24,8 @@
 pub mod prelude {
     pub use crate::check::{ConfigurationError, check};
     pub use crate::configuration::{
-        Backend, ConfigVersion, Configuration, EngineModel, Limits, OriginService, Repeatability,
-        Route, Service, StepModel, Tenant,
+        ClientAccount, ConfigVersion, Configuration, EngineModel, Limits, OriginService,
+        Repeatability, Route, Service, StepModel, WeightedService,
     };
     pub use crate::route_table::RouteTable;
 }
--- a/crates/moleroad_config/src/route_table.rs
+++ b/crates/moleroad_config/src/route_table.rs
@@ -1,15 +1,17 @@
 //! A configuration in the form that requests are looked up in.
 
-use crate::configuration::{Backend, ConfigVersion, Configuration, Limits, Route, Service, Tenant};
+use crate::configuration::{
+    ClientAccount, ConfigVersion, Configuration, Limits, Route, Service, WeightedService,
+};
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// Routes by host and longest prefix, tenants by key, services by name.
+/// Routes by host and longest prefix, accounts by key, services by name.
 #[derive(Debug, Default)]
 pub struct RouteTable {
     version: ConfigVersion,
     hosts: HashMap<String, Vec<Arc<Route>>>,
-    keys: HashMap<String, Arc<Tenant>>,
+    keys: HashMap<String, Arc<ClientAccount>>,
     services: HashMap<String, Arc<Service>>,
     limits: Limits,
     needs_key: bool,
@@ -27,9 +29,9 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let mut keys = HashMap::new();
-        for tenant in &configuration.tenants {
-            let shared = Arc::new(tenant.clone());
-            for key in &tenant.keys {
+        for account in &configuration.accounts {
+            let shared = Arc::new(account.clone());
+            for key in &account.keys {
                 keys.insert(key.clone(), shared.clone());
             }
         }
@@ -41,7 +43,7 @@
             keys,
             services: services.collect(),
             limits: configuration.limits,
-            needs_key: !configuration.tenants.is_empty(),
+            needs_key: !configuration.accounts.is_empty(),
         }
     }
 
@@ -67,8 +69,8 @@
         self.needs_key
     }
 
-    /// The tenant that holds `key`.
-    pub fn tenant_of(&self, key: &str) -> Option<&Arc<Tenant>> {
+    /// The account that holds `key`.
+    pub fn account_of(&self, key: &str) -> Option<&Arc<ClientAccount>> {
         self.keys.get(key)
     }
 
@@ -82,15 +84,19 @@
         self.services.values()
     }
 
-    /// The backend that `draw`, any number, falls on by weight.
-    pub fn backend_of(route: &Route, draw: u64) -> Option<&Backend> {
-        let total: u64 = route.backends.iter().map(|backend| backend.weight).sum();
+    /// The service that `draw`, any number, falls on by weight.
+    pub fn service_of(route: &Route, draw: u64) -> Option<&WeightedService> {
+        let total: u64 = route
+            .weighted_services
+            .iter()
+            .map(|weighted| weighted.weight)
+            .sum();
         let mut left = draw.checked_rem(total)?;
-        for backend in &route.backends {
-            if left < backend.weight {
-                return Some(backend);
+        for weighted in &route.weighted_services {
+            if left < weighted.weight {
+                return Some(weighted);
             }
-            left -= backend.weight;
+            left -= weighted.weight;
         }
         None
     }
--- a/crates/moleroad_config/tests/config.rs
+++ b/crates/moleroad_config/tests/config.rs
@@ -7,7 +7,7 @@
         name: format!("{host}{prefix}"),
         host: host.into(),
         prefix: prefix.into(),
-        backends: vec![Backend {
+        weighted_services: vec![WeightedService {
             service: service.into(),
             weight: 1,
         }],
@@ -35,8 +35,8 @@
     }
 }
 
-fn tenant(name: &str, keys: &[&str]) -> Tenant {
-    Tenant {
+fn account(name: &str, keys: &[&str]) -> ClientAccount {
+    ClientAccount {
         name: name.into(),
         keys: keys.iter().map(|key| key.to_string()).collect(),
         priority: None,
@@ -52,7 +52,7 @@
         ],
         services: vec![service("one"), service("two")],
         limits: Limits::default(),
-        tenants: vec![tenant("first", &["k1", "k2"]), tenant("second", &["k3"])],
+        accounts: vec![account("first", &["k1", "k2"]), account("second", &["k3"])],
     }
 }
 
@@ -61,7 +61,7 @@
     let table = RouteTable::compile(&sound());
     let service_at = |host: &str, path: &str| {
         let route = table.find(host, path)?;
-        Some(route.backends[0].service.clone())
+        Some(route.weighted_services[0].service.clone())
     };
     assert_eq!(service_at("a.example", "/x/1").as_deref(), Some("one"));
     assert_eq!(service_at("A.example:80", "/x/y/1").as_deref(), Some("two"));
@@ -77,10 +77,16 @@
     let faults: Vec<(&str, Spoil)> = vec![
         ("MR-6102", Box::new(|c| c.services.truncate(1))),
         ("MR-6103", Box::new(|c| c.routes[1].prefix = "/x/".into())),
-        ("MR-6104", Box::new(|c| c.routes[0].backends[0].weight = 0)),
-        ("MR-6104", Box::new(|c| c.routes[0].backends.clear())),
+        (
+            "MR-6104",
+            Box::new(|c| c.routes[0].weighted_services[0].weight = 0),
+        ),
+        (
+            "MR-6104",
+            Box::new(|c| c.routes[0].weighted_services.clear()),
+        ),
         ("MR-6105", Box::new(|c| c.routes[1].timeout_ms = 0)),
-        ("MR-6106", Box::new(|c| c.tenants[1].keys[0] = "k2".into())),
+        ("MR-6106", Box::new(|c| c.accounts[1].keys[0] = "k2".into())),
         ("MR-6107", Box::new(|c| c.services.push(service("one")))),
         ("MR-6108", Box::new(|c| c.routes[0].prefix = "/x".into())),
         ("MR-6109", Box::new(|c| c.version = ConfigVersion(0))),
@@ -97,33 +103,33 @@
 #[test]
 fn backends_are_drawn_by_weight() {
     let mut split = route("a.example", "/", "one");
-    split.backends = vec![
-        Backend {
+    split.weighted_services = vec![
+        WeightedService {
             service: "one".into(),
             weight: 90,
         },
-        Backend {
+        WeightedService {
             service: "none".into(),
             weight: 0,
         },
-        Backend {
+        WeightedService {
             service: "two".into(),
             weight: 10,
         },
     ];
-    let drawn = |draw| RouteTable::backend_of(&split, draw).map(|b| b.service.as_str());
+    let drawn = |draw| RouteTable::service_of(&split, draw).map(|b| b.service.as_str());
     let ones = (0..1000).filter(|draw| drawn(*draw) == Some("one")).count();
     let twos = (0..1000).filter(|draw| drawn(*draw) == Some("two")).count();
     assert_eq!((ones, twos), (900, 100));
 }
 
 #[test]
-fn a_key_names_its_tenant() {
+fn a_key_names_its_client_account() {
     let table = RouteTable::compile(&sound());
     assert_eq!(
-        table.tenant_of("k3").map(|tenant| tenant.name.as_str()),
+        table.account_of("k3").map(|account| account.name.as_str()),
         Some("second")
     );
-    assert!(table.tenant_of("k4").is_none());
+    assert!(table.account_of("k4").is_none());
     assert!(table.needs_key());
 }
--- a/crates/moleroad_gateway/src/front/request.rs
+++ b/crates/moleroad_gateway/src/front/request.rs
@@ -10,7 +10,7 @@
     TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{Method, Request};
-use moleroad_config::prelude::{Route, RouteTable, Tenant};
+use moleroad_config::prelude::{ClientAccount, Route, RouteTable};
 use moleroad_types::prelude::Millis;
 use std::sync::Arc;
 use std::time::Duration;
@@ -69,11 +69,11 @@
     let path = head.uri.path();
     let route = table.find(&host, path).ok_or(OwnAnswer::NoRoute)?.clone();
     let key = head.headers.get(&names.key);
-    let tenant = tenant_of(&table, &route, key)?;
+    let account = account_of(&table, &route, key)?;
     let id = head.headers.get(&names.request_id).cloned();
     let id = id.unwrap_or_else(|| HeaderValue::from_static("-"));
-    let backend = RouteTable::backend_of(&route, rand::random()).ok_or(OwnAnswer::NoRoute)?;
-    let service = backend.service.clone();
+    let weighted = RouteTable::service_of(&route, rand::random()).ok_or(OwnAnswer::NoRoute)?;
+    let service = weighted.service.clone();
     let deadline_ms = number(head.headers.get(&names.deadline_ms));
     let hold_ms = route.timeout_ms.min(LONGEST_HOLD_MS);
     let until = arrived + deadline_ms.map_or(hold_ms, |deadline| deadline.min(hold_ms));
@@ -84,7 +84,7 @@
     let last_event = head.headers.get(&names.last_event);
     let last_event = last_event.map(|value| Bytes::copy_from_slice(value.as_bytes()));
     let target = head.uri.path_and_query().map_or("/", |both| both.as_str());
-    let priority = tenant.as_ref().and_then(|tenant| tenant.priority);
+    let priority = account.as_ref().and_then(|account| account.priority);
     let mut accepted = Accepted {
         method: head.method.clone(),
         target: target.to_string(),
@@ -101,7 +101,7 @@
         last_event,
         prompt_tokens: usage.prompt,
     };
-    set_tenant(&mut accepted.headers, &names.tenant, tenant.as_deref());
+    set_account(&mut accepted.headers, &names.account, account.as_deref());
     accepted.headers.remove(&names.key);
     accepted.headers.remove(&names.expected_target);
     accepted.headers.remove(&names.expected_version);
@@ -118,23 +118,23 @@
     named.or(uri.host()).map(str::to_string)
 }
 
-fn tenant_of(
+fn account_of(
     table: &RouteTable,
     route: &Route,
     key: Option<&HeaderValue>,
-) -> Result<Option<Arc<Tenant>>, OwnAnswer> {
+) -> Result<Option<Arc<ClientAccount>>, OwnAnswer> {
     let key = key.and_then(|key| key.to_str().ok());
-    let tenant = key.and_then(|key| table.tenant_of(key)).cloned();
-    if table.needs_key() && !route.public && tenant.is_none() {
+    let account = key.and_then(|key| table.account_of(key)).cloned();
+    if table.needs_key() && !route.public && account.is_none() {
         return Err(OwnAnswer::UnknownKey);
     }
-    Ok(tenant)
+    Ok(account)
 }
 
-fn set_tenant(headers: &mut HeaderMap, name: &HeaderName, tenant: Option<&Tenant>) {
+fn set_account(headers: &mut HeaderMap, name: &HeaderName, account: Option<&ClientAccount>) {
     headers.remove(name);
-    if let Some(tenant) = tenant
-        && let Ok(value) = HeaderValue::from_str(&tenant.name)
+    if let Some(account) = account
+        && let Ok(value) = HeaderValue::from_str(&account.name)
     {
         headers.insert(name, value);
     }
--- a/crates/moleroad_gateway/src/interface.rs
+++ b/crates/moleroad_gateway/src/interface.rs
@@ -21,7 +21,7 @@
     /// Key of the caller.
     pub key: HeaderName,
     /// Client account, as targets are shown it.
-    pub tenant: HeaderName,
+    pub account: HeaderName,
     /// Proof that a target made the answer.
     pub signature: HeaderName,
     /// Identity of the target that the request is for.
