--- a/crates/moleroad_gateway/src/greeting/contacts.rs
+++ b/crates/moleroad_gateway/src/greeting/contacts.rs
@@ -182,8 +182,7 @@
         if relays.iter().all(|relay| self.rests(relay)) {
             relays = self.far_relays();
         }
-        let is_fetching = self.fetched_pieces().is_some();
-        let every = if is_fetching {
+        let every = if self.is_fetching() {
             FETCHING_GREETS_MS
         } else {
             AGENT_GREETS_MS
@@ -240,7 +239,7 @@
     /// which they bring into their regions.
     fn carriers(&self) -> Vec<Contact> {
         let changed_at = self.pieces_changed_at();
-        let Some(fetched) = self.fetched_pieces() else {
+        let Some(fetched) = self.newest_pieces() else {
             return Vec::new();
         };
         if changed_at <= self.carried_position {
@@ -281,11 +280,22 @@
     }
 
     /// The newest version of which this agent has pieces.
-    fn fetched_pieces(&self) -> Option<&PieceMap> {
+    fn newest_pieces(&self) -> Option<&PieceMap> {
         let maps = self.own.pieces.iter();
         maps.max_by_key(|map| map.version)
     }
 
+    /// Whether this agent has pieces of a version that its engine does not
+    /// hold.
+    fn is_fetching(&self) -> bool {
+        let Some(newest) = self.newest_pieces() else {
+            return false;
+        };
+        let report = self.own.report.as_ref();
+        let mut holdings = report.into_iter().flat_map(|report| &report.holdings);
+        !holdings.any(|holding| holding.version >= newest.version)
+    }
+
     fn pieces_changed_at(&self) -> u64 {
         let own = self.directory.daemon(&self.own.instance);
         own.map_or(0, |heard| heard.changes.pieces)
--- a/crates/moleroad_gateway/src/greeting/mod.rs
+++ b/crates/moleroad_gateway/src/greeting/mod.rs
@@ -38,7 +38,7 @@
     /// When it was last greeted.
     at: u64,
     /// Position of this daemon's directory when it was last told of this
-    /// daemon.
+    /// daemon; 0 when it may not know this daemon.
     position: u64,
     /// Number of the last call of a target that it was told of.
     calls: u64,
@@ -59,7 +59,8 @@
     waiting: HashSet<SocketAddr>,
     /// When news last came.
     news_at: Option<u64>,
-    /// Target that this daemon's pieces were last told to, by position.
+    /// Position of this daemon's directory when agents that bring pieces into
+    /// other regions were last told of its own.
     carried_position: u64,
 }
 
