Let engines change over in waves by rank, not by what is known of others

An agent held back while it knew of enough others that were staged or changing. Agents of other regions are heard of through relays half a second later, and all become staged within that time: 20 engines changed over within 0.5 s and none was left to send to.

Change: each engine has its wave by the hash of its name among the engines of the service; the time from its own staging to the last moment is divided into turns.

--- a/crates/moleroad_gateway/src/agent/change.rs
+++ b/crates/moleroad_gateway/src/agent/change.rs
@@ -2,6 +2,7 @@
 
 use crate::agent::bring::{Held, LOOK_EVERY, Wanted, held_version};
 use crate::agent::calls::call;
+use crate::agent::digests::fellows;
 use crate::agent::fetch::Fetched;
 use crate::agent::pieces;
 use crate::agent::watch;
@@ -11,7 +12,7 @@
 use moleroad_directory::prelude::*;
 use moleroad_directory::target::whole_version;
 use moleroad_rollout::prelude::*;
-use moleroad_types::prelude::InstanceId;
+use moleroad_types::prelude::{InstanceId, Millis};
 use sha2::{Digest, Sha256};
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,8 +57,9 @@
     let target = &fetched.wanted;
     pieces::begin_staging(node, target.version);
     stage(node, target, &pieces::not_staged(node, target.version)).await;
+    let staged_at = node.clock.now();
     loop {
-        while !is_turn(node, target) {
+        while !is_turn(node, target, staged_at) {
             if let Ok(newer) = newer.try_recv() {
                 return Changed::Overtaken(Box::new(newer));
             }
@@ -171,7 +173,7 @@
     answer.is_some_and(|(status, _)| status.is_success())
 }
 
-fn is_turn(node: &Node, target: &Wanted) -> bool {
+fn is_turn(node: &Node, target: &Wanted, staged_at: Millis) -> bool {
     let now = node.clock.now();
     let view = node.view();
     let own = &view.own;
@@ -180,15 +182,24 @@
         // An engine that serves nothing has nothing to wait for.
         return true;
     };
-    let others: Vec<(InstanceId, EngineStage, bool)> = view
-        .directory
-        .daemons()
-        .map(|heard| &heard.record)
-        .filter(|other| other.instance != own.instance && other.service == own.service)
-        .filter_map(|other| stage_of(other, target))
+    let fellows = fellows(&view, now);
+    let others: Vec<&InstanceId> = fellows
+        .into_iter()
+        .filter(|other| serves(other, target))
+        .map(|other| &other.instance)
         .collect();
     let plan = wave_plan(node, target, others.len() + 1);
-    plan.may_begin(&own.instance, &others, now.since(named_at))
+    let (elapsed_ms, staged_ms) = (now.since(named_at), staged_at.since(named_at));
+    plan.may_begin(&own.instance, others, elapsed_ms, staged_ms)
+}
+
+/// Whether the engine beside another agent serves some version, or is changing
+/// it.
+fn serves(other: &DaemonRecord, target: &Wanted) -> bool {
+    let model = &target.model;
+    let report = other.report.as_ref();
+    report
+        .is_some_and(|report| whole_version(&report.holdings, &model.model, model.layers).is_some())
 }
 
 /// The time that the version leaves is shared out evenly.
@@ -206,22 +217,6 @@
     }
 }
 
-/// How far another agent's engine is; `None` when it serves nothing.
-fn stage_of(other: &DaemonRecord, target: &Wanted) -> Option<(InstanceId, EngineStage, bool)> {
-    let report = other.report.as_ref()?;
-    let model = &target.model;
-    let version = whole_version(&report.holdings, &model.model, model.layers);
-    let stage = match version {
-        Some(version) if version >= target.version => EngineStage::Done,
-        _ if report.switching => EngineStage::Switching,
-        Some(_) => EngineStage::Old,
-        None => return None,
-    };
-    let map = other.pieces_of(&model.model, target.version);
-    let staged = map.is_some_and(|map| map.count() == model.pieces);
-    Some((other.instance.clone(), stage, staged))
-}
-
 /// Pieces in the engine's store that are not what they must be.
 async fn bad_pieces(node: &Node, target: &Wanted, digests: &PieceDigests) -> Vec<u32> {
     let Some(engine) = node.settings.engine else {
--- a/crates/moleroad_rollout/src/lib.rs
+++ b/crates/moleroad_rollout/src/lib.rs
@@ -11,7 +11,7 @@
 //! use moleroad_rollout::prelude::*;
 //!
 //! let plan = WavePlan { engines: 12, turn_ms: 1_000, begin_from_ms: 2_000, begin_by_ms: 5_000 };
-//! assert_eq!(plan.at_once(), 3);
+//! assert_eq!(plan.at_once(2_000), 3);
 //! ```
 #![warn(missing_docs)]
 
@@ -25,5 +25,5 @@
     pub use crate::fallback::fallback;
     pub use crate::pause::Pause;
     pub use crate::sources::{Member, Patience, Permission, carriers, copy_ms, permission};
-    pub use crate::waves::{EngineStage, WavePlan};
+    pub use crate::waves::WavePlan;
 }
