Give control daemons a role of their own

Change: the role control keeps the log, takes operators' and targets' calls, asks one relay of its data hall for news and tells the other members of itself. It is no relay and never named to callers.

Ruled out: the entry's role without a frontend (a control daemon would then be drawn as a relay and pass on news beside its disk).

--- a/crates/moleroad_directory/src/daemon.rs
+++ b/crates/moleroad_directory/src/daemon.rs
@@ -12,6 +12,8 @@
     Entry,
     /// Brings weights to the engine of its instance.
     Agent,
+    /// Keeps the control state; takes no callers.
+    Control,
 }
 
 /// Whether a daemon goes on.
--- a/crates/moleroad_gateway/src/greeting/answer.rs
+++ b/crates/moleroad_gateway/src/greeting/answer.rs
@@ -4,7 +4,6 @@
 use crate::greeting::take;
 use crate::node::Node;
 use crate::peer::{Hello, HelloAnswer, Speaker};
-use crate::settings::RoleSetting;
 use crate::view::View;
 use moleroad_directory::prelude::*;
 use moleroad_types::prelude::{InstanceId, Millis};
@@ -64,7 +63,7 @@
     };
     let is_behind = !is_agent && hello.config_version > view.state.config_version();
     drop(view);
-    if node.settings.role == RoleSetting::Entry {
+    if node.settings.role.knows_all() {
         take::put_to_use(node, caller.changed);
     }
     if let Some(peer) = peer.filter(|_| is_behind) {
--- a/crates/moleroad_gateway/src/greeting/contacts.rs
+++ b/crates/moleroad_gateway/src/greeting/contacts.rs
@@ -84,6 +84,7 @@
         let mut contacts = match self.own.role {
             DaemonRole::Entry => self.of_entry(),
             DaemonRole::Agent => self.of_agent(),
+            DaemonRole::Control => self.of_control(),
         };
         if self.is_lost {
             let seeds = self.seeds.iter().copied();
@@ -114,13 +115,38 @@
                 .into_iter()
                 .collect()
         };
-        if self.own.has_log {
-            let members = self.others().filter(|other| other.has_log);
-            contacts.extend(members.map(|other| self.told(other.peer, ENTRY_GREETS_MS)));
-        }
+        contacts.extend(self.members());
         contacts
     }
 
+    /// A control daemon is no relay: it hears of requests' targets only to
+    /// answer those who begin, and must not be held up by passing on news.
+    fn of_control(&self) -> Vec<Contact> {
+        let relay = self.first_sound(self.sound_relays());
+        let asked = relay.map(|relay| self.asked(relay.peer, Scope::All, ENTRY_GREETS_MS));
+        asked.into_iter().chain(self.members()).collect()
+    }
+
+    /// The other daemons with a log, so that each knows who might replace a
+    /// lost member.
+    fn members(&self) -> Vec<Contact> {
+        let members = self
+            .others()
+            .filter(|other| self.own.has_log && other.has_log);
+        let told = members.map(|other| self.told(other.peer, ENTRY_GREETS_MS));
+        told.collect()
+    }
+
+    /// The relays of the own data hall, or of others when none there answers.
+    fn sound_relays(&self) -> Vec<&DaemonRecord> {
+        let relays = self.directory.relays(self.now, &self.own.hall);
+        if relays.iter().all(|relay| self.rests(relay)) {
+            self.far_relays()
+        } else {
+            relays
+        }
+    }
+
     fn of_relay(&self, relays: &[&DaemonRecord]) -> Vec<Contact> {
         let others = relays.iter().filter(|relay| !self.is_own(relay));
         let mut contacts: Vec<Contact> = others
@@ -178,10 +204,7 @@
     }
 
     fn of_agent(&self) -> Vec<Contact> {
-        let mut relays = self.directory.relays(self.now, &self.own.hall);
-        if relays.iter().all(|relay| self.rests(relay)) {
-            relays = self.far_relays();
-        }
+        let relays = self.sound_relays();
         let every = if self.is_fetching() {
             FETCHING_GREETS_MS
         } else {
@@ -205,7 +228,7 @@
         contacts
     }
 
-    /// Entries of other data halls for an agent whose own has none: the
+    /// Entries of other data halls for a daemon whose own has none: the
     /// nearest.
     fn far_relays(&self) -> Vec<&DaemonRecord> {
         let halls = self.directory.entry_halls();
--- a/crates/moleroad_gateway/src/greeting/mod.rs
+++ b/crates/moleroad_gateway/src/greeting/mod.rs
@@ -12,7 +12,6 @@
 
 use crate::node::Node;
 use crate::peer::{Hello, HelloAnswer, Speaker};
-use crate::settings::RoleSetting;
 use contacts::{Contact, LONG_SILENT_MS, Standing};
 use moleroad_directory::prelude::*;
 use std::collections::{HashMap, HashSet};
@@ -265,7 +264,7 @@
         view.take_leader(answer.leader);
         (taken, answer.config_version > view.state.config_version())
     };
-    if node.settings.role == RoleSetting::Entry {
+    if node.settings.role.knows_all() {
         take::put_to_use(node, taken.changed);
         if behind {
             pull(node, address).await;
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -268,6 +268,7 @@
     let role = match settings.role {
         RoleSetting::Entry => DaemonRole::Entry,
         RoleSetting::Agent => DaemonRole::Agent,
+        RoleSetting::Control => DaemonRole::Control,
     };
     DaemonRecord {
         instance: InstanceId::new(settings.instance.as_str()),
--- a/crates/moleroad_gateway/src/run.rs
+++ b/crates/moleroad_gateway/src/run.rs
@@ -40,6 +40,9 @@
 const END_BEFORE_MS: u64 = 250;
 /// Callers keep an address three times its time to live, and a little longer.
 const ADDRESS_KEPT_MS: u64 = 3_400;
+/// Time in which a control daemon that stops answers the calls under way, in
+/// milliseconds: operators and targets wait a second for an answer.
+const CALLS_ANSWERED_MS: u64 = 1_000;
 
 /// Runs the process until it is asked to stop.
 ///
@@ -71,6 +74,7 @@
     match node.settings.role {
         RoleSetting::Entry => start_entry(&node, outputs)?,
         RoleSetting::Agent => agent::start(&node),
+        RoleSetting::Control => start_control(&node, outputs)?,
     }
     tokio::spawn(greeting::greet(node.clone()));
     tokio::spawn(reload(node.clone(), hangups, settings_path));
@@ -86,10 +90,21 @@
     node: &Arc<Node>,
     outputs: mpsc::UnboundedReceiver<CoreOutput>,
 ) -> std::io::Result<()> {
-    let listen_at = &node.settings.listen;
-    if let Some(address) = listen_at.frontend {
+    if let Some(address) = node.settings.listen.frontend {
         tokio::spawn(front::serve::serve(node.clone(), listen(address)?));
     }
+    start_control(node, outputs)?;
+    tokio::spawn(keep_house(node.clone()));
+    Ok(())
+}
+
+/// Takes the calls of targets, operators and the platform, and does what the
+/// member of the control group asks for, where there is one.
+fn start_control(
+    node: &Arc<Node>,
+    outputs: mpsc::UnboundedReceiver<CoreOutput>,
+) -> std::io::Result<()> {
+    let listen_at = &node.settings.listen;
     let mut addresses: Vec<SocketAddr> =
         [listen_at.readiness, listen_at.control, listen_at.directory]
             .into_iter()
@@ -101,7 +116,6 @@
         tokio::spawn(system_calls::serve(node.clone(), listen(address)?));
     }
     tokio::spawn(carry_out(node.clone(), outputs));
-    tokio::spawn(keep_house(node.clone()));
     Ok(())
 }
 
@@ -275,10 +289,10 @@
     }
     let grace_ms = node.settings.bounds.grace_ms;
     let no_more_at = grace_ms - grace_ms / LAST_PART_OF_GRACE;
-    let settled_at = if node.settings.role == RoleSetting::Entry {
-        ADDRESS_KEPT_MS.min(no_more_at)
-    } else {
-        0
+    let settled_at = match node.settings.role {
+        RoleSetting::Entry => ADDRESS_KEPT_MS.min(no_more_at),
+        RoleSetting::Control => CALLS_ANSWERED_MS,
+        RoleSetting::Agent => 0,
     };
     loop {
         let elapsed = node.clock.now().since(started);
--- a/crates/moleroad_gateway/src/settings.rs
+++ b/crates/moleroad_gateway/src/settings.rs
@@ -35,6 +35,16 @@
     Entry,
     /// Brings weights to the engine of its instance.
     Agent,
+    /// Keeps the control state, and takes targets' and operators' calls.
+    Control,
+}
+
+impl RoleSetting {
+    /// Whether the process knows all targets and the whole configuration, so
+    /// that targets and operators may call it.
+    pub fn knows_all(self) -> bool {
+        self != RoleSetting::Agent
+    }
 }
 
 /// Addresses that others call.
@@ -222,6 +232,20 @@
         if self.role == RoleSetting::Entry && self.listen.frontend.is_none() {
             return wrong("listen.frontend", "is missing: an entry takes requests");
         }
+        if self.role == RoleSetting::Control {
+            if self.data_dir.is_none() {
+                return wrong("data_dir", "is missing: a control daemon keeps the log");
+            }
+            if self.listen.control.is_none() {
+                return wrong("listen.control", "is missing: a control daemon takes calls");
+            }
+            if self.listen.frontend.is_some() {
+                return wrong(
+                    "listen.frontend",
+                    "is set: a control daemon takes no requests",
+                );
+            }
+        }
         if self.bounds.grace_ms < 1_000 {
             return wrong("bounds.grace_ms", "is under a second");
         }
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -4,7 +4,7 @@
 use crate::interface::Interface;
 use crate::peer::{Catalog, CatalogModel, CatalogOrigin, LeaderHint, VersionAge};
 use crate::places::ServicePlaces;
-use crate::settings::Settings;
+use crate::settings::{RoleSetting, Settings};
 use moleroad_config::prelude::{RouteTable, Service, check};
 use moleroad_directory::prelude::*;
 use moleroad_directory::target::whole_version;
@@ -244,6 +244,9 @@
 
     /// Brings the candidates of every service up to date.
     pub fn refresh_candidates(&mut self, now: Millis, settings: &Settings) {
+        if settings.role != RoleSetting::Entry {
+            return;
+        }
         let Some(table) = self.table.clone() else {
             return;
         };
--- a/crates/moleroad_gateway/tests/contacts.rs
+++ b/crates/moleroad_gateway/tests/contacts.rs
@@ -116,6 +116,38 @@
     assert_eq!(contacts.len(), 19);
 }
 
+#[test]
+fn a_control_daemon_asks_one_relay_tells_the_members_and_relays_nothing() {
+    let mut directory = three_halls();
+    let member = |number: u16, hall: &str| DaemonRecord {
+        has_log: true,
+        ..daemon(number, hall, DaemonRole::Control)
+    };
+    for (number, hall) in [(150, "a"), (151, "a"), (250, "b"), (350, "c")] {
+        directory.hear_daemon(Millis(0), member(number, hall), 0);
+    }
+    let contacts = contacts(&directory, &member(150, "a"), &[]);
+    let relays = directory.relays(Millis(1), "a");
+    assert!(relays.iter().all(|relay| relay.role == DaemonRole::Entry));
+    let asked = asked(&contacts);
+    assert_eq!(asked.len(), 1);
+    assert!(relays.iter().any(|relay| relay.peer == asked[0].address));
+    let told: Vec<SocketAddr> = contacts
+        .iter()
+        .filter(|contact| contact.scope == Scope::Nothing)
+        .map(|contact| contact.address)
+        .collect();
+    assert_eq!(told, [peer(151), peer(250), peer(350)]);
+}
+
+#[test]
+fn a_control_daemon_without_entries_in_its_hall_turns_to_other_halls() {
+    let directory = three_halls();
+    let own = daemon(400, "d", DaemonRole::Control);
+    let contacts = contacts(&directory, &own, &[]);
+    assert_eq!(asked(&contacts).len(), 1);
+}
+
 #[test]
 fn an_agent_without_entries_in_its_hall_turns_to_other_halls() {
     let mut directory = Directory::new();
--- a/crates/moleroad_gateway/tests/parts.rs
+++ b/crates/moleroad_gateway/tests/parts.rs
@@ -5,7 +5,7 @@
 use moleroad_config::prelude::ConfigVersion;
 use moleroad_gateway::control_state::{ConfigDocument, ControlCommand, ControlState};
 use moleroad_gateway::front::events::{EventSplitter, MAX_EVENT_BYTES};
-use moleroad_gateway::settings::Settings;
+use moleroad_gateway::settings::{RoleSetting, Settings};
 use moleroad_gateway::view::NamedVersions;
 use moleroad_types::prelude::Millis;
 use rand::rngs::SmallRng;
@@ -167,6 +167,12 @@
     assert_eq!(entry.region_of("hall-a"), "region-a");
     let agent = Settings::parse(&fill(include_str!("../../../deploy/agent.yaml"))).unwrap();
     assert_eq!(agent.engine, Some("10.0.0.1:81".parse().unwrap()));
+    // Only a machine with a disk runs a control daemon.
+    let template = include_str!("../../../deploy/control.yaml");
+    let template = template.replace("{{DataDir|json}}", "\"/data\"");
+    let control = Settings::parse(&fill(&template)).unwrap();
+    assert_eq!(control.role, RoleSetting::Control);
+    assert!(control.data_dir.is_some() && control.listen.frontend.is_none());
 }
 
 #[test]
@@ -184,6 +190,18 @@
             "listen.frontend",
         ),
         (sound.replace("instance: a\n", ""), "instance"),
+        (sound.replace("role: agent", "role: control"), "data_dir"),
+        (
+            sound.replace("role: agent", "role: control\ndata_dir: /d"),
+            "listen.control",
+        ),
+        (
+            sound.replace(
+                "role: agent",
+                "role: control\ndata_dir: /d\nlisten: {control: '127.0.0.1:1', frontend: '127.0.0.1:2'}",
+            ),
+            "listen.frontend",
+        ),
     ];
     for (text, field) in cases {
         let error = Settings::parse(&text).expect_err(field).to_string();
