Ask the agents of a few engines before a request is sent

Hypothesis: entries choose alike on reports that are 90 to 550 ms old; the agent beside an engine sees it new and free, and one round trip to the own data hall costs 0.4 ms of an aim of 300.

Change: an entry draws three engines of its region, asks their agents what the engines have in hand, and sends to the one whose first event is expected first. Where more than one usual prompt waits there, it asks two in other regions too. An agent that does not answer within 25 ms rests for 0.3 s and its engine is judged by what is known, with the shared-out last places as before. Of those that wait the next one looks again every 15 ms. The numbers of targets compared by what is known are now what they were in effect (two and two). A configuration whose engines have no reading speed is said in the log (reading_speed_unknown).

Ruled out: places granted and kept by the agent (two entries choose the same engine within the 1 to 6 ms between answer and send in about 3 of 100).

--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -51,6 +51,17 @@
     pub switching: bool,
     /// How much slower than usual it is; 1 is as usual.
     pub slowness: f64,
+    /// Where the agent beside it answers; `None` without one.
+    pub agent: Option<SocketAddr>,
+}
+
+/// Which targets are looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// Those of the own region.
+    Near,
+    /// Those of other regions.
+    Far,
 }
 
 /// What a choice came to.
@@ -129,34 +140,28 @@
 /// Part of its slots up to which any entry sends to a target; beyond it each
 /// entry keeps to its own places.
 const LIGHT_PART: f64 = 0.7;
-/// Part of the free targets of its own region that an entry compares: entries
-/// decide on the same reports without asking each other, and would all choose
-/// the same target.
-const NEAR_COMPARED_PART: usize = 2;
-/// Part of the free targets of other regions that are compared.
-const FAR_COMPARED_PART: usize = 5;
-/// Fewest targets of either kind that are compared.
-const FEWEST_COMPARED: usize = 2;
-/// Most targets of the own region that are compared: the more choose by the
-/// same reports, the more the best of many is everybody's best.
-const MOST_NEAR_COMPARED: usize = 2;
-/// Most targets of other regions that are compared.
-const MOST_FAR_COMPARED: usize = 2;
+/// Targets of either kind, in the own region and in others, that are compared
+/// by what is known: the more choose by the same reports, the more the best of
+/// many is everybody's best.
+const COMPARED: usize = 2;
+/// Targets of the own region whose agents are asked for one request. Three of
+/// six even out as well as a look at all (docs/POLICY.md).
+const NEAR_ASKED: usize = 3;
+/// Targets of other regions whose agents are asked when the near ones are busy.
+const FAR_ASKED: usize = 2;
 
 /// Some of the free targets, drawn anew for each choice.
 fn sample<'a>(free: &[&'a Candidate], draw: u64) -> Vec<&'a Candidate> {
-    let is_far = |candidate: &&&Candidate| candidate.distance == Distance::OtherRegion;
-    let far: Vec<&Candidate> = free.iter().filter(is_far).copied().collect();
-    let near: Vec<&Candidate> = free.iter().filter(|c| !is_far(c)).copied().collect();
-    let near_count = near.len().div_ceil(NEAR_COMPARED_PART);
-    let far_count = far.len().div_ceil(FAR_COMPARED_PART);
-    let mut drawn = draw_some(near, near_count.min(MOST_NEAR_COMPARED), draw);
-    drawn.extend(draw_some(far, far_count.min(MOST_FAR_COMPARED), draw));
+    let (far, near): (Vec<&Candidate>, Vec<&Candidate>) = free
+        .iter()
+        .copied()
+        .partition(|candidate| candidate.distance == Distance::OtherRegion);
+    let mut drawn = draw_some(near, COMPARED, draw);
+    drawn.extend(draw_some(far, COMPARED, draw));
     drawn
 }
 
 fn draw_some(mut left: Vec<&Candidate>, count: usize, draw: u64) -> Vec<&Candidate> {
-    let count = count.max(FEWEST_COMPARED);
     let mut state = draw;
     let mut drawn = Vec::with_capacity(count);
     while drawn.len() < count && !left.is_empty() {
@@ -227,21 +232,9 @@
 
     /// Chooses a target that meets `needs`. `draw` breaks ties.
     pub fn choose(&self, now: Millis, needs: Needs<'_>, draw: u64) -> Choice {
-        let fits = |candidate: &&Candidate| {
-            let is_new_enough = |least| candidate.version.is_none_or(|v| v >= least);
-            !needs.tried.contains(&candidate.id) && needs.least.is_none_or(is_new_enough)
-        };
-        let fitting: Vec<&Candidate> = self.candidates.iter().filter(fits).collect();
-        if fitting.is_empty() {
-            return Choice::Nobody;
-        }
-        let sound = |candidate: &&&Candidate| {
-            !candidate.switching && !self.load(&candidate.id).health.is_avoided(now)
-        };
-        let mut pool: Vec<&Candidate> = fitting.iter().filter(sound).copied().collect();
+        let pool = self.pool(now, needs);
         if pool.is_empty() {
-            // None is sound: an avoided one is better than none.
-            pool = fitting;
+            return Choice::Nobody;
         }
         let free = pool
             .iter()
@@ -258,9 +251,86 @@
         }
     }
 
+    /// The sound targets that meet `needs`; when none is sound, all of them.
+    fn pool(&self, now: Millis, needs: Needs<'_>) -> Vec<&Candidate> {
+        let fits = |candidate: &&Candidate| {
+            let is_new_enough = |least| candidate.version.is_none_or(|v| v >= least);
+            !needs.tried.contains(&candidate.id) && needs.least.is_none_or(is_new_enough)
+        };
+        let fitting: Vec<&Candidate> = self.candidates.iter().filter(fits).collect();
+        let sound = |candidate: &&&Candidate| {
+            !candidate.switching && !self.load(&candidate.id).health.is_avoided(now)
+        };
+        let pool: Vec<&Candidate> = fitting.iter().filter(sound).copied().collect();
+        if pool.is_empty() {
+            // An avoided one is better than none.
+            return fitting;
+        }
+        pool
+    }
+
+    /// Whether the targets are engines whose agents can be asked.
+    pub fn have_agents(&self) -> bool {
+        self.reading.is_some() && self.candidates.iter().any(|c| c.agent.is_some())
+    }
+
+    /// Some targets to look at for a request, drawn by chance.
+    pub fn shortlist(
+        &self,
+        now: Millis,
+        needs: Needs<'_>,
+        reach: Reach,
+        draw: u64,
+    ) -> Vec<Candidate> {
+        let is_far = |candidate: &Candidate| candidate.distance == Distance::OtherRegion;
+        let mut pool = self.pool(now, needs);
+        pool.retain(|candidate| is_far(candidate) == (reach == Reach::Far));
+        let count = match reach {
+            Reach::Near => NEAR_ASKED,
+            Reach::Far => FAR_ASKED,
+        };
+        draw_some(pool, count, draw).into_iter().cloned().collect()
+    }
+
+    /// The cheapest of these targets that has a place and can be in time.
+    pub fn best_of(
+        &self,
+        now: Millis,
+        needs: Needs<'_>,
+        looked_at: &[Candidate],
+    ) -> Option<Candidate> {
+        let free = looked_at
+            .iter()
+            .filter(|candidate| self.has_place(now, candidate))
+            .filter(|candidate| self.is_in_time(now, candidate, needs));
+        let best = free.min_by(|a, b| self.cost_ms(now, a).total_cmp(&self.cost_ms(now, b)));
+        best.cloned()
+    }
+
+    /// Whether looking at other regions is not worth its time: at most one
+    /// usual prompt waits at the target.
+    pub fn is_good_enough(&self, now: Millis, candidate: &Candidate) -> bool {
+        let Some(reading) = self.reading else {
+            return true;
+        };
+        let one_waits = reading.first_event_ms(0.0, reading.usual_prompt, 1.0);
+        self.cost_ms(now, candidate) <= one_waits + BUSY_ENGINE_COST_MS
+    }
+
+    /// Notes that the agent beside the target did not answer.
+    pub fn agent_was_silent(&mut self, now: Millis, id: &TargetId) {
+        self.loads
+            .entry(id.clone())
+            .or_default()
+            .agent_was_silent(now);
+    }
+
     fn has_place(&self, now: Millis, candidate: &Candidate) -> bool {
         let load = self.load(&candidate.id);
         let (requests, slots) = (load.requests(now), f64::from(candidate.slots));
+        if self.reading.is_some() && load.is_current(now) {
+            return load.own() < candidate.most_own && requests + 1.0 <= slots;
+        }
         // All entries see a target that has just become free: each sends only
         // its part until a report tells what the others sent.
         let is_crowd = self.reading.is_some() && load.unreported(now) >= candidate.share.max(1);
--- a/crates/moleroad_dispatch/src/lib.rs
+++ b/crates/moleroad_dispatch/src/lib.rs
@@ -28,7 +28,7 @@
 /// The types most users of the crate need.
 pub mod prelude {
     pub use crate::budget::{BudgetTerms, RepeatBudget};
-    pub use crate::choice::{Candidate, Choice, Distance, Needs, ReadingSpeed, Targets};
+    pub use crate::choice::{Candidate, Choice, Distance, Needs, Reach, ReadingSpeed, Targets};
     pub use crate::health::{Health, Outcome};
     pub use crate::load::TargetLoad;
     pub use crate::queue::{WaitQueue, Waiter, WaiterId};
--- a/crates/moleroad_dispatch/src/load.rs
+++ b/crates/moleroad_dispatch/src/load.rs
@@ -10,6 +10,11 @@
 const REPORT_FRESH_MS: u64 = 1_000;
 /// Age at which a report no longer counts, in milliseconds.
 const REPORT_OVER_MS: u64 = 4_000;
+/// Age up to which a report tells what the target has in hand now, in
+/// milliseconds: the shortest pass of an engine takes longer.
+const REPORT_NEW_MS: u64 = 40;
+/// How long an agent that did not answer is not asked again, in milliseconds.
+const AGENT_RESTS_MS: u64 = 300;
 
 #[derive(Clone, Copy, Debug)]
 struct Report {
@@ -28,6 +33,7 @@
     sent: u32,
     sent_since: Millis,
     report: Option<Report>,
+    agent_rests_until: Millis,
     /// The recent past.
     pub health: Health,
 }
@@ -59,6 +65,7 @@
     /// Takes the number of requests that the target has from all entries:
     /// those that run, and those whose prompt is not read yet.
     pub fn reported(&mut self, now: Millis, running: u32, unread: u32) {
+        self.agent_rests_until = Millis(0);
         self.sent = 0;
         self.sent_since = now;
         self.report = Some(Report {
@@ -68,6 +75,22 @@
         });
     }
 
+    /// Takes that the agent beside the target did not answer.
+    pub fn agent_was_silent(&mut self, now: Millis) {
+        self.agent_rests_until = now + AGENT_RESTS_MS;
+    }
+
+    /// Whether the agent beside the target did not answer lately.
+    pub fn agent_rests(&self, now: Millis) -> bool {
+        now < self.agent_rests_until
+    }
+
+    /// Whether the last report is as good as a look at the target.
+    pub fn is_current(&self, now: Millis) -> bool {
+        let age_ms = self.report_age(now);
+        age_ms.is_some_and(|age_ms| age_ms <= REPORT_NEW_MS)
+    }
+
     /// Prompt tokens that the target has not read yet, from all entries, when
     /// a prompt of others has `usual_prompt` tokens.
     pub fn unread_tokens(&self, now: Millis, usual_prompt: f64) -> f64 {
--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -15,6 +15,7 @@
         version: Some(1),
         switching: false,
         slowness: 1.0,
+        agent: None,
     }
 }
 
@@ -377,3 +378,92 @@
     let most = sent.values().max().copied().unwrap_or_default();
     assert!(most <= 8, "{sent:?}");
 }
+
+const READING: ReadingSpeed = ReadingSpeed {
+    tokens_per_ms: 30.0,
+    usual_prompt: 900.0,
+    steps_ms: 40.0,
+    tokens_per_pass: 2_048.0,
+};
+
+fn engine(name: &str, distance: Distance) -> Candidate {
+    Candidate {
+        slots: 16,
+        most_own: 16,
+        share: 2,
+        agent: Some("127.0.0.1:2".parse().unwrap()),
+        ..candidate(name, distance)
+    }
+}
+
+/// Six engines near and four far, whose agents can be asked.
+fn engines() -> Targets {
+    let near = (0..6).map(|index| engine(&format!("near-{index}"), Distance::SameHall));
+    let far = (0..4).map(|index| engine(&format!("far-{index}"), Distance::OtherRegion));
+    let mut targets = Targets::default();
+    targets.reading = Some(READING);
+    targets.set(near.chain(far).collect());
+    targets
+}
+
+#[test]
+fn a_few_engines_of_one_reach_are_looked_at() {
+    let targets = engines();
+    assert!(targets.have_agents());
+    let mut seen = std::collections::BTreeSet::new();
+    for draw in 0..200_u64 {
+        let draw = draw.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let near = targets.shortlist(Millis(0), Needs::default(), Reach::Near, draw);
+        let far = targets.shortlist(Millis(0), Needs::default(), Reach::Far, draw);
+        assert_eq!((near.len(), far.len()), (3, 2));
+        assert!(near.iter().all(|c| c.id.as_str().starts_with("near")));
+        assert!(far.iter().all(|c| c.id.as_str().starts_with("far")));
+        seen.extend(near.into_iter().chain(far).map(|c| c.id));
+    }
+    assert_eq!(seen.len(), 10, "every engine has its turn");
+}
+
+#[test]
+fn a_new_report_goes_before_shares_and_an_old_one_does_not() {
+    let mut targets = engines();
+    let only = [engine("near-0", Distance::SameHall)];
+    let id = &only[0].id;
+    targets.reported(Millis(0), id, 14, 0);
+    // Beyond its own two places an entry sends only by what is new.
+    targets.started(Millis(0), id, 100);
+    targets.started(Millis(0), id, 100);
+    targets.reported(Millis(10), id, 14, 0);
+    let best = |targets: &Targets, now| targets.best_of(Millis(now), Needs::default(), &only);
+    assert!(best(&targets, 20).is_some());
+    assert!(best(&targets, 200).is_none());
+    targets.reported(Millis(300), id, 16, 0);
+    assert!(best(&targets, 301).is_none(), "no place is free");
+}
+
+#[test]
+fn the_engine_with_the_fewest_unread_prompts_is_the_best() {
+    let mut targets = engines();
+    let looked_at: Vec<Candidate> = (0..3)
+        .map(|index| engine(&format!("near-{index}"), Distance::SameHall))
+        .collect();
+    for (candidate, queued) in looked_at.iter().zip([2, 0, 1]) {
+        targets.reported(Millis(0), &candidate.id, 8, queued);
+    }
+    let best = targets.best_of(Millis(1), Needs::default(), &looked_at);
+    let best = best.expect("places are free");
+    assert_eq!(best.id.as_str(), "near-1");
+    assert!(targets.is_good_enough(Millis(1), &best));
+    assert!(!targets.is_good_enough(Millis(1), &looked_at[0]));
+}
+
+#[test]
+fn an_agent_that_was_silent_rests_until_it_is_heard() {
+    let mut targets = engines();
+    let id = TargetId::new("near-0");
+    targets.agent_was_silent(Millis(0), &id);
+    assert!(targets.load(&id).agent_rests(Millis(299)));
+    assert!(!targets.load(&id).agent_rests(Millis(300)));
+    targets.agent_was_silent(Millis(400), &id);
+    targets.reported(Millis(410), &id, 0, 0);
+    assert!(!targets.load(&id).agent_rests(Millis(420)));
+}
--- a/crates/moleroad_gateway/src/agent/watch.rs
+++ b/crates/moleroad_gateway/src/agent/watch.rs
@@ -3,6 +3,7 @@
 use crate::agent::calls::call;
 use crate::interface::EngineState;
 use crate::node::Node;
+use crate::peer::EngineLoad;
 use moleroad_directory::prelude::EngineReport;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,6 +35,26 @@
     }
 }
 
+/// What the engine has in hand at this moment.
+pub async fn load(node: &Node) -> Option<EngineLoad> {
+    let report = read(node).await?.report;
+    let load = EngineLoad {
+        running: report.running,
+        queued: report.queued,
+        takes_new: !is_switching(node),
+    };
+    tell(node, Some(report));
+    Some(load)
+}
+
+fn is_switching(node: &Node) -> bool {
+    let view = node.view();
+    view.own
+        .report
+        .as_ref()
+        .is_some_and(|report| report.switching)
+}
+
 /// Reads the state of the engine of this instance.
 pub async fn read(node: &Node) -> Option<EngineState> {
     let engine = node.settings.engine?;
--- a/crates/moleroad_gateway/src/lib.rs
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod peer_server;
 pub mod peers;
 pub mod places;
+pub mod probe;
 pub mod run;
 pub mod settings;
 pub mod system_calls;
--- a/crates/moleroad_gateway/src/peer.rs
+++ b/crates/moleroad_gateway/src/peer.rs
@@ -150,6 +150,17 @@
     Gone(TargetId),
 }
 
+/// What an engine has in hand at this moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait or whose prompt is being read.
+    pub queued: u32,
+    /// Whether it takes new requests.
+    pub takes_new: bool,
+}
+
 /// Calls that every daemon takes from others.
 #[tarpc::service]
 pub trait Peer {
@@ -167,6 +178,8 @@
     async fn push(state: ControlState);
     /// Asks for what the callee has in force.
     async fn pull() -> ControlState;
+    /// Asks an agent what its engine has in hand now.
+    async fn engine_load() -> Option<EngineLoad>;
     /// Asks an agent for the digests of a version.
     async fn digests(model: String, version: u64) -> Option<SharedDigests>;
     /// Asks an agent for a piece of weights.
--- a/crates/moleroad_gateway/src/peer_server.rs
+++ b/crates/moleroad_gateway/src/peer_server.rs
@@ -5,7 +5,9 @@
 use crate::listening::serve_each;
 use crate::node::Node;
 use crate::operator;
-use crate::peer::{CommitAnswer, Hello, HelloAnswer, LeaderHint, Peer, SharedDigests, TargetNews};
+use crate::peer::{
+    CommitAnswer, EngineLoad, Hello, HelloAnswer, LeaderHint, Peer, SharedDigests, TargetNews,
+};
 use crate::peers::transport;
 use futures::StreamExt;
 use moleroad_consensus::prelude::{MemberInfo, Message};
@@ -73,6 +75,10 @@
         self.node.view().state.clone()
     }
 
+    async fn engine_load(self, _: Context) -> Option<EngineLoad> {
+        crate::agent::watch::load(&self.node).await
+    }
+
     async fn digests(self, _: Context, model: String, version: u64) -> Option<SharedDigests> {
         self.node.known_digests(&model, version).map(SharedDigests)
     }
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -1,6 +1,7 @@
 //! Places at targets: who may send now, and who waits.
 
 use crate::node::Node;
+use crate::probe;
 use crate::settings::Bounds;
 use moleroad_directory::prelude::TargetId;
 use moleroad_dispatch::prelude::*;
@@ -27,7 +28,8 @@
 }
 
 impl Ask {
-    fn needs(&self, now: Millis, least: Option<u64>) -> Needs<'_> {
+    /// The same as needs of a choice.
+    pub fn needs(&self, now: Millis, least: Option<u64>) -> Needs<'_> {
         Needs {
             tried: &self.tried,
             least,
@@ -37,6 +39,10 @@
     }
 }
 
+/// Time between looks of the next waiting request at the targets, in
+/// milliseconds: a third of the shortest pass of an engine.
+const LOOK_AGAIN_MS: u64 = 15;
+
 /// Why there is no place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoPlace {
@@ -93,8 +99,11 @@
         self.queue.len()
     }
 
-    /// Gives free places to those that wait.
+    /// Gives free places to those that wait, unless they ask agents themselves.
     pub fn serve_waiting(&mut self, now: Millis, least: Option<u64>) {
+        if self.targets.have_agents() {
+            return;
+        }
         while let Some(id) = self.queue.next(now) {
             let Some(waiting) = self.waiting.get(&id) else {
                 self.queue.leave(id);
@@ -229,26 +238,22 @@
         unread_tokens: Some(ask.prompt_tokens),
         outcome: Outcome::Abandoned,
     };
-    let (id, grant) = {
-        let mut view = node.view();
-        let least = node.least_version(&view, &ask.service);
-        let Some(places) = view.services.get_mut(&ask.service) else {
+    let nobody_waits = {
+        let view = node.view();
+        let Some(places) = view.services.get(&ask.service) else {
             return Err(no_place(now, None));
         };
-        if places.queue.is_empty()
-            && let Choice::Send(candidate) =
-                places
-                    .targets
-                    .choose(now, ask.needs(now, least), rand::random())
-        {
-            let tokens = ask.prompt_tokens;
-            places.targets.started(now, &candidate.id, tokens);
-            drop(view);
-            return Ok(place(candidate));
-        }
-        match places.wait(now, ask) {
+        places.queue.is_empty()
+    };
+    if nobody_waits && let Some(candidate) = probe::find(node, ask).await {
+        return Ok(place(candidate));
+    }
+    let (id, mut grant) = {
+        let mut view = node.view();
+        let places = view.services.get_mut(&ask.service);
+        match places.and_then(|places| places.wait(now, ask)) {
             Some(waiting) => waiting,
-            None => return Err(no_place(now, Some(places))),
+            None => return Err(no_place(now, view.services.get(&ask.service))),
         }
     };
     let _in_queue = InQueue {
@@ -256,17 +261,34 @@
         service: ask.service.clone(),
         id,
     };
-    let granted = tokio::time::timeout_at(node.clock.instant(ask.until), grant).await;
-    match granted {
-        Ok(Ok(candidate)) => Ok(place(candidate)),
-        _ => {
+    loop {
+        let look = (node.clock.now() + LOOK_AGAIN_MS).min(ask.until);
+        let granted = tokio::time::timeout_at(node.clock.instant(look), &mut grant).await;
+        if let Ok(Ok(candidate)) = granted {
+            return Ok(place(candidate));
+        }
+        let now = node.clock.now();
+        if now >= ask.until {
             let view = node.view();
-            let places = view.services.get(&ask.service);
-            Err(no_place(node.clock.now(), places))
+            return Err(no_place(now, view.services.get(&ask.service)));
+        }
+        if is_next(node, ask, id)
+            && let Some(candidate) = probe::find(node, ask).await
+        {
+            return Ok(place(candidate));
         }
     }
 }
 
+/// Whether the waiting request is the next to be sent, and asks agents itself.
+fn is_next(node: &Node, ask: &Ask, id: WaiterId) -> bool {
+    let view = node.view();
+    let places = view.services.get(&ask.service);
+    places.is_some_and(|places| {
+        places.targets.have_agents() && places.queue.next(node.clock.now()) == Some(id)
+    })
+}
+
 fn belief(node: &Node, ask: &Ask, candidate: &Candidate) -> Belief {
     let now = node.clock.now();
     let view = node.view();
--- /dev/null
+++ b/crates/moleroad_gateway/src/probe.rs
@@ -0,0 +1,154 @@
+//! Finding a target for a request by asking the agents beside a few engines
+//! what those have in hand at this moment.
+//!
+//! What entries tell each other of engines is a few hundred milliseconds old,
+//! in which an engine takes several requests: entries that decide on it choose
+//! alike. An agent's look at its own engine is free and new. Agents that do
+//! not answer are passed over, and their engines judged by what is known.
+
+use crate::node::Node;
+use crate::peer::{EngineLoad, PeerClient};
+use crate::places::Ask;
+use moleroad_dispatch::prelude::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinHandle;
+
+/// How long an agent's answer is waited for: twice the way to another region
+/// and back, and a reading of the engine.
+const ANSWER_WAIT: Duration = Duration::from_millis(25);
+/// How long a late answer is still taken.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// A target for the request, with the send counted; `None` when none of those
+/// looked at has a place.
+pub async fn find(node: &Arc<Node>, ask: &Ask) -> Option<Candidate> {
+    let draw: u64 = rand::random();
+    if !have_agents(node, ask) {
+        return choose(node, ask, draw);
+    }
+    let mut looked_at = look(node, ask, Reach::Near, draw).await;
+    let near = best_of(node, ask, &looked_at);
+    if let Some(candidate) = near.filter(|near| is_good_enough(node, ask, near)) {
+        return Some(started(node, ask, candidate));
+    }
+    looked_at.extend(look(node, ask, Reach::Far, draw).await);
+    let best = best_of(node, ask, &looked_at)?;
+    Some(started(node, ask, best))
+}
+
+fn have_agents(node: &Node, ask: &Ask) -> bool {
+    let view = node.view();
+    let places = view.services.get(&ask.service);
+    places.is_some_and(|places| places.targets.have_agents())
+}
+
+/// Chooses by what is known, without asking anybody.
+fn choose(node: &Node, ask: &Ask, draw: u64) -> Option<Candidate> {
+    let now = node.clock.now();
+    let choice = {
+        let view = node.view();
+        let least = node.least_version(&view, &ask.service);
+        let places = view.services.get(&ask.service)?;
+        places.targets.choose(now, ask.needs(now, least), draw)
+    };
+    match choice {
+        Choice::Send(candidate) => Some(started(node, ask, candidate)),
+        Choice::Full | Choice::Nobody => None,
+    }
+}
+
+/// Counts the send.
+fn started(node: &Node, ask: &Ask, candidate: Candidate) -> Candidate {
+    let now = node.clock.now();
+    let mut view = node.view();
+    if let Some(places) = view.services.get_mut(&ask.service) {
+        let targets = &mut places.targets;
+        targets.started(now, &candidate.id, ask.prompt_tokens);
+    }
+    candidate
+}
+
+fn best_of(node: &Node, ask: &Ask, looked_at: &[Candidate]) -> Option<Candidate> {
+    let now = node.clock.now();
+    let view = node.view();
+    let least = node.least_version(&view, &ask.service);
+    let places = view.services.get(&ask.service)?;
+    places
+        .targets
+        .best_of(now, ask.needs(now, least), looked_at)
+}
+
+fn is_good_enough(node: &Node, ask: &Ask, candidate: &Candidate) -> bool {
+    let view = node.view();
+    let places = view.services.get(&ask.service);
+    places.is_some_and(|places| places.targets.is_good_enough(node.clock.now(), candidate))
+}
+
+/// Asks the agents of some targets; returns those that take new requests, and
+/// those whose agents cannot be asked.
+async fn look(node: &Arc<Node>, ask: &Ask, reach: Reach, draw: u64) -> Vec<Candidate> {
+    let now = node.clock.now();
+    let (drawn, resting) = {
+        let view = node.view();
+        let least = node.least_version(&view, &ask.service);
+        let Some(places) = view.services.get(&ask.service) else {
+            return Vec::new();
+        };
+        let drawn = places
+            .targets
+            .shortlist(now, ask.needs(now, least), reach, draw);
+        let rests = |candidate: &Candidate| places.targets.load(&candidate.id).agent_rests(now);
+        let resting: Vec<bool> = drawn.iter().map(rests).collect();
+        (drawn, resting)
+    };
+    let asking = drawn.into_iter().zip(resting).map(|(candidate, rests)| {
+        let agent = candidate.agent.filter(|_| !rests);
+        let answer = agent.map(|agent| ask_agent(node, ask, &candidate, agent));
+        (candidate, answer)
+    });
+    let asking: Vec<_> = asking.collect();
+    let until = tokio::time::Instant::now() + ANSWER_WAIT;
+    let mut looked_at = Vec::with_capacity(asking.len());
+    for (candidate, answer) in asking {
+        let Some(answer) = answer else {
+            looked_at.push(candidate);
+            continue;
+        };
+        match tokio::time::timeout_at(until, answer).await {
+            Ok(Ok(Some(load))) if !load.takes_new => {}
+            Ok(Ok(Some(_))) => looked_at.push(candidate),
+            _ => {
+                let mut view = node.view();
+                if let Some(places) = view.services.get_mut(&ask.service) {
+                    places.targets.agent_was_silent(now, &candidate.id);
+                }
+                looked_at.push(candidate);
+            }
+        }
+    }
+    looked_at
+}
+
+/// Asks one agent; its answer is counted also when it comes late.
+fn ask_agent(
+    node: &Arc<Node>,
+    ask: &Ask,
+    candidate: &Candidate,
+    agent: SocketAddr,
+) -> JoinHandle<Option<EngineLoad>> {
+    let (node, service, id) = (node.clone(), ask.service.clone(), candidate.id.clone());
+    tokio::spawn(async move {
+        let call = |client: PeerClient, context| async move { client.engine_load(context).await };
+        let answer = node.peers.call(agent, ANSWER_TIMEOUT, call).await;
+        let load = answer.ok().flatten()?;
+        let now = node.clock.now();
+        let mut view = node.view();
+        if let Some(places) = view.services.get_mut(&service) {
+            let targets = &mut places.targets;
+            targets.reported(now, &id, load.running, load.queued);
+        }
+        Some(load)
+    })
+}
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -178,6 +178,7 @@
         match parsed {
             Ok(configuration) => {
                 let table = RouteTable::compile(&configuration);
+                note_unknown_speeds(&table);
                 self.catalog = catalog_of(&table);
                 self.table = Some(Arc::new(table));
                 log::info!(event = "configuration_in_force", version = document.version.0; "");
@@ -273,7 +274,8 @@
             }
             let agent = agents.get(&record.address).copied();
             let report = agent.and_then(|agent| current_report(now, agent));
-            if let Some(candidate) = candidate(settings, service, record, report, &entries) {
+            if let Some(mut candidate) = candidate(settings, service, record, report, &entries) {
+                candidate.agent = agent.map(|agent| agent.record.peer);
                 lists.entry(&service.name).or_default().push(candidate);
             }
         }
@@ -346,9 +348,22 @@
         version,
         switching: report.is_some_and(|report| report.switching),
         slowness: pace + cold,
+        agent: None,
     })
 }
 
+/// Says which engines' first events cannot be predicted, since their
+/// configuration does not tell how fast they read.
+fn note_unknown_speeds(table: &RouteTable) {
+    let reads = |service: &Service| service.steps.is_some_and(|s| s.prompt_tokens_per_s > 0.0);
+    let unknown = table
+        .services()
+        .filter(|service| !service.models.is_empty() && !reads(service));
+    for service in unknown {
+        log::warn!(event = "reading_speed_unknown", service = service.name.as_str(); "");
+    }
+}
+
 fn current_report(now: Millis, agent: &Heard<DaemonRecord>) -> Option<&EngineReport> {
     let is_current = now.since(agent.at) < REPORT_CURRENT_MS;
     agent.record.report.as_ref().filter(|_| is_current)
