Ask the origin for digests that no agent of a running engine has

Cause: engines that joined at 5.1 to 5.6 s began to fetch at 6.8 to 7.6 s. The agents beside engines that held the weights from their start have the pieces and no digests; a joining agent asked them in vain until its turn at the origin came, by its rank among all agents.

Change: when a holder of pieces has no digests, the origin is asked at once (4 KB each).

--- a/crates/moleroad_gateway/src/agent/digests.rs
+++ b/crates/moleroad_gateway/src/agent/digests.rs
@@ -24,23 +24,28 @@
     idle_ms: u64,
     origin_pause: &mut Pause,
 ) -> Option<PieceDigests> {
-    let (holders, may_ask_origin, origins) = digest_sources(node, wanted, idle_ms);
+    let (holders, is_own_turn, origins) = digest_sources(node, wanted, idle_ms);
+    let mut asked = AskedHolder::NobodyKnows;
     let draw = rand::random::<u32>() as usize;
     if let Some(holder) = holders.get(draw % holders.len().max(1)) {
         let (model, version) = (wanted.model.model.clone(), wanted.version);
         let call = |client: crate::peer::PeerClient, context| async move {
             client.digests(context, model, version).await
         };
-        let shared = node.peers.call(*holder, DIGESTS_TIMEOUT, call).await;
-        if let Ok(Some(shared)) = shared {
-            let digests = PieceDigests {
-                version: wanted.version,
-                digests: shared.0,
-            };
-            return checked(node, wanted, digests);
+        match node.peers.call(*holder, DIGESTS_TIMEOUT, call).await {
+            Ok(Some(shared)) => {
+                let digests = PieceDigests {
+                    version: wanted.version,
+                    digests: shared.0,
+                };
+                return checked(node, wanted, digests);
+            }
+            Ok(None) if holds_pieces(node, *holder, wanted) => asked = AskedHolder::HasPiecesOnly,
+            Ok(None) | Err(_) => {}
         }
     }
-    let may_ask_origin = may_ask_origin && !origin_pause.lasts(node.clock.now());
+    let may_ask_origin =
+        may_ask_origin_for_digests(is_own_turn, asked) && !origin_pause.lasts(node.clock.now());
     for origin in origins.iter().filter(|_| may_ask_origin) {
         let asked = node
             .interface
@@ -58,6 +63,15 @@
     None
 }
 
+/// Whether the agent at `address` has pieces of the version.
+fn holds_pieces(node: &Node, address: SocketAddr, wanted: &Wanted) -> bool {
+    let view = node.view();
+    let mut daemons = view.directory.daemons();
+    let holder = daemons.find(|heard| heard.record.peer == address);
+    let map = holder.and_then(|heard| heard.record.pieces_of(&wanted.model.model, wanted.version));
+    map.is_some_and(|map| map.count() > 0)
+}
+
 fn checked(node: &Node, wanted: &Wanted, digests: PieceDigests) -> Option<PieceDigests> {
     let complete = digests.digests.len() == wanted.model.pieces as usize;
     if !complete || digests.version != wanted.version {
--- a/crates/moleroad_rollout/src/sources.rs
+++ b/crates/moleroad_rollout/src/sources.rs
@@ -130,6 +130,23 @@
     members.iter().max_by_key(weight)
 }
 
+/// What came of asking another agent for the digests of a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AskedHolder {
+    /// Nobody that might have them was reached.
+    NobodyKnows,
+    /// It has pieces and no digests.
+    HasPiecesOnly,
+}
+
+/// Whether an agent asks the origin for the digests of a version.
+///
+/// An engine that held the weights from its start needs no digests, and its
+/// agent never asks for them: to wait until others bring them is in vain.
+pub fn may_ask_origin_for_digests(is_own_turn: bool, asked: AskedHolder) -> bool {
+    is_own_turn || asked == AskedHolder::HasPiecesOnly
+}
+
 /// The agents that bring `piece` into the regions other than `own_region`.
 pub fn carriers<'a>(members: &'a [Member], own_region: &str, piece: u32) -> Vec<&'a InstanceId> {
     let mut regions: BTreeMap<&str, Vec<&InstanceId>> = BTreeMap::new();
