--- a/crates/moleroad_rollout/tests/rollout.rs
+++ b/crates/moleroad_rollout/tests/rollout.rs
@@ -223,3 +223,13 @@
     assert_eq!(stands_in(2, 4), None);
     assert_eq!(stands_in(1, 2), None);
 }
+
+#[test]
+fn an_engine_that_joins_does_not_wait_for_digests_that_no_agent_has() {
+    assert!(may_ask_origin_for_digests(
+        false,
+        AskedHolder::HasPiecesOnly
+    ));
+    assert!(!may_ask_origin_for_digests(false, AskedHolder::NobodyKnows));
+    assert!(may_ask_origin_for_digests(true, AskedHolder::NobodyKnows));
+}
