Keep and pass on configurations compressed

Change: the log, pushes and pulls carry it in the zlib format (flate2); it is unpacked where it is read or shown.

Ruled out: a push to one relay of each data hall in place of three (a lost relay would then cost a data hall the time of the next question).

--- a/crates/moleroad_gateway/src/control_state.rs
+++ b/crates/moleroad_gateway/src/control_state.rs
@@ -1,18 +1,63 @@
 //! The state that the control group agrees on.
 
-use moleroad_config::prelude::ConfigVersion;
+use flate2::Compression;
+use flate2::read::{ZlibDecoder, ZlibEncoder};
+use moleroad_config::prelude::{ConfigVersion, ConfigurationError};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use std::collections::BTreeMap;
+use std::io::Read;
 use std::sync::Arc;
 
-/// A configuration as the operator sent it.
+/// A configuration as the operator sent it, kept and passed on compressed: it
+/// is text that repeats itself and crosses regions to every member and relay.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigDocument {
     /// Its version.
     pub version: ConfigVersion,
-    /// Its bytes, unchanged.
-    pub bytes: Arc<ByteBuf>,
+    /// Its bytes, in the zlib format.
+    compressed: Arc<ByteBuf>,
+}
+
+/// Largest configuration, in bytes: as much as a call may bring.
+pub const MAX_DOCUMENT_BYTES: usize = 8 << 20;
+
+impl ConfigDocument {
+    /// The document `version` with these bytes.
+    pub fn new(version: ConfigVersion, bytes: &[u8]) -> Self {
+        let mut reader = ZlibEncoder::new(bytes, Compression::fast());
+        let mut compressed = Vec::new();
+        reader
+            .read_to_end(&mut compressed)
+            .expect("a slice can be read and a vector grows");
+        Self {
+            version,
+            compressed: Arc::new(ByteBuf::from(compressed)),
+        }
+    }
+
+    /// The bytes as the operator sent them.
+    ///
+    /// # Errors
+    /// [`ConfigurationError::Unreadable`] when they are spoilt or too many.
+    pub fn bytes(&self) -> Result<Vec<u8>, ConfigurationError> {
+        let decoder = ZlibDecoder::new(&self.compressed[..]);
+        let mut bytes = Vec::new();
+        decoder
+            .take(MAX_DOCUMENT_BYTES as u64 + 1)
+            .read_to_end(&mut bytes)
+            .map_err(|error| ConfigurationError::Unreadable(error.to_string()))?;
+        if bytes.len() > MAX_DOCUMENT_BYTES {
+            let reason = "it is larger than a call may bring";
+            return Err(ConfigurationError::Unreadable(reason.into()));
+        }
+        Ok(bytes)
+    }
+
+    /// Bytes that it takes on the way and on disk.
+    pub fn compressed_len(&self) -> usize {
+        self.compressed.len()
+    }
 }
 
 /// A change that an operator wants.
--- a/crates/moleroad_gateway/src/system_calls.rs
+++ b/crates/moleroad_gateway/src/system_calls.rs
@@ -1,7 +1,7 @@
 //! Calls to the system itself, over HTTP: callers that look for an entry, the
 //! platform's check of readiness, targets and operators.
 
-use crate::control_state::{ConfigDocument, ControlCommand};
+use crate::control_state::{ConfigDocument, ControlCommand, MAX_DOCUMENT_BYTES};
 use crate::front::answer::AnswerBody;
 use crate::interface::SystemCall;
 use crate::listening::serve_each;
@@ -16,14 +16,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use moleroad_config::prelude::{ConfigurationError, check};
 use moleroad_types::prelude::Millis;
-use serde_bytes::ByteBuf;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
-/// Largest document that is taken, in bytes.
-const MAX_DOCUMENT_BYTES: usize = 8 << 20;
 /// Rest of a connection before it is closed.
 const IDLE: Duration = Duration::from_secs(30);
 /// Time for a document to arrive.
@@ -152,10 +149,7 @@
         Ok(configuration) => configuration.version,
         Err(error) => return refused_configuration(node, &error),
     };
-    let command = ControlCommand::Replace(ConfigDocument {
-        version,
-        bytes: Arc::new(ByteBuf::from(body.to_vec())),
-    });
+    let command = ControlCommand::Replace(ConfigDocument::new(version, body));
     let committed = operator::commit(node, command).await;
     log::info!(event = "configuration_sent", version = version.0, committed = committed; "");
     acknowledge(node, committed)
@@ -191,7 +185,13 @@
 async fn read_configuration(node: &Arc<Node>) -> SystemAnswer {
     let state = operator::read(node).await;
     match state.and_then(|state| state.configuration) {
-        Some(held) => document(node, StatusCode::OK, held.bytes.to_vec()),
+        Some(held) => match held.bytes() {
+            Ok(bytes) => document(node, StatusCode::OK, bytes),
+            Err(error) => {
+                log::error!(event = "configuration_unreadable"; "{error}");
+                failure(node, StatusCode::SERVICE_UNAVAILABLE, &error.to_string())
+            }
+        },
         None => {
             let reason = "MR-6307 the newest configuration is not certain here";
             failure(node, StatusCode::SERVICE_UNAVAILABLE, reason)
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -1,11 +1,11 @@
 //! What one daemon believes: what is in force, who is there, who leads.
 
-use crate::control_state::ControlState;
+use crate::control_state::{ConfigDocument, ControlState};
 use crate::interface::Interface;
 use crate::peer::{Catalog, CatalogModel, CatalogOrigin, LeaderHint, VersionAge};
 use crate::places::ServicePlaces;
 use crate::settings::{RoleSetting, Settings};
-use moleroad_config::prelude::{RouteTable, Service, check};
+use moleroad_config::prelude::{Configuration, ConfigurationError, RouteTable, Service, check};
 use moleroad_directory::prelude::*;
 use moleroad_directory::target::whole_version;
 use moleroad_dispatch::prelude::*;
@@ -159,8 +159,11 @@
         else {
             return;
         };
-        if let Ok(configuration) = interface.read_configuration(&document.bytes) {
-            self.catalog = catalog_of(&RouteTable::compile(&configuration));
+        match read_document(document, interface) {
+            Ok(configuration) => {
+                self.catalog = catalog_of(&RouteTable::compile(&configuration));
+            }
+            Err(error) => log::warn!(event = "configuration_unreadable"; "{error}"),
         }
         for (model, version) in &state.versions {
             let named = self.prepared.entry(model.clone()).or_default();
@@ -172,8 +175,7 @@
         let Some(document) = &self.state.configuration else {
             return;
         };
-        let parsed = interface
-            .read_configuration(&document.bytes)
+        let parsed = read_document(document, interface)
             .and_then(|configuration| check(&configuration).map(|()| configuration));
         match parsed {
             Ok(configuration) => {
@@ -352,6 +354,13 @@
     })
 }
 
+fn read_document(
+    document: &ConfigDocument,
+    interface: &dyn Interface,
+) -> Result<Configuration, ConfigurationError> {
+    interface.read_configuration(&document.bytes()?)
+}
+
 /// Says which engines' first events cannot be predicted, since their
 /// configuration does not tell how fast they read.
 fn note_unknown_speeds(table: &RouteTable) {
--- a/crates/moleroad_gateway/tests/parts.rs
+++ b/crates/moleroad_gateway/tests/parts.rs
@@ -3,7 +3,9 @@
 
 use bytes::Bytes;
 use moleroad_config::prelude::ConfigVersion;
-use moleroad_gateway::control_state::{ConfigDocument, ControlCommand, ControlState};
+use moleroad_gateway::control_state::{
+    ConfigDocument, ControlCommand, ControlState, MAX_DOCUMENT_BYTES,
+};
 use moleroad_gateway::front::events::{EventSplitter, MAX_EVENT_BYTES};
 use moleroad_gateway::settings::{RoleSetting, Settings};
 use moleroad_gateway::view::NamedVersions;
@@ -11,8 +13,6 @@
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
-use serde_bytes::ByteBuf;
-use std::sync::Arc;
 
 #[test]
 fn events_come_out_whole_however_the_bytes_are_cut() {
@@ -62,10 +62,10 @@
 }
 
 fn replace(version: u64, content: &str) -> ControlCommand {
-    ControlCommand::Replace(ConfigDocument {
-        version: ConfigVersion(version),
-        bytes: Arc::new(ByteBuf::from(content.as_bytes().to_vec())),
-    })
+    ControlCommand::Replace(ConfigDocument::new(
+        ConfigVersion(version),
+        content.as_bytes(),
+    ))
 }
 
 #[test]
@@ -74,11 +74,39 @@
     assert!(state.apply(&replace(5, "first")));
     assert!(!state.apply(&replace(5, "second")));
     assert!(!state.apply(&replace(4, "older")));
-    assert_eq!(&state.configuration.as_ref().unwrap().bytes[..], b"first");
+    let held = state.configuration.as_ref().unwrap().bytes();
+    assert_eq!(held.unwrap(), b"first");
     assert!(state.includes(&replace(5, "second")));
     assert!(!state.includes(&replace(6, "")));
 }
 
+#[test]
+fn a_configuration_is_kept_small_and_comes_back_byte_for_byte() {
+    let route = |number: u32| format!(r#"{{"Name":"r-{number}","Host":"h{number}.example"}},"#);
+    let text: String = (0..400).map(route).collect();
+    let document = ConfigDocument::new(ConfigVersion(3), text.as_bytes());
+    assert_eq!(document.bytes().unwrap(), text.as_bytes());
+    assert!(document.compressed_len() * 4 < text.len());
+}
+
+#[test]
+fn a_configuration_that_is_too_large_or_spoilt_is_refused_with_a_number() {
+    let large = vec![b' '; MAX_DOCUMENT_BYTES + 1];
+    let document = ConfigDocument::new(ConfigVersion(3), &large);
+    let error = document.bytes().unwrap_err().to_string();
+    assert!(error.contains("MR-6101"), "{error}");
+    let sound = rmp_serde::to_vec(&ConfigDocument::new(ConfigVersion(3), b"some text")).unwrap();
+    for at in 0..sound.len() {
+        let mut spoilt = sound.clone();
+        spoilt[at] ^= 1;
+        let read = rmp_serde::from_slice::<ConfigDocument>(&spoilt);
+        let same = read.is_ok_and(|read| {
+            read.version == ConfigVersion(3) && read.bytes().is_ok_and(|b| b != b"some text")
+        });
+        assert!(!same, "a change of byte {at} passed for other text");
+    }
+}
+
 #[test]
 fn daemons_that_hear_of_changes_in_any_order_end_alike_and_never_go_back() {
     for seed in 0..3_000 {
