--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -32,7 +32,7 @@
 
 /// What was done so far for one request.
 pub struct Attempts {
-    node: Arc<Node>,
+    pub(super) node: Arc<Node>,
     /// The request.
     pub request: Arc<Accepted>,
     tried: Vec<TargetId>,
@@ -339,20 +339,6 @@
         }
     }
 
-    fn log_no_place(&self, no_place: &NoPlace) {
-        log::info!(
-            event = "no_place",
-            request = self.request.id.to_str().unwrap_or("-"),
-            service = self.request.service.as_str(),
-            candidates = no_place.candidates as u64,
-            free_places = no_place.free_places,
-            waiting = no_place.waiting as u64,
-            retry_after_ms = no_place.retry_after_ms,
-            prompt_tokens = self.request.prompt_tokens;
-            ""
-        );
-    }
-
     fn failed_answer(&self, reply: Reply, body: Bytes) -> Answer {
         // Callers would take the status as a promise that nothing ran.
         if is_promise(reply.status) {
@@ -367,41 +353,6 @@
     pub fn broke_off(&mut self) {
         self.may_have_run = true;
     }
-
-    fn log_send(&self, place: &Place, sent: &Result<Reply, SendError>) {
-        let candidate = &place.candidate;
-        let outcome = match sent {
-            Ok(reply) => match reply.verdict {
-                Verdict::Succeeded => "answered",
-                Verdict::TurnedAway => "turned_away",
-                Verdict::Failed => "failed",
-                Verdict::Final => "final",
-            },
-            Err(SendError::Unreachable) => "unreachable",
-            Err(SendError::Broken) => "broken",
-            Err(SendError::Spoilt) => "spoilt",
-            Err(SendError::TimedOut) => "timed_out",
-        };
-        self.node.metrics.sends.with_label_values(&[outcome]).inc();
-        if outcome == "answered" {
-            return;
-        }
-        let now = self.node.clock.now();
-        let belief = place.belief;
-        log::info!(
-            event = "send",
-            request = self.request.id.to_str().unwrap_or("-"),
-            target:% = candidate.id,
-            outcome = outcome,
-            send = self.sends + 1,
-            believed_requests = belief.requests,
-            believed_unread_tokens = belief.unread_tokens,
-            report_age_ms = belief.report_age_ms.unwrap_or(0),
-            weights = candidate.version.unwrap_or(0),
-            elapsed_ms = now.since(self.request.arrived);
-            ""
-        );
-    }
 }
 
 /// When a request that targets turned away may come back, in milliseconds.
--- /dev/null
+++ b/crates/moleroad_gateway/src/front/attempt_log.rs
@@ -0,0 +1,58 @@
+//! Lines of the log about the sends of a request.
+
+use crate::front::attempt::Attempts;
+use crate::front::exchange::{Reply, SendError, Verdict};
+use crate::places::{NoPlace, Place};
+
+impl Attempts {
+    /// Says that no target has room, and what was known of them.
+    pub(super) fn log_no_place(&self, no_place: &NoPlace) {
+        log::info!(
+            event = "no_place",
+            request = self.request.id.to_str().unwrap_or("-"),
+            service = self.request.service.as_str(),
+            candidates = no_place.candidates as u64,
+            free_places = no_place.free_places,
+            waiting = no_place.waiting as u64,
+            retry_after_ms = no_place.retry_after_ms,
+            prompt_tokens = self.request.prompt_tokens;
+            ""
+        );
+    }
+
+    /// Counts a send, and says how it ended unless it was answered.
+    pub(super) fn log_send(&self, place: &Place, sent: &Result<Reply, SendError>) {
+        let candidate = &place.candidate;
+        let outcome = match sent {
+            Ok(reply) => match reply.verdict {
+                Verdict::Succeeded => "answered",
+                Verdict::TurnedAway => "turned_away",
+                Verdict::Failed => "failed",
+                Verdict::Final => "final",
+            },
+            Err(SendError::Unreachable) => "unreachable",
+            Err(SendError::Broken) => "broken",
+            Err(SendError::Spoilt) => "spoilt",
+            Err(SendError::TimedOut) => "timed_out",
+        };
+        self.node.metrics.sends.with_label_values(&[outcome]).inc();
+        if outcome == "answered" {
+            return;
+        }
+        let now = self.node.clock.now();
+        let belief = place.belief;
+        log::info!(
+            event = "send",
+            request = self.request.id.to_str().unwrap_or("-"),
+            target:% = candidate.id,
+            outcome = outcome,
+            send = self.sends() + 1,
+            believed_requests = belief.requests,
+            believed_unread_tokens = belief.unread_tokens,
+            report_age_ms = belief.report_age_ms.unwrap_or(0),
+            weights = candidate.version.unwrap_or(0),
+            elapsed_ms = now.since(self.request.arrived);
+            ""
+        );
+    }
+}
--- a/crates/moleroad_gateway/src/front/mod.rs
+++ b/crates/moleroad_gateway/src/front/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod answer;
 pub mod attempt;
+mod attempt_log;
 pub mod events;
 pub mod exchange;
 pub mod pool;
--- a/crates/moleroad_gateway/src/lib.rs
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 #![warn(missing_docs)]
 
 pub mod agent;
+pub mod candidates;
 pub mod clock;
 pub mod control_state;
 pub mod core;
@@ -20,6 +21,7 @@
 pub mod listening;
 pub mod logging;
 pub mod metrics;
+pub mod named_versions;
 pub mod node;
 pub mod operator;
 pub mod peer;
--- /dev/null
+++ b/crates/moleroad_gateway/src/named_versions.rs
@@ -0,0 +1,62 @@
+//! The versions of a model that were named, and when.
+
+use crate::peer::VersionAge;
+use moleroad_types::prelude::Millis;
+use std::collections::BTreeMap;
+
+/// Most versions of a model whose times are remembered: older ones have long
+/// been due.
+const MOST_NAMED: usize = 8;
+
+/// The versions of a model that were named, and when, as far as known.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct NamedVersions {
+    times: BTreeMap<u64, Millis>,
+}
+
+impl NamedVersions {
+    /// Learns that `version` was named at `at`; true if it is the newest.
+    pub fn learn(&mut self, version: u64, at: Millis) -> bool {
+        let is_newest = self.newest().is_none_or(|newest| version > newest);
+        let known = self.times.entry(version).or_insert(at);
+        *known = (*known).min(at);
+        while self.times.len() > MOST_NAMED {
+            self.times.pop_first();
+        }
+        is_newest
+    }
+
+    /// The newest version.
+    pub fn newest(&self) -> Option<u64> {
+        self.times.last_key_value().map(|(version, _)| *version)
+    }
+
+    /// The versions, from the lowest.
+    pub fn versions(&self) -> impl Iterator<Item = u64> {
+        self.times.keys().copied()
+    }
+
+    /// When the first version after `held` was named.
+    pub fn waiting_since(&self, held: u64) -> Option<Millis> {
+        let later = self.times.range(held + 1..);
+        later.map(|(_, at)| *at).min()
+    }
+
+    /// The newest version that was named `age_ms` ago or earlier.
+    pub fn due(&self, now: Millis, age_ms: u64) -> Option<u64> {
+        let due = self
+            .times
+            .iter()
+            .filter(|(_, at)| now.since(**at) >= age_ms);
+        due.map(|(version, _)| *version).max()
+    }
+
+    /// All versions with their ages in milliseconds.
+    pub fn ages(&self, now: Millis) -> Vec<VersionAge> {
+        let aged = |(version, at): (&u64, &Millis)| VersionAge {
+            version: *version,
+            age_ms: now.since(*at),
+        };
+        self.times.iter().map(aged).collect()
+    }
+}
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -2,86 +2,19 @@
 
 use crate::control_state::{ConfigDocument, ControlState};
 use crate::interface::Interface;
+use crate::named_versions::NamedVersions;
 use crate::peer::{Catalog, CatalogModel, CatalogOrigin, LeaderHint, VersionAge};
 use crate::places::ServicePlaces;
-use crate::settings::{RoleSetting, Settings};
 use moleroad_config::prelude::{Configuration, ConfigurationError, RouteTable, Service, check};
 use moleroad_directory::prelude::*;
-use moleroad_directory::target::whole_version;
-use moleroad_dispatch::prelude::*;
 use moleroad_types::prelude::Millis;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-/// Age up to which an agent's report goes before the engine's own heartbeat,
-/// in milliseconds.
-const REPORT_CURRENT_MS: u64 = 3_000;
-/// Part of a target's connections that entries share; the rest is left for
-/// those that an entry has not yet noticed to be closed.
-const CONNECTIONS_USED: f64 = 0.8;
 /// Part of the time for a version that is left when requests stop going to
 /// older weights: time on the way and in the target's queue.
 const VERSION_MARGIN_PART: u64 = 5;
 
-/// How much longer a step is than its bare time when many requests write.
-const STEP_SLOWNESS: f64 = 1.1;
-/// Most versions of a model whose times are remembered: older ones have long
-/// been due.
-const MOST_NAMED: usize = 8;
-
-/// The versions of a model that were named, and when, as far as known.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct NamedVersions {
-    times: BTreeMap<u64, Millis>,
-}
-
-impl NamedVersions {
-    /// Learns that `version` was named at `at`; true if it is the newest.
-    pub fn learn(&mut self, version: u64, at: Millis) -> bool {
-        let is_newest = self.newest().is_none_or(|newest| version > newest);
-        let known = self.times.entry(version).or_insert(at);
-        *known = (*known).min(at);
-        while self.times.len() > MOST_NAMED {
-            self.times.pop_first();
-        }
-        is_newest
-    }
-
-    /// The newest version.
-    pub fn newest(&self) -> Option<u64> {
-        self.times.last_key_value().map(|(version, _)| *version)
-    }
-
-    /// The versions, from the lowest.
-    pub fn versions(&self) -> impl Iterator<Item = u64> {
-        self.times.keys().copied()
-    }
-
-    /// When the first version after `held` was named.
-    pub fn waiting_since(&self, held: u64) -> Option<Millis> {
-        let later = self.times.range(held + 1..);
-        later.map(|(_, at)| *at).min()
-    }
-
-    /// The newest version that was named `age_ms` ago or earlier.
-    pub fn due(&self, now: Millis, age_ms: u64) -> Option<u64> {
-        let due = self
-            .times
-            .iter()
-            .filter(|(_, at)| now.since(**at) >= age_ms);
-        due.map(|(version, _)| *version).max()
-    }
-
-    /// All versions with their ages in milliseconds.
-    pub fn ages(&self, now: Millis) -> Vec<VersionAge> {
-        let aged = |(version, at): (&u64, &Millis)| VersionAge {
-            version: *version,
-            age_ms: now.since(*at),
-        };
-        self.times.iter().map(aged).collect()
-    }
-}
-
 /// What one daemon believes.
 pub struct View {
     /// What is in force.
@@ -244,114 +177,6 @@
     pub fn entry_count(&self, now: Millis) -> usize {
         self.directory.ready_entries(now).count().max(1)
     }
-
-    /// Brings the candidates of every service up to date.
-    pub fn refresh_candidates(&mut self, now: Millis, settings: &Settings) {
-        if settings.role != RoleSetting::Entry {
-            return;
-        }
-        let Some(table) = self.table.clone() else {
-            return;
-        };
-        let ready: Vec<&DaemonRecord> = self.directory.ready_entries(now).collect();
-        let entries: Vec<EntryDemand<'_>> = ready
-            .iter()
-            .map(|entry| EntryDemand {
-                entry: entry.instance.as_str(),
-                requests_per_s: f64::from(entry.requests_per_s),
-            })
-            .collect();
-        let agents = self.directory.agents();
-        let mut lists: HashMap<&str, Vec<Candidate>> = HashMap::new();
-        for service in table.services() {
-            lists.entry(&service.name).or_default();
-        }
-        for heard in self.directory.targets() {
-            let record = &heard.record;
-            let Some(service) = table.service(&record.service) else {
-                continue;
-            };
-            if record.life != TargetLife::Ready {
-                continue;
-            }
-            let agent = agents.get(&record.address).copied();
-            let report = agent.and_then(|agent| current_report(now, agent));
-            if let Some(mut candidate) = candidate(settings, service, record, report, &entries) {
-                candidate.agent = agent.map(|agent| agent.record.peer);
-                lists.entry(&service.name).or_default().push(candidate);
-            }
-        }
-        for (name, candidates) in lists {
-            let bounds = &settings.bounds;
-            let places = self
-                .services
-                .entry(name.to_string())
-                .or_insert_with(|| ServicePlaces::new(bounds));
-            let steps = table.service(name).and_then(|service| service.steps);
-            places.targets.reading =
-                steps
-                    .filter(|steps| steps.prompt_tokens_per_s > 0.0)
-                    .map(|steps| ReadingSpeed {
-                        tokens_per_ms: steps.prompt_tokens_per_s / 1_000.0,
-                        usual_prompt: steps.usual_prompt,
-                        steps_ms: steps.step_ms
-                            * steps.steps_per_pass.max(1) as f64
-                            * STEP_SLOWNESS,
-                        tokens_per_pass: steps.tokens_per_pass as f64,
-                    });
-            places.targets.set(candidates);
-        }
-        self.services
-            .retain(|name, places| table.service(name).is_some() || !places.is_idle());
-    }
-}
-
-fn candidate(
-    settings: &Settings,
-    service: &Service,
-    record: &TargetRecord,
-    report: Option<&EngineReport>,
-    entries: &[EntryDemand<'_>],
-) -> Option<Candidate> {
-    let version = match service.models.first() {
-        None => None,
-        Some(model) => {
-            let holdings = match report {
-                Some(report) => &report.holdings,
-                None => record.holdings.as_ref()?,
-            };
-            Some(whole_version(holdings, &model.name, model.layers)?)
-        }
-    };
-    let slots = record.slots.max(1);
-    let count = entries.len().max(1) as f64;
-    let connections = f64::from(service.max_connections) * CONNECTIONS_USED / count;
-    let most_own = if service.max_connections == 0 {
-        slots
-    } else {
-        (connections as u32).clamp(1, slots)
-    };
-    let distance = if record.hall == settings.hall {
-        Distance::SameHall
-    } else if settings.region_of(&record.hall) == settings.region {
-        Distance::SameRegion
-    } else {
-        Distance::OtherRegion
-    };
-    let pace = report.map_or(1.0, |report| f64::from(report.pace));
-    let cold = if record.cold_left_ms > 0 { 1.0 } else { 0.0 };
-    Some(Candidate {
-        id: record.id.clone(),
-        address: record.address,
-        slots,
-        most_own,
-        share: share(&settings.instance, entries, record.id.as_str(), slots),
-        distance,
-        version,
-        switching: report.is_some_and(|report| report.switching),
-        slowness: pace + cold,
-        agent: None,
-    })
 }
 
 fn read_document(
@@ -373,11 +198,6 @@
     }
 }
 
-fn current_report(now: Millis, agent: &Heard<DaemonRecord>) -> Option<&EngineReport> {
-    let is_current = now.since(agent.at) < REPORT_CURRENT_MS;
-    agent.record.report.as_ref().filter(|_| is_current)
-}
-
 fn catalog_of(table: &RouteTable) -> Catalog {
     let mut catalog = Catalog::default();
     for service in table.services() {
--- a/crates/moleroad_gateway/tests/parts.rs
+++ b/crates/moleroad_gateway/tests/parts.rs
@@ -7,8 +7,8 @@
     ConfigDocument, ControlCommand, ControlState, MAX_DOCUMENT_BYTES,
 };
 use moleroad_gateway::front::events::{EventSplitter, MAX_EVENT_BYTES};
+use moleroad_gateway::named_versions::NamedVersions;
 use moleroad_gateway::settings::{RoleSetting, Settings};
-use moleroad_gateway::view::NamedVersions;
 use moleroad_types::prelude::Millis;
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
