--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -180,6 +180,8 @@
 pub struct Targets {
     /// How fast they read prompts; `None` for plain targets.
     pub reading: Option<ReadingSpeed>,
+    /// Whether targets that fail are not avoided.
+    pub ignores_failures: bool,
     candidates: Vec<Candidate>,
     loads: HashMap<TargetId, TargetLoad>,
 }
@@ -259,7 +261,8 @@
         };
         let fitting: Vec<&Candidate> = self.candidates.iter().filter(fits).collect();
         let sound = |candidate: &&&Candidate| {
-            !candidate.switching && !self.load(&candidate.id).health.is_avoided(now)
+            let is_avoided = self.load(&candidate.id).health.is_avoided(now);
+            !candidate.switching && (self.ignores_failures || !is_avoided)
         };
         let pool: Vec<&Candidate> = fitting.iter().filter(sound).copied().collect();
         if pool.is_empty() {
--- a/crates/moleroad_gateway/src/agent/bring.rs
+++ b/crates/moleroad_gateway/src/agent/bring.rs
@@ -5,6 +5,7 @@
 use crate::agent::digests::{digests, fellows};
 use crate::agent::fetch::{Ended, Fetch, Fetched};
 use crate::agent::{change, pieces};
+use crate::experiments::Mechanism;
 use crate::node::Node;
 use crate::peer::CatalogModel;
 use moleroad_directory::target::whole_version;
@@ -88,6 +89,9 @@
 /// An older version than the newest that agents have whole, if it is newer
 /// than what the engine holds or is about to take.
 pub fn fallback_of(node: &Node, newest: &Wanted) -> Option<Wanted> {
+    if !node.settings.experiments.has(Mechanism::Fallback) {
+        return None;
+    }
     let held = match held_version(node, &newest.model) {
         Held::Version(version) => version,
         Held::Nothing | Held::Unknown => 0,
--- a/crates/moleroad_gateway/src/agent/change.rs
+++ b/crates/moleroad_gateway/src/agent/change.rs
@@ -6,6 +6,7 @@
 use crate::agent::fetch::Fetched;
 use crate::agent::pieces;
 use crate::agent::watch;
+use crate::experiments::Mechanism;
 use crate::interface::{PieceDigests, StartMode};
 use crate::node::Node;
 use bytes::Bytes;
@@ -174,6 +175,9 @@
 }
 
 fn is_turn(node: &Node, target: &Wanted, staged_at: Millis) -> bool {
+    if !node.settings.experiments.has(Mechanism::Waves) {
+        return true;
+    }
     let now = node.clock.now();
     let view = node.view();
     let own = &view.own;
--- a/crates/moleroad_gateway/src/agent/uploads.rs
+++ b/crates/moleroad_gateway/src/agent/uploads.rs
@@ -3,6 +3,7 @@
 use crate::agent::calls::call;
 use crate::agent::pieces;
 use crate::agent::watch::serves;
+use crate::experiments::Mechanism;
 use crate::node::Node;
 use bytes::Bytes;
 use serde_bytes::ByteBuf;
@@ -88,7 +89,8 @@
         LINK_SHARE_IDLE
     };
     let free_at = reserve_link(bytes.len(), node.settings.link_mbps * share);
-    if !is_carried {
+    let goes_first = is_carried && node.settings.experiments.has(Mechanism::CarriedFirst);
+    if !goes_first {
         tokio::time::sleep_until(free_at).await;
     }
     Some(ByteBuf::from(bytes.to_vec()))
--- a/crates/moleroad_gateway/src/agent/watch.rs
+++ b/crates/moleroad_gateway/src/agent/watch.rs
@@ -1,6 +1,7 @@
 //! Reading the engine and telling entries of it.
 
 use crate::agent::calls::call;
+use crate::experiments::Mechanism;
 use crate::interface::EngineState;
 use crate::node::Node;
 use crate::peer::EngineLoad;
@@ -49,6 +50,9 @@
 
 /// Whether the engine holds some version whole, as far as its layers tell.
 pub fn serves(node: &Node) -> bool {
+    if !node.settings.experiments.has(Mechanism::YieldingPieces) {
+        return false;
+    }
     let view = node.view();
     let report = view.own.report.as_ref();
     report.is_some_and(|report| !report.holdings.is_empty() && !report.switching)
--- a/crates/moleroad_gateway/src/candidates.rs
+++ b/crates/moleroad_gateway/src/candidates.rs
@@ -1,6 +1,7 @@
 //! The targets that may get requests, from what is known of targets, agents and
 //! entries.
 
+use crate::experiments::Mechanism;
 use crate::places::ServicePlaces;
 use crate::settings::{RoleSetting, Settings};
 use crate::view::View;
@@ -75,6 +76,7 @@
                             * STEP_SLOWNESS,
                         tokens_per_pass: steps.tokens_per_pass as f64,
                     });
+            places.targets.ignores_failures = !settings.experiments.has(Mechanism::Avoidance);
             places.targets.set(candidates);
         }
         self.services
@@ -114,14 +116,19 @@
     } else {
         Distance::OtherRegion
     };
-    let pace = report.map_or(1.0, |report| f64::from(report.pace));
+    let told = report.filter(|_| settings.experiments.has(Mechanism::Slowness));
+    let pace = told.map_or(1.0, |report| f64::from(report.pace));
     let cold = if record.cold_left_ms > 0 { 1.0 } else { 0.0 };
     Some(Candidate {
         id: record.id.clone(),
         address: record.address,
         slots,
         most_own,
-        share: share(&settings.instance, entries, record.id.as_str(), slots),
+        share: if settings.experiments.has(Mechanism::SharedPlaces) {
+            share(&settings.instance, entries, record.id.as_str(), slots)
+        } else {
+            slots
+        },
         distance,
         version,
         switching: report.is_some_and(|report| report.switching),
--- /dev/null
+++ b/crates/moleroad_gateway/src/experiments.rs
@@ -0,0 +1,44 @@
+//! Mechanisms that can be switched off to measure what they are worth.
+//!
+//! `experiments: { off: [...] }` in the settings; no shipped template has it.
+
+use serde::Deserialize;
+
+/// A mechanism that can be switched off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Mechanism {
+    /// Agents are asked what their engines have in hand before a send.
+    AskedAgents,
+    /// The last places of a target are shared out among entries.
+    SharedPlaces,
+    /// A request waits for a place for a part of its wanted latency.
+    Waiting,
+    /// Targets that fail are avoided for a while.
+    Avoidance,
+    /// Engines that are slower than published count as slower.
+    Slowness,
+    /// Engines change their weights in waves.
+    Waves,
+    /// An older version stands in for a newest one that does not come.
+    Fallback,
+    /// Pieces take less of the link while the engine beside the agent serves.
+    YieldingPieces,
+    /// A piece that is carried into another region goes before others.
+    CarriedFirst,
+}
+
+/// The section of the settings.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Experiments {
+    /// Mechanisms that are switched off.
+    pub off: Vec<Mechanism>,
+}
+
+impl Experiments {
+    /// Whether the mechanism works.
+    pub fn has(&self, mechanism: Mechanism) -> bool {
+        !self.off.contains(&mechanism)
+    }
+}
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -1,6 +1,7 @@
 //! Sending a request until it has an answer, within its time, its number of
 //! targets and the budget of repeats.
 
+use crate::experiments::Mechanism;
 use crate::front::answer::{Answer, AnswerBody, OwnAnswer};
 use crate::front::exchange::{self, Reply, SendError, Verdict, is_promise};
 use crate::front::request::{Accepted, forwarded};
@@ -202,8 +203,10 @@
         // A request that no target has begun is refused while its caller can
         // still be served in time elsewhere or later; one that was begun has
         // cost a target's time already.
+        let waits = self.node.settings.experiments.has(Mechanism::Waiting);
+        let wait_share = if waits { WAIT_SHARE } else { 0.0 };
         let until = if is_first {
-            self.request.arrived + (latency as f64 * WAIT_SHARE) as u64
+            self.request.arrived + (latency as f64 * wait_share) as u64
         } else {
             self.request.until
         };
--- a/crates/moleroad_gateway/src/lib.rs
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod clock;
 pub mod control_state;
 pub mod core;
+pub mod experiments;
 pub mod front;
 pub mod greeting;
 pub mod interface;
--- a/crates/moleroad_gateway/src/probe.rs
+++ b/crates/moleroad_gateway/src/probe.rs
@@ -6,6 +6,7 @@
 //! alike. An agent's look at its own engine is free and new. Agents that do
 //! not answer are passed over, and their engines judged by what is known.
 
+use crate::experiments::Mechanism;
 use crate::node::Node;
 use crate::peer::{EngineLoad, PeerClient};
 use crate::places::Ask;
@@ -25,7 +26,8 @@
 /// looked at has a place.
 pub async fn find(node: &Arc<Node>, ask: &Ask) -> Option<Candidate> {
     let draw: u64 = rand::random();
-    if !have_agents(node, ask) {
+    let asks = node.settings.experiments.has(Mechanism::AskedAgents);
+    if !asks || !have_agents(node, ask) {
         return choose(node, ask, draw);
     }
     let mut looked_at = look(node, ask, Reach::Near, draw).await;
--- a/crates/moleroad_gateway/src/settings.rs
+++ b/crates/moleroad_gateway/src/settings.rs
@@ -2,6 +2,7 @@
 //!
 //! Unknown keys are passed over: the file may be written for a later version.
 
+use crate::experiments::Experiments;
 use quick_error::quick_error;
 use serde::Deserialize;
 use std::net::{IpAddr, SocketAddr};
@@ -166,6 +167,9 @@
     /// Times and shares.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Mechanisms that are switched off to be measured.
+    #[serde(default)]
+    pub experiments: Experiments,
 }
 
 /// A number of milliseconds, whole or not.
--- a/crates/moleroad_gateway/tests/parts.rs
+++ b/crates/moleroad_gateway/tests/parts.rs
@@ -6,6 +6,7 @@
 use moleroad_gateway::control_state::{
     ConfigDocument, ControlCommand, ControlState, MAX_DOCUMENT_BYTES,
 };
+use moleroad_gateway::experiments::Mechanism;
 use moleroad_gateway::front::events::{EventSplitter, MAX_EVENT_BYTES};
 use moleroad_gateway::named_versions::NamedVersions;
 use moleroad_gateway::settings::{RoleSetting, Settings};
@@ -203,6 +204,25 @@
     assert!(control.data_dir.is_some() && control.listen.frontend.is_none());
 }
 
+#[test]
+fn experiments_are_checked_and_in_no_file_that_is_deployed() {
+    let sound = "instance: a\nrole: agent\nip: 127.0.0.1\nhall: h\nregion: r\npeer_ports: [1,2]\nengine: 127.0.0.1:1\n";
+    let with = |text: &str| Settings::parse(&format!("{sound}experiments: {text}\n"));
+    let settings = with("{off: [waves]}").unwrap();
+    assert!(!settings.experiments.has(Mechanism::Waves));
+    assert!(settings.experiments.has(Mechanism::Fallback));
+    for wrong in ["{off: [wave]}", "{of: [waves]}"] {
+        let error = with(wrong).unwrap_err().to_string();
+        assert!(error.starts_with("MR-6002"), "{error}");
+    }
+    let deployed = [
+        include_str!("../../../deploy/entry.yaml"),
+        include_str!("../../../deploy/agent.yaml"),
+        include_str!("../../../deploy/control.yaml"),
+    ];
+    assert!(deployed.iter().all(|text| !text.contains("experiments")));
+}
+
 #[test]
 fn wrong_settings_name_the_field() {
     let sound = "instance: a\nrole: agent\nip: 127.0.0.1\nhall: h\nregion: r\npeer_ports: [1,2]\nengine: 127.0.0.1:1\n";
