--- a/crates/moleroad_gateway/src/agent/fetch/mod.rs
+++ b/crates/moleroad_gateway/src/agent/fetch/mod.rs
@@ -1,6 +1,6 @@
 //! Fetching the pieces of one version into memory, checked one by one.
 //!
-//! [`sources`] says which piece is next and from whom, [`transfer`] brings it.
+//! The module `sources` says which piece is next and from whom, `transfer` brings it.
 
 mod sources;
 mod transfer;
