--- a/crates/moleroad_gateway/src/agent/digests.rs
+++ b/crates/moleroad_gateway/src/agent/digests.rs
@@ -93,8 +93,16 @@
     let own = &view.own;
     let others = fellows(&view, node.clock.now());
     let members = members(own, &others, wanted);
+    let region = origin_region(node, &view);
     let patience = Patience::for_pieces(wanted.model.piece_bytes, node.settings.link_mbps);
-    let allowed = permission(&own.instance, &members, DIGESTS_AS_PIECE, patience, idle_ms);
+    let allowed = permission(
+        &own.instance,
+        &members,
+        region.as_deref(),
+        DIGESTS_AS_PIECE,
+        patience,
+        idle_ms,
+    );
     let has_digests = |other: &&&DaemonRecord| {
         let map = other.pieces_of(&wanted.model.model, wanted.version);
         map.is_some()
@@ -103,17 +111,17 @@
     if holders.iter().any(|holder| holder.region == own.region) {
         holders.retain(|holder| holder.region == own.region);
     }
-    let mut holders: Vec<SocketAddr> = holders.into_iter().map(|holder| holder.peer).collect();
-    if holders.is_empty() {
-        // Whoever asks the origin has them soon; to ask it at once saves the
-        // time until it tells.
-        let first = drawer(&members, DIGESTS_AS_PIECE).map(|member| &member.instance);
-        let first = others.iter().find(|other| Some(&other.instance) == first);
-        holders.extend(first.map(|other| other.peer));
-    }
+    let holders = holders.into_iter().map(|holder| holder.peer).collect();
     (holders, allowed.from_origin, view.catalog.origins.clone())
 }
 
+/// Region of the origin, if that is known.
+pub fn origin_region(node: &Node, view: &View) -> Option<String> {
+    let origin = view.catalog.origins.first()?;
+    let hall = origin.hall.as_ref()?;
+    Some(node.settings.region_of(hall).to_string())
+}
+
 /// Silence after which an agent is not counted on, in milliseconds.
 const SILENT_MS: u64 = 3_000;
 
--- a/crates/moleroad_gateway/src/agent/uploads.rs
+++ b/crates/moleroad_gateway/src/agent/uploads.rs
@@ -3,7 +3,6 @@
 use crate::agent::calls::call;
 use crate::agent::pieces;
 use crate::agent::watch::serves;
-use crate::experiments::Mechanism;
 use crate::node::Node;
 use bytes::Bytes;
 use serde_bytes::ByteBuf;
@@ -14,7 +13,7 @@
 use tokio::time::Instant;
 
 /// Most pieces that are given at once: more would only share the link.
-const MOST_AT_ONCE: usize = 6;
+const MOST_AT_ONCE: usize = 4;
 /// Time for the engine's store to answer.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -56,15 +55,8 @@
 }
 
 /// The bytes of a piece, if this agent has it and is not too busy. Whoever
-/// takes it checks it. One that is carried into another region does not wait
-/// for the others.
-pub async fn give(
-    node: &Node,
-    model: &str,
-    version: u64,
-    piece: u32,
-    is_carried: bool,
-) -> Option<ByteBuf> {
+/// takes it checks it.
+pub async fn give(node: &Node, model: &str, version: u64, piece: u32) -> Option<ByteBuf> {
     let engine = node.settings.engine?;
     let _giving = Giving::begin()?;
     let has_piece = |node: &Node| {
@@ -89,10 +81,7 @@
         LINK_SHARE_IDLE
     };
     let free_at = reserve_link(bytes.len(), node.settings.link_mbps * share);
-    let goes_first = is_carried && node.settings.experiments.has(Mechanism::CarriedFirst);
-    if !goes_first {
-        tokio::time::sleep_until(free_at).await;
-    }
+    tokio::time::sleep_until(free_at).await;
     Some(ByteBuf::from(bytes.to_vec()))
 }
 
--- a/crates/moleroad_gateway/src/greeting/contacts.rs
+++ b/crates/moleroad_gateway/src/greeting/contacts.rs
@@ -28,9 +28,6 @@
 /// Shortest time between greetings of one daemon when there is news, in
 /// milliseconds.
 const NEWS_MS: u64 = 120;
-/// The same for agents that wait for pieces: less than the link takes for two
-/// usual ones.
-const PIECES_NEWS_MS: u64 = 60;
 /// Time between tries to reach a daemon that fell silent, in milliseconds.
 const PROBE_MS: u64 = 1_000;
 /// Without news for this long a daemon turns to its seeds, in milliseconds.
@@ -226,7 +223,6 @@
         let mut contacts: Vec<Contact> = relays.into_iter().map(contact).collect();
         contacts.extend(self.fellows().into_iter().map(|peer| Contact {
             every_ms: None,
-            news_ms: Some(PIECES_NEWS_MS),
             changed_at: self.pieces_changed_at(),
             ..self.told(peer, AGENT_GREETS_MS)
         }));
@@ -301,7 +297,6 @@
         let chosen = agents.iter().filter(|a| chosen.contains(&a.instance));
         let contact = |agent: &&DaemonRecord| Contact {
             every_ms: None,
-            news_ms: Some(PIECES_NEWS_MS),
             changed_at,
             carries: true,
             ..self.told(agent.peer, AGENT_GREETS_MS)
--- a/crates/moleroad_gateway/src/peer.rs
+++ b/crates/moleroad_gateway/src/peer.rs
@@ -182,7 +182,6 @@
     async fn engine_load() -> Option<EngineLoad>;
     /// Asks an agent for the digests of a version.
     async fn digests(model: String, version: u64) -> Option<SharedDigests>;
-    /// Asks an agent for a piece of weights; a whole region waits for one that
-    /// is carried into another region.
-    async fn piece(model: String, version: u64, piece: u32, is_carried: bool) -> Option<ByteBuf>;
+    /// Asks an agent for a piece of weights.
+    async fn piece(model: String, version: u64, piece: u32) -> Option<ByteBuf>;
 }
--- a/crates/moleroad_gateway/src/peer_server.rs
+++ b/crates/moleroad_gateway/src/peer_server.rs
@@ -83,14 +83,7 @@
         self.node.known_digests(&model, version).map(SharedDigests)
     }
 
-    async fn piece(
-        self,
-        _: Context,
-        model: String,
-        version: u64,
-        piece: u32,
-        is_carried: bool,
-    ) -> Option<ByteBuf> {
-        crate::agent::uploads::give(&self.node, &model, version, piece, is_carried).await
+    async fn piece(self, _: Context, model: String, version: u64, piece: u32) -> Option<ByteBuf> {
+        crate::agent::uploads::give(&self.node, &model, version, piece).await
     }
 }
--- a/crates/moleroad_rollout/src/lib.rs
+++ b/crates/moleroad_rollout/src/lib.rs
@@ -25,8 +25,8 @@
     pub use crate::fallback::fallback;
     pub use crate::pause::Pause;
     pub use crate::sources::{
-        AskedHolder, DRAWN_AT_ONCE, Member, Patience, Permission, SPREAD_MS, carriers,
-        draw_after_ms, drawer, first_region, may_ask_origin_for_digests, permission,
+        AskedHolder, Member, Patience, Permission, carriers, copy_ms, may_ask_origin_for_digests,
+        permission,
     };
     pub use crate::waves::WavePlan;
 }
--- a/crates/moleroad_rollout/src/sources.rs
+++ b/crates/moleroad_rollout/src/sources.rs
@@ -52,26 +52,15 @@
 const SHORTEST_PATIENCE_MS: u64 = 200;
 const LONGEST_PATIENCE_MS: u64 = 2_000;
 
-/// When `piece` may be drawn from an origin, in milliseconds after the copy
-/// began: in the order of their numbers and a few at a time, so that each is
-/// there soon and can be passed on while the next ones are drawn. With an
-/// unknown rate (0) all may be drawn at once.
-pub fn draw_after_ms(piece: u32, piece_bytes: u64, origin_kbps: u64) -> u64 {
-    if origin_kbps == 0 {
-        return 0;
-    }
-    let piece_ms = piece_bytes as f64 * 8.0 / origin_kbps as f64;
-    (f64::from(piece.saturating_sub(DRAWN_AT_ONCE)) * piece_ms) as u64
+/// Time in which all pieces of a copy have left an origin, in milliseconds; a
+/// piece that is still missing then is not on its way.
+pub fn copy_ms(copy_bytes: u64, origin_kbps: u64) -> u64 {
+    let sending_ms = copy_bytes * 8 / origin_kbps.max(1);
+    sending_ms + sending_ms / COPY_MARGIN_PART
 }
 
-/// Pieces that leave an origin at the same time: enough to keep its link full
-/// when the time between one piece and the next call is a piece's own.
-pub const DRAWN_AT_ONCE: u32 = 4;
-
-/// Time from the draw of a piece until agents of other regions know of it, in
-/// milliseconds: the calls that wait for the origin's link, and two times of
-/// news. What is missing then is overdue, whoever was to bring it.
-pub const SPREAD_MS: u64 = 600;
+/// Part of the bare time of a copy that is allowed for delays.
+const COPY_MARGIN_PART: u64 = 4;
 
 /// What the agent `own` may do for `piece`, after `idle_ms` in which nothing
 /// came or the piece was overdue.
@@ -79,13 +68,14 @@
 /// In each region one agent, the first by weight, takes a piece from outside
 /// at once; the second may after one time of patience, the third after two,
 /// and so on: agents that all lose patience at the same time would take the
-/// connections of the origin from each other. From the origin the piece goes
-/// into its [`first_region`].
+/// connections of the origin from each other.
 ///
-/// `members` are all agents that take part, the same for all of them.
+/// `members` are all agents that take part, the same for all of them;
+/// `origin_region` is where the origin stands, if that is known.
 pub fn permission(
     own: &InstanceId,
     members: &[Member],
+    origin_region: Option<&str>,
     piece: u32,
     patience: Patience,
     idle_ms: u64,
@@ -96,7 +86,10 @@
             from_origin: true,
         };
     };
-    let first_region = first_region(members, piece);
+    let is_member = |region: &&str| members.iter().any(|member| member.region == *region);
+    let first_region = origin_region
+        .filter(is_member)
+        .or_else(|| members.iter().map(|member| member.region.as_str()).min());
     let own_weight = weight(own, piece);
     let goes_before = |member: &&Member| {
         member.region == known.region && weight(&member.instance, piece) > own_weight
@@ -116,20 +109,6 @@
     }
 }
 
-/// The region whose agents draw `piece` from the origin: that of the first of
-/// all agents by weight. If one region drew all pieces, its agents would have
-/// to give each of them to their own region and to all others, and the copies
-/// would wait for their links.
-pub fn first_region(members: &[Member], piece: u32) -> Option<&str> {
-    drawer(members, piece).map(|member| member.region.as_str())
-}
-
-/// The agent that draws `piece` from the origin first.
-pub fn drawer(members: &[Member], piece: u32) -> Option<&Member> {
-    let weight = |member: &&Member| weight(&member.instance, piece);
-    members.iter().max_by_key(weight)
-}
-
 /// What came of asking another agent for the digests of a version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AskedHolder {
