Close connections to the origin after each call

Cause: agents kept their connections to the origin in the pool, and nothing expires the pool of an agent. The origin takes 48 connections from all agents together; with 204 agents the first 48 held them idle and the others were reset.

Ruled out: the control group (it had a leader 0.5 s after its start and named versions), the news of versions and of the configuration (agents had both 0.3 s after their start), ranks and pauses among the agents (all ranks are allowed to ask within 14 s, and none succeeded).

Change: a call to the origin has a connection of its own that is closed with the answer.

--- a/crates/moleroad_gateway/src/agent/calls.rs
+++ b/crates/moleroad_gateway/src/agent/calls.rs
@@ -1,5 +1,6 @@
 //! HTTP calls of the agent to its engine and to the origin.
 
+use crate::front::pool::Connection;
 use crate::interface::OutsideCall;
 use crate::node::Node;
 use bytes::Bytes;
@@ -12,22 +13,66 @@
 /// Largest answer that is taken, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
-/// Makes a call; `None` when no whole answer came in time.
+/// Makes a call on a kept connection; `None` when no whole answer came in time.
 pub async fn call(
     node: &Node,
     address: SocketAddr,
     outside: OutsideCall,
     timeout: Duration,
 ) -> Option<(StatusCode, Bytes)> {
-    let calling = exchange(node, address, outside);
+    let calling = async {
+        let mut connection = match node.pool.take(address) {
+            Some(connection) => connection,
+            None => node.pool.connect(address).await.ok()?,
+        };
+        let answer = exchange(node, address, outside, &mut connection).await?;
+        if !answer.closes {
+            let pool = node.pool.clone();
+            tokio::spawn(async move {
+                if connection.sender.ready().await.is_ok() {
+                    pool.give_back(connection, None);
+                }
+            });
+        }
+        Some((answer.status, answer.body))
+    };
     tokio::time::timeout(timeout, calling).await.ok().flatten()
 }
 
-async fn exchange(
+/// Makes a call on a connection of its own and closes it; `None` when no whole
+/// answer came in time.
+///
+/// The origin takes fewer connections than there are agents. One that is kept
+/// idle, or is left half open by an agent that lost power, keeps another
+/// agent out.
+pub async fn call_once(
     node: &Node,
     address: SocketAddr,
     outside: OutsideCall,
+    timeout: Duration,
 ) -> Option<(StatusCode, Bytes)> {
+    let calling = async {
+        let mut connection = node.pool.connect(address).await.ok()?;
+        exchange(node, address, outside, &mut connection).await
+    };
+    let answer = tokio::time::timeout(timeout, calling).await.ok().flatten()?;
+    Some((answer.status, answer.body))
+}
+
+/// A whole answer.
+struct Answer {
+    status: StatusCode,
+    body: Bytes,
+    /// Whether the other side closes the connection.
+    closes: bool,
+}
+
+async fn exchange(
+    node: &Node,
+    address: SocketAddr,
+    outside: OutsideCall,
+    connection: &mut Connection,
+) -> Option<Answer> {
     let mut message = Request::new(Full::new(Bytes::from(outside.body)));
     *message.method_mut() = outside.method;
     *message.uri_mut() = outside.path.parse().ok()?;
@@ -37,21 +82,13 @@
         let kind = HeaderValue::from_static(node.interface.document_type());
         headers.insert(CONTENT_TYPE, kind);
     }
-    let mut connection = match node.pool.take(address) {
-        Some(connection) => connection,
-        None => node.pool.connect(address).await.ok()?,
-    };
     let response = connection.sender.send_request(message).await.ok()?;
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await.ok()?;
-    let closes = head.headers.get(hyper::header::CONNECTION);
-    if !closes.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close")) {
-        let pool = node.pool.clone();
-        tokio::spawn(async move {
-            if connection.sender.ready().await.is_ok() {
-                pool.give_back(connection, None);
-            }
-        });
-    }
-    Some((head.status, body.to_bytes()))
+    let closing = head.headers.get(hyper::header::CONNECTION);
+    Some(Answer {
+        status: head.status,
+        body: body.to_bytes(),
+        closes: closing.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close")),
+    })
 }
--- a/crates/moleroad_gateway/src/agent/digests.rs
+++ b/crates/moleroad_gateway/src/agent/digests.rs
@@ -1,7 +1,7 @@
 //! The digests of a version, from another agent or the origin.
 
 use crate::agent::bring::Wanted;
-use crate::agent::calls::call;
+use crate::agent::calls::call_once;
 use crate::agent::fetch::members;
 use crate::interface::PieceDigests;
 use crate::node::Node;
@@ -50,7 +50,7 @@
         let asked = node
             .interface
             .ask_digests(&wanted.model.model, wanted.version);
-        let answer = call(node, origin.address, asked, DIGESTS_TIMEOUT).await;
+        let answer = call_once(node, origin.address, asked, DIGESTS_TIMEOUT).await;
         if let Some((status, body)) = answer
             && status.is_success()
             && let Some(digests) = node.interface.read_digests(&body)
--- a/crates/moleroad_gateway/src/agent/fetch.rs
+++ b/crates/moleroad_gateway/src/agent/fetch.rs
@@ -1,7 +1,7 @@
 //! Fetching the pieces of one version into memory, checked one by one.
 
 use crate::agent::bring::{LOOK_EVERY, Wanted, fallback_of, wanted};
-use crate::agent::calls::call;
+use crate::agent::calls::call_once;
 use crate::agent::digests::{fellows, origin_region};
 use crate::agent::{change, pieces};
 use crate::interface::PieceDigests;
@@ -395,6 +395,6 @@
     let asked = node
         .interface
         .ask_piece(&wanted.model.model, wanted.version, piece);
-    let (status, bytes) = call(node, address, asked, PIECE_TIMEOUT).await?;
+    let (status, bytes) = call_once(node, address, asked, PIECE_TIMEOUT).await?;
     status.is_success().then_some(bytes)
 }
