Give engines no more time than their weights may be begun on

A stream that broke off went on at an engine of the older version 5.9 s after the naming, waited in its queue, and was given up by the entry at 6.5 s; the engine began it at 8.04 s all the same: not every engine drops a request whose connection closes.

Ruled out: news that came late (all entries knew the version), the choice of engines (the request was placed in time).

Change: a request that goes to an engine with older weights is given the time that is left until requests may no longer begin there, less 150 ms, or its own if that is shorter; the engine refuses or stops it then.

--- a/crates/moleroad_gateway/src/agent/store.rs
+++ b/crates/moleroad_gateway/src/agent/store.rs
@@ -63,7 +63,7 @@
     for (piece, digest) in digests.digests.iter().enumerate() {
         let piece = piece as u32;
         let held = get(node, &target.model.model, piece).await;
-        if !held.is_some_and(|bytes| Sha256::digest(&bytes).as_slice() == digest) {
+        if held.is_none_or(|bytes| Sha256::digest(&bytes).as_slice() != digest) {
             bad.push(piece);
         }
     }
--- a/crates/moleroad_gateway/src/front/exchange.rs
+++ b/crates/moleroad_gateway/src/front/exchange.rs
@@ -126,7 +126,13 @@
     {
         headers.insert(&names.last_event, event);
     }
-    let left = request.until.since(node.clock.now()).max(1);
+    // An engine may go on with a request whose connection was closed. It stops
+    // at the time that it is given: what still waits in its queue then does not
+    // begin on weights that are too old.
+    let version = candidate.version;
+    let last_start = version.and_then(|version| node.last_start(&request.service, version));
+    let until = last_start.map_or(request.until, |last| last.min(request.until));
+    let left = until.since(node.clock.now()).max(1);
     headers.insert(&names.deadline_ms, HeaderValue::from(left));
     Ok(message)
 }
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -231,6 +231,15 @@
         view.least_version(self.clock.now(), service, self.settings.bounds.version_ms)
     }
 
+    /// Until when a request may begin on `version` of the weights for `service`;
+    /// see [`View::last_start`].
+    pub fn last_start(&self, service: &str, version: u64) -> Option<Millis> {
+        let view = self.view();
+        let table = view.table.as_ref()?;
+        let service = table.service(service)?;
+        view.last_start(service, version, self.settings.bounds.version_ms)
+    }
+
     /// Gives free places to those that wait.
     pub fn serve_waiting(&self) {
         let now = self.clock.now();
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -15,6 +15,11 @@
 /// older weights: time on the way and in the target's queue.
 const VERSION_MARGIN_PART: u64 = 5;
 
+/// Time before the bound of a version after which a request that waits in a
+/// target's queue may not begin any more, in milliseconds: the news of the
+/// version is late by its ways, and the request is on its way to the target.
+const START_MARGIN_MS: u64 = 150;
+
 /// What one daemon believes.
 pub struct View {
     /// What is in force.
@@ -176,6 +181,15 @@
         named.due(now, version_ms - version_ms / VERSION_MARGIN_PART)
     }
 
+    /// Until when a request may begin on `version` of the weights for `service`;
+    /// `None` while no newer one is named.
+    pub fn last_start(&self, service: &Service, version: u64, version_ms: u64) -> Option<Millis> {
+        let model = service.models.first()?;
+        let named = self.named.get(&model.name)?;
+        let newer_named_at = named.waiting_since(version)?;
+        Some(newer_named_at + version_ms.saturating_sub(START_MARGIN_MS))
+    }
+
     /// Number of entries that share the targets.
     pub fn entry_count(&self, now: Millis) -> usize {
         self.directory.ready_entries(now).count().max(1)
