Leave engines with older weights early when their agents are silent

The link of an engine's instance was squeezed; requests sent to it 6 s after a version was named reached it 0.9 s later and began after the 8 s of the bound. The time that the engine was given is relative to their arrival, so the bound on it did not help. The agent of that instance did not answer in 25 ms, and the engine was judged by what was known and taken.

Ruled out: late news (all 49 entries knew the version with its age within 0.25 s, from the log), a wrong belief of what the engine held.

Change: in the second half of a version's time an engine with older weights whose agent does not answer gets no requests. What says until when older weights may be served has a module of its own, with a test.

--- a/crates/moleroad_gateway/src/front/exchange.rs
+++ b/crates/moleroad_gateway/src/front/exchange.rs
@@ -129,9 +129,8 @@
     // An engine may go on with a request whose connection was closed. It stops
     // at the time that it is given: what still waits in its queue then does not
     // begin on weights that are too old.
-    let version = candidate.version;
-    let last_start = version.and_then(|version| node.last_start(&request.service, version));
-    let until = last_start.map_or(request.until, |last| last.min(request.until));
+    let old = node.old_weights(&request.service, candidate.version);
+    let until = old.map_or(request.until, |old| old.last_start.min(request.until));
     let left = until.since(node.clock.now()).max(1);
     headers.insert(&names.deadline_ms, HeaderValue::from(left));
     Ok(message)
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -14,6 +14,7 @@
 use crate::view::View;
 use moleroad_consensus::prelude::MemberInfo;
 use moleroad_directory::prelude::*;
+use moleroad_rollout::prelude::OldWeights;
 use moleroad_types::prelude::{InstanceId, Millis};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -231,13 +232,13 @@
         view.least_version(self.clock.now(), service, self.settings.bounds.version_ms)
     }
 
-    /// Until when a request may begin on `version` of the weights for `service`;
-    /// see [`View::last_start`].
-    pub fn last_start(&self, service: &str, version: u64) -> Option<Millis> {
+    /// Until when requests may begin at a target whose weights are older than
+    /// the newest; see [`View::old_weights`].
+    pub fn old_weights(&self, service: &str, version: Option<u64>) -> Option<OldWeights> {
         let view = self.view();
         let table = view.table.as_ref()?;
         let service = table.service(service)?;
-        view.last_start(service, version, self.settings.bounds.version_ms)
+        view.old_weights(service, version?, self.settings.bounds.version_ms)
     }
 
     /// Gives free places to those that wait.
--- a/crates/moleroad_gateway/src/probe.rs
+++ b/crates/moleroad_gateway/src/probe.rs
@@ -11,6 +11,7 @@
 use crate::peer::{EngineLoad, PeerClient};
 use crate::places::Ask;
 use moleroad_dispatch::prelude::*;
+use moleroad_rollout::prelude::OldWeights;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -114,25 +115,40 @@
     let until = tokio::time::Instant::now() + ANSWER_WAIT;
     let mut looked_at = Vec::with_capacity(asking.len());
     for (candidate, answer) in asking {
-        let Some(answer) = answer else {
-            looked_at.push(candidate);
-            continue;
+        let answer = match answer {
+            Some(answer) => tokio::time::timeout_at(until, answer).await,
+            None => {
+                if is_reached_in_time(node, ask, &candidate) {
+                    looked_at.push(candidate);
+                }
+                continue;
+            }
         };
-        match tokio::time::timeout_at(until, answer).await {
+        match answer {
             Ok(Ok(Some(load))) if !load.takes_new => {}
             Ok(Ok(Some(_))) => looked_at.push(candidate),
             _ => {
+                let is_in_time = is_reached_in_time(node, ask, &candidate);
                 let mut view = node.view();
                 if let Some(places) = view.services.get_mut(&ask.service) {
                     places.targets.agent_was_silent(now, &candidate.id);
                 }
-                looked_at.push(candidate);
+                if is_in_time {
+                    looked_at.push(candidate);
+                }
             }
         }
     }
     looked_at
 }
 
+/// Whether a target may get the request though its agent does not answer.
+fn is_reached_in_time(node: &Node, ask: &Ask, candidate: &Candidate) -> bool {
+    let old = node.old_weights(&ask.service, candidate.version);
+    let may_go = |old: OldWeights| old.may_go_unheard(node.clock.now());
+    candidate.agent.is_none() || old.is_none_or(may_go)
+}
+
 /// Asks one agent; its answer is counted also when it comes late.
 fn ask_agent(
     node: &Arc<Node>,
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -7,6 +7,7 @@
 use crate::places::ServicePlaces;
 use moleroad_config::prelude::{Configuration, ConfigurationError, RouteTable, Service, check};
 use moleroad_directory::prelude::*;
+use moleroad_rollout::prelude::OldWeights;
 use moleroad_types::prelude::Millis;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -15,11 +16,6 @@
 /// older weights: time on the way and in the target's queue.
 const VERSION_MARGIN_PART: u64 = 5;
 
-/// Time before the bound of a version after which a request that waits in a
-/// target's queue may not begin any more, in milliseconds: the news of the
-/// version is late by its ways, and the request is on its way to the target.
-const START_MARGIN_MS: u64 = 150;
-
 /// What one daemon believes.
 pub struct View {
     /// What is in force.
@@ -181,13 +177,18 @@
         named.due(now, version_ms - version_ms / VERSION_MARGIN_PART)
     }
 
-    /// Until when a request may begin on `version` of the weights for `service`;
+    /// Until when requests may begin on `version` of the weights for `service`;
     /// `None` while no newer one is named.
-    pub fn last_start(&self, service: &Service, version: u64, version_ms: u64) -> Option<Millis> {
+    pub fn old_weights(
+        &self,
+        service: &Service,
+        version: u64,
+        version_ms: u64,
+    ) -> Option<OldWeights> {
         let model = service.models.first()?;
         let named = self.named.get(&model.name)?;
         let newer_named_at = named.waiting_since(version)?;
-        Some(newer_named_at + version_ms.saturating_sub(START_MARGIN_MS))
+        Some(OldWeights::new(newer_named_at, version_ms))
     }
 
     /// Number of entries that share the targets.
--- a/crates/moleroad_rollout/src/lib.rs
+++ b/crates/moleroad_rollout/src/lib.rs
@@ -7,7 +7,7 @@
 //! how each piece spreads, [`choice`] which piece an agent fetches next,
 //! [`pause`] for how long a source that refuses is left alone, [`fallback`]
 //! what to bring when the newest version does not come, [`waves`] when an
-//! engine may change its weights.
+//! engine may change its weights, [`bound`] until when it may serve older ones.
 //!
 //! ```
 //! use moleroad_rollout::prelude::*;
@@ -17,6 +17,7 @@
 //! ```
 #![warn(missing_docs)]
 
+pub mod bound;
 pub mod choice;
 pub mod fallback;
 pub mod pause;
@@ -26,6 +27,7 @@
 
 /// The types most users of the crate need.
 pub mod prelude {
+    pub use crate::bound::OldWeights;
     pub use crate::choice::{Conditions, MissingPiece, STALL_MS, SourceKind, source_of};
     pub use crate::fallback::fallback;
     pub use crate::pause::Pause;
--- a/crates/moleroad_rollout/src/pause.rs
+++ b/crates/moleroad_rollout/src/pause.rs
@@ -5,7 +5,7 @@
 /// First pause, in milliseconds.
 const FIRST_MS: u64 = 80;
 /// Longest pause, in milliseconds.
-const LONGEST_MS: u64 = 640;
+const LONGEST_MS: u64 = 1_000;
 
 /// A pause that doubles with each refusal in a row and ends with a success.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/moleroad_rollout/tests/rollout.rs
+++ b/crates/moleroad_rollout/tests/rollout.rs
@@ -347,3 +347,13 @@
     assert!(!may_ask_origin_for_digests(false, AskedHolder::NobodyKnows));
     assert!(may_ask_origin_for_digests(true, AskedHolder::NobodyKnows));
 }
+
+#[test]
+fn an_engine_with_older_weights_and_a_silent_agent_is_left_at_half_time() {
+    let old = OldWeights::new(Millis(10_000), 8_000);
+    assert!(old.last_start < Millis(18_000));
+    assert!(old.may_go_unheard(Millis(13_000)));
+    // A request that left at 15.9 s began at 18.07 s.
+    assert!(!old.may_go_unheard(Millis(15_900)));
+    assert!(!old.may_go_unheard(Millis(14_000)));
+}
