--- a/crates/moleroad_gateway/src/front/exchange.rs
+++ b/crates/moleroad_gateway/src/front/exchange.rs
@@ -126,7 +126,12 @@
     {
         headers.insert(&names.last_event, event);
     }
-    let left = request.until.since(node.clock.now()).max(1);
+    // An engine may go on with a request whose connection was closed. It stops
+    // at the time that it is given: what still waits in its queue then does not
+    // begin on weights that are too old.
+    let old = node.old_weights(&request.service, candidate.version);
+    let until = old.map_or(request.until, |old| old.last_start.min(request.until));
+    let left = until.since(node.clock.now()).max(1);
     headers.insert(&names.deadline_ms, HeaderValue::from(left));
     Ok(message)
 }
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! What all tasks of one process share.
 
+use crate::agent::offers::Offers;
 use crate::agent::pieces::PieceMemory;
 use crate::clock::Clock;
 use crate::control_state::{ControlCommand, ControlState};
@@ -13,6 +14,7 @@
 use crate::view::View;
 use moleroad_consensus::prelude::MemberInfo;
 use moleroad_directory::prelude::*;
+use moleroad_rollout::prelude::OldWeights;
 use moleroad_types::prelude::{InstanceId, Millis};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -41,6 +43,10 @@
     pub news: Notify,
     /// Pieces of weights in memory.
     pub pieces: Mutex<PieceMemory>,
+    /// What other agents offered.
+    pub offers: Mutex<Offers>,
+    /// Wakes a fetch when something was offered.
+    pub offered: Notify,
     /// Requests that came since demand was last measured.
     pub requests_since: AtomicUsize,
     /// Requests that are being answered.
@@ -72,6 +78,8 @@
             metrics: Metrics::default(),
             news: Notify::new(),
             pieces: Mutex::default(),
+            offers: Mutex::default(),
+            offered: Notify::new(),
             requests_since: AtomicUsize::new(0),
             in_flight: AtomicUsize::new(0),
             seeds: Mutex::new(settings.seed_peers()),
@@ -224,6 +232,15 @@
         view.least_version(self.clock.now(), service, self.settings.bounds.version_ms)
     }
 
+    /// Until when requests may begin at a target whose weights are older than
+    /// the newest; see [`View::old_weights`].
+    pub fn old_weights(&self, service: &str, version: Option<u64>) -> Option<OldWeights> {
+        let view = self.view();
+        let table = view.table.as_ref()?;
+        let service = table.service(service)?;
+        view.old_weights(service, version?, self.settings.bounds.version_ms)
+    }
+
     /// Gives free places to those that wait.
     pub fn serve_waiting(&self) {
         let now = self.clock.now();
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -7,6 +7,7 @@
 use crate::places::ServicePlaces;
 use moleroad_config::prelude::{Configuration, ConfigurationError, RouteTable, Service, check};
 use moleroad_directory::prelude::*;
+use moleroad_rollout::prelude::OldWeights;
 use moleroad_types::prelude::Millis;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -33,6 +34,8 @@
     pub services: HashMap<String, ServicePlaces>,
     /// What this daemon tells of itself.
     pub own: DaemonRecord,
+    /// Whether the engine beside this agent was read in this life.
+    pub engine_was_read: bool,
     /// Requests that this daemon has to place in a second.
     pub demand_per_s: f32,
     /// The leader of the control group, as believed.
@@ -55,6 +58,7 @@
             directory: Directory::new(),
             services: HashMap::new(),
             own,
+            engine_was_read: false,
             demand_per_s: 0.0,
             leader: None,
             called_here: HashMap::new(),
@@ -173,6 +177,20 @@
         named.due(now, version_ms - version_ms / VERSION_MARGIN_PART)
     }
 
+    /// Until when requests may begin on `version` of the weights for `service`;
+    /// `None` while no newer one is named.
+    pub fn old_weights(
+        &self,
+        service: &Service,
+        version: u64,
+        version_ms: u64,
+    ) -> Option<OldWeights> {
+        let model = service.models.first()?;
+        let named = self.named.get(&model.name)?;
+        let newer_named_at = named.waiting_since(version)?;
+        Some(OldWeights::new(newer_named_at, version_ms))
+    }
+
     /// Number of entries that share the targets.
     pub fn entry_count(&self, now: Millis) -> usize {
         self.directory.ready_entries(now).count().max(1)
