--- a/crates/moleroad_gateway/tests/parts.rs
+++ b/crates/moleroad_gateway/tests/parts.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use moleroad_config::prelude::ConfigVersion;
+use moleroad_gateway::agent::offers::Offers;
 use moleroad_gateway::control_state::{
     ConfigDocument, ControlCommand, ControlState, MAX_DOCUMENT_BYTES,
 };
@@ -14,6 +15,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
+use std::net::SocketAddr;
 
 #[test]
 fn events_come_out_whole_however_the_bytes_are_cut() {
@@ -343,3 +345,25 @@
     }
     assert!(count > 20, "the settings were found");
 }
+
+#[test]
+fn offers_are_bounded_and_those_of_an_agent_that_is_gone_are_forgotten() {
+    let agent = |number: u8| SocketAddr::from(([10, 0, 0, number], 7_000));
+    let mut offers = Offers::default();
+    for number in 0..50 {
+        offers.add(2, 7, agent(number));
+        offers.add(2, 7, agent(number));
+    }
+    // The first ones stay: they have had the piece for longest.
+    assert_eq!(offers.of(2, 7), [agent(0), agent(1), agent(2)]);
+    assert!(offers.of(2, 8).is_empty());
+    offers.add(2, 8, agent(1));
+    offers.forget(agent(1));
+    assert_eq!(offers.of(2, 7), [agent(0), agent(2)]);
+    assert!(offers.of(2, 8).is_empty());
+    for version in 3..40 {
+        offers.add(version, 0, agent(9));
+    }
+    assert!(offers.of(2, 7).is_empty(), "versions are bounded");
+    assert_eq!(offers.of(39, 0), [agent(9)]);
+}
