--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -135,6 +135,8 @@
     /// Time that is left for a first event, in milliseconds; `None` when late
     /// is better than never.
     pub within_ms: Option<u64>,
+    /// Places that must stay free at the target for others.
+    pub spare: u32,
 }
 
 /// Part of its slots up to which any entry sends to a target; beyond it each
@@ -201,6 +203,24 @@
         &self.candidates
     }
 
+    /// Places over all targets.
+    pub fn places(&self) -> u32 {
+        self.candidates
+            .iter()
+            .map(|candidate| candidate.slots)
+            .sum()
+    }
+
+    /// Whether some target may take requests, with `least` as the lowest version
+    /// of weights.
+    pub fn any_serves(&self, least: Option<u64>) -> bool {
+        let is_new_enough = |candidate: &Candidate| match (least, candidate.version) {
+            (Some(least), Some(version)) => version >= least,
+            _ => true,
+        };
+        self.candidates.iter().any(is_new_enough)
+    }
+
     /// What is known of the load of a target.
     pub fn load(&self, id: &TargetId) -> TargetLoad {
         self.loads.get(id).copied().unwrap_or_default()
@@ -241,7 +261,7 @@
         }
         let free = pool
             .iter()
-            .filter(|candidate| self.has_place(now, candidate))
+            .filter(|candidate| self.has_place(now, candidate, needs.spare))
             .filter(|candidate| self.is_in_time(now, candidate, needs));
         let free: Vec<&Candidate> = free.copied().collect();
         let sample = sample(&free, draw);
@@ -305,7 +325,7 @@
     ) -> Option<Candidate> {
         let free = looked_at
             .iter()
-            .filter(|candidate| self.has_place(now, candidate))
+            .filter(|candidate| self.has_place(now, candidate, needs.spare))
             .filter(|candidate| self.is_in_time(now, candidate, needs));
         let best = free.min_by(|a, b| self.cost_ms(now, a).total_cmp(&self.cost_ms(now, b)));
         best.cloned()
@@ -329,9 +349,10 @@
             .agent_was_silent(now);
     }
 
-    fn has_place(&self, now: Millis, candidate: &Candidate) -> bool {
+    fn has_place(&self, now: Millis, candidate: &Candidate, spare: u32) -> bool {
         let load = self.load(&candidate.id);
-        let (requests, slots) = (load.requests(now), f64::from(candidate.slots));
+        let requests = load.requests(now);
+        let slots = f64::from(candidate.slots.saturating_sub(spare));
         if self.reading.is_some() && load.is_current(now) {
             return load.own() < candidate.most_own && requests + 1.0 <= slots;
         }
--- a/crates/moleroad_dispatch/src/queue.rs
+++ b/crates/moleroad_dispatch/src/queue.rs
@@ -6,11 +6,22 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct WaiterId(pub u64);
 
+/// What a waiting request still hopes for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Line {
+    /// An answer within its wanted latency, or the rest of one that was begun.
+    InTime,
+    /// An answer at all: its wanted latency can no longer be met.
+    Overdue,
+}
+
 /// One waiting request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Waiter {
     /// Its name.
     pub id: WaiterId,
+    /// What it still hopes for.
+    pub line: Line,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
     /// When it began to wait.
@@ -55,15 +66,32 @@
         self.waiters.is_empty()
     }
 
-    /// Who should get the next place: among the most urgent those that can
-    /// still be in time, the longest waiting first; then those that are late.
+    /// Number of requests that wait in one line.
+    pub fn len_of(&self, line: Line) -> usize {
+        let in_line = self.waiters.iter().filter(|waiter| waiter.line == line);
+        in_line.count()
+    }
+
+    /// Who should get the next place: those that hope for their wanted latency
+    /// before those that do not; among them those that can still be in time,
+    /// by rank, the longest waiting first.
     pub fn next(&self, now: Millis) -> Option<WaiterId> {
-        let useful = self.waiters.iter().filter(|waiter| now < waiter.until);
-        let rank = |waiter: &&Waiter| {
-            let late = now > waiter.wanted_by;
-            (late, waiter.priority, waiter.since, waiter.id.0)
+        let first = self.useful(now).min_by_key(|waiter| rank(now, waiter));
+        first.map(|waiter| waiter.id)
+    }
+
+    /// Whether a request is among the first `count` of its line.
+    pub fn is_among_first(&self, count: usize, id: WaiterId, now: Millis) -> bool {
+        let Some(own) = self.waiters.iter().find(|waiter| waiter.id == id) else {
+            return false;
         };
-        useful.min_by_key(rank).map(|waiter| waiter.id)
+        let same_line = self.useful(now).filter(|waiter| waiter.line == own.line);
+        let before = same_line.filter(|waiter| rank(now, waiter) < rank(now, own));
+        before.count() < count
+    }
+
+    fn useful(&self, now: Millis) -> impl Iterator<Item = &Waiter> {
+        self.waiters.iter().filter(move |waiter| now < waiter.until)
     }
 
     /// Requests whose time is over at `now`.
@@ -72,3 +100,14 @@
         over.map(|waiter| waiter.id).collect()
     }
 }
+
+fn rank(now: Millis, waiter: &Waiter) -> (Line, bool, u8, Millis, u64) {
+    let late = now > waiter.wanted_by;
+    (
+        waiter.line,
+        late,
+        waiter.priority,
+        waiter.since,
+        waiter.id.0,
+    )
+}
--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -143,6 +143,7 @@
 
 fn waiter(id: u64, priority: u8, since: u64, wanted_by: u64) -> Waiter {
     Waiter {
+        line: Line::InTime,
         id: WaiterId(id),
         priority,
         since: Millis(since),
--- /dev/null
+++ b/crates/moleroad_dispatch/tests/overdue.rs
@@ -0,0 +1,95 @@
+//! Requests that wait though their wanted latency cannot be met: who goes
+//! first, how soon they get a place, what they leave to others.
+
+use moleroad_directory::prelude::TargetId;
+use moleroad_dispatch::prelude::*;
+use moleroad_types::prelude::Millis;
+
+fn waiter(id: u64, line: Line, since: u64) -> Waiter {
+    Waiter {
+        line,
+        id: WaiterId(id),
+        priority: 1,
+        since: Millis(since),
+        wanted_by: Millis(5_000),
+        until: Millis(5_000),
+    }
+}
+
+#[test]
+fn requests_that_can_be_in_time_go_before_those_that_cannot() {
+    let mut queue = WaitQueue::default();
+    assert!(queue.enter(waiter(1, Line::Overdue, 0)));
+    assert!(queue.enter(waiter(2, Line::Overdue, 5)));
+    assert!(queue.enter(waiter(3, Line::InTime, 90)));
+    assert_eq!(queue.next(Millis(100)), Some(WaiterId(3)));
+    assert_eq!(queue.len_of(Line::Overdue), 2);
+    // Each line looks for places by itself.
+    assert!(queue.is_among_first(1, WaiterId(1), Millis(100)));
+    assert!(!queue.is_among_first(1, WaiterId(2), Millis(100)));
+    assert!(queue.is_among_first(2, WaiterId(2), Millis(100)));
+    assert!(queue.is_among_first(1, WaiterId(3), Millis(100)));
+    assert!(!queue.is_among_first(1, WaiterId(4), Millis(100)));
+}
+
+#[test]
+fn the_expected_wait_follows_the_pace_at_which_places_come() {
+    let mut pace = Pace::default();
+    pace.entered(Millis(0), 0);
+    for at in 1..=20 {
+        pace.granted(Millis(at * 300));
+    }
+    let alone = pace.expected_wait_ms(Millis(6_000), 0);
+    assert!((250.0..=300.0).contains(&alone), "{alone}");
+    let behind_four = pace.expected_wait_ms(Millis(6_000), 4);
+    assert!((behind_four - alone * 5.0).abs() < 1.0, "{behind_four}");
+}
+
+#[test]
+fn without_places_nobody_more_is_held() {
+    let mut pace = Pace::default();
+    pace.entered(Millis(0), 0);
+    pace.entered(Millis(50), 1);
+    assert!(pace.expected_wait_ms(Millis(100), 2) < 1_000.0);
+    // Two seconds without a place: the third would wait six.
+    assert!(pace.expected_wait_ms(Millis(2_000), 2) >= 6_000.0);
+    // Who comes when nobody waits begins anew.
+    assert!(pace.expected_wait_ms(Millis(9_000), 0) < 1_000.0);
+}
+
+#[test]
+fn a_request_without_hope_leaves_a_place_to_others() {
+    let mut targets = Targets::default();
+    targets.set(vec![Candidate {
+        id: TargetId::new("engine"),
+        address: "10.0.0.1:80".parse().unwrap(),
+        slots: 3,
+        most_own: 3,
+        share: 3,
+        distance: Distance::SameHall,
+        version: Some(4),
+        switching: false,
+        slowness: 1.0,
+        agent: None,
+    }]);
+    let overdue = Needs {
+        spare: 1,
+        ..Needs::default()
+    };
+    let engine = TargetId::new("engine");
+    targets.started(Millis(0), &engine, 10);
+    assert!(matches!(
+        targets.choose(Millis(0), overdue, 0),
+        Choice::Send(_)
+    ));
+    targets.started(Millis(0), &engine, 10);
+    assert_eq!(targets.choose(Millis(0), overdue, 0), Choice::Full);
+    let in_time = Needs::default();
+    assert!(matches!(
+        targets.choose(Millis(0), in_time, 0),
+        Choice::Send(_)
+    ));
+    assert_eq!(targets.places(), 3);
+    assert!(targets.any_serves(Some(4)));
+    assert!(!targets.any_serves(Some(5)));
+}
--- a/crates/moleroad_gateway/src/agent/choice.rs
+++ b/crates/moleroad_gateway/src/agent/choice.rs
@@ -65,7 +65,16 @@
             origin_is_free: !origins.is_empty(),
             origin_failed_ms: self.origin_failed_at.map(|failed| now.since(failed)),
             may_cross: !self.crosses_regions(&others),
+            newest_seen: self.newest_seen(&missing),
         };
+        let spread = self.membership.spread.clone();
+        drop(view);
+        let due = missing
+            .iter()
+            .filter(|piece| announces(**piece, &spread, &conditions));
+        due.for_each(|piece| self.announce(*piece));
+        let view = self.node.view();
+        let others = fellows(&view, now);
         // Another start in each agent, so that agents of a region bring
         // different pieces first.
         let offset = view.own.incarnation as usize;
@@ -82,6 +91,7 @@
             let known = MissingPiece {
                 piece,
                 offered: !holders.offers.is_empty(),
+                announced_ms: self.announced_ms(now, piece),
                 near: holders.near.len(),
                 far: holders.far.len(),
                 far_known_ms: now.since(known_at.unwrap_or(now)),
@@ -109,6 +119,25 @@
         best.map(|(piece, source, _)| (piece, source))
     }
 
+    /// Time since an agent last said that it draws the piece from the origin; 0
+    /// once one has it.
+    fn announced_ms(&self, now: Millis, piece: u32) -> Option<u64> {
+        let (offers, version) = (offers(&self.node), self.wanted.version);
+        if !offers.of(version, piece).is_empty() {
+            return Some(0);
+        }
+        let announced_at = offers.announced_at(version, piece);
+        announced_at.map(|at| now.since(at))
+    }
+
+    /// The highest piece that is here or was offered.
+    fn newest_seen(&self, missing: &[u32]) -> Option<u32> {
+        let is_here = |piece: &u32| missing.binary_search(piece).is_err();
+        let here = (0..self.wanted.model.pieces).rev().find(is_here);
+        let offered = offers(&self.node).newest(self.wanted.version);
+        here.max(offered)
+    }
+
     fn look_at_members(&mut self) {
         let now = self.node.clock.now();
         let is_new = self.membership.members.is_empty();
--- a/crates/moleroad_gateway/src/agent/fetch.rs
+++ b/crates/moleroad_gateway/src/agent/fetch.rs
@@ -2,6 +2,7 @@
 
 use crate::agent::bring::{Held, LOOK_EVERY, Wanted, fallback_of, held_version, wanted};
 use crate::agent::choice::Membership;
+use crate::agent::digests::fellows;
 use crate::agent::offers::{self, offers};
 use crate::agent::pieces;
 use crate::agent::transfer::{Brought, bring_piece};
@@ -10,6 +11,7 @@
 use crate::peer::Offer;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use moleroad_directory::prelude::DaemonRecord;
 use moleroad_rollout::prelude::*;
 use moleroad_types::prelude::Millis;
 use std::collections::HashMap;
@@ -27,6 +29,10 @@
 /// when this one is given up.
 const FINISHED_FROM_SHARE: f64 = 0.75;
 
+/// A version of which this share is known to have left the origin is drawn to the
+/// end: what is known is some hundred milliseconds old, about a quarter of a copy.
+const NEARLY_OUT_SHARE: f64 = 0.5;
+
 /// A version all of whose pieces are here.
 pub struct Fetched {
     /// The version.
@@ -63,6 +69,8 @@
     digests: PieceDigests,
     pub(super) membership: Membership,
     pub(super) patience: Patience,
+    /// When others were last told that a piece is drawn here.
+    announced: HashMap<u32, Millis>,
     /// Pieces that were asked for, and whom.
     pub(super) under_way: HashMap<u32, Source>,
     /// Until when a source is not asked for a piece again.
@@ -72,14 +80,34 @@
     /// When a piece last came.
     progress_at: Millis,
     began_at: Millis,
-    /// When the division of work began: with the fetch, or when pieces came
-    /// again after a stall.
+    /// When the division of work began: with the news of the version, with the
+    /// fetch, or when pieces came again after a stall.
     pub(super) divided_at: Millis,
     pub(super) origin_pause: Pause,
     /// When the origin last gave nothing.
     pub(super) origin_failed_at: Option<Millis>,
     from_origin: u32,
     not_given: u32,
+    /// Whether nothing came for a while when last looked.
+    stood_still: bool,
+}
+
+/// Age of a version up to which its agents count the turns at the origin from
+/// its naming, in milliseconds: they all hear of it within 0.4 s.
+const NAMED_LATELY_MS: u64 = 1_000;
+/// Time after a version was named at which the first pieces can leave the
+/// origin, in milliseconds.
+const FIRST_PIECES_MS: u64 = 100;
+
+/// Since when the pieces of a version have their turns at the origin: all agents
+/// count from the same moment where they know it, so that a copy leaves the
+/// origin in the time that its link needs.
+fn turns_from(node: &Node, wanted: &Wanted, now: Millis) -> Millis {
+    let view = node.view();
+    let named = view.named.get(&wanted.model.model);
+    let named_at = named.and_then(|named| named.named_at(wanted.version));
+    let lately = named_at.filter(|at| now.since(*at) < NAMED_LATELY_MS);
+    lately.map_or(now, |at| (at + FIRST_PIECES_MS).min(now))
 }
 
 impl Fetch {
@@ -100,6 +128,7 @@
         );
         let now = node.clock.now();
         let own = node.view().own.instance.clone();
+        let divided_at = turns_from(node, wanted, now);
         Self {
             node: node.clone(),
             wanted: wanted.clone(),
@@ -107,16 +136,18 @@
             digests,
             membership: Membership::new(&own),
             patience: Patience::for_pieces(model.piece_bytes, node.settings.link_mbps),
+            announced: HashMap::new(),
             under_way: HashMap::new(),
             resting: HashMap::new(),
             far_known_at: HashMap::new(),
             progress_at: now,
             began_at: now,
-            divided_at: now,
+            divided_at,
             origin_pause: Pause::default(),
             origin_failed_at: None,
             from_origin: 0,
             not_given: 0,
+            stood_still: false,
         }
     }
 
@@ -135,11 +166,15 @@
             if self.is_overtaken() {
                 return Ended::Overtaken;
             }
+            self.note_standstill();
             if self.is_stuck() {
                 return Ended::Stuck;
             }
             while let Some((piece, source)) = self.next(FETCHED_AT_ONCE) {
                 self.under_way.insert(piece, source);
+                if let Source::Origin(_) = source {
+                    self.announce(piece);
+                }
                 let digest = self.digests.digests[piece as usize];
                 fetches.push(bring_piece(
                     self.node.clone(),
@@ -160,6 +195,20 @@
         }
     }
 
+    /// Says that this agent draws the piece from the origin, again and again
+    /// while that is so.
+    pub(super) fn announce(&mut self, piece: u32) {
+        let now = self.node.clock.now();
+        let last = self.announced.get(&piece);
+        if last.is_some_and(|at| now.since(*at) < ANNOUNCE_EVERY_MS) {
+            return;
+        }
+        self.announced.insert(piece, now);
+        let spread = &self.membership.spread;
+        let offer = Offer::Coming(piece);
+        offers::tell_of_draw(&self.node, spread, &self.wanted, piece, offer);
+    }
+
     fn note(&mut self, piece: u32, source: Source, brought: Brought) {
         let now = self.node.clock.now();
         let is_here = brought == Brought::Yes;
@@ -184,7 +233,13 @@
         }
         self.progress_at = now;
         let spread = &self.membership.spread;
-        offers::pass_on(&self.node, spread, &self.wanted, Offer::Piece(piece));
+        let offer = Offer::Piece(piece);
+        match source {
+            Source::Agent(_) => offers::pass_on(&self.node, spread, &self.wanted, offer),
+            Source::Origin(_) => {
+                offers::tell_of_draw(&self.node, spread, &self.wanted, piece, offer);
+            }
+        }
         self.node.news.notify_waiters();
     }
 
@@ -201,9 +256,31 @@
             return false;
         }
         let pieces = self.wanted.model.pieces as usize;
-        let held = pieces - self.missing().len();
+        let missing = self.missing();
+        let held = pieces - missing.len();
         let is_little = (held as f64) < pieces as f64 * FINISHED_FROM_SHARE;
-        (is_little && !self.is_fallback) || self.idle_ms() > self.patience.origin_ms * 2
+        let is_given_up = is_little && !self.is_fallback && !self.is_nearly_out(&missing);
+        is_given_up || self.idle_ms() > self.patience.origin_ms * 2
+    }
+
+    /// Whether most pieces have left the origin and a few have not: these are
+    /// drawn before the version is given up, so that agents have it between them
+    /// should the origin fail.
+    fn is_nearly_out(&self, missing: &[u32]) -> bool {
+        let view = self.node.view();
+        let others = fellows(&view, self.node.clock.now());
+        let (model, version) = (&self.wanted.model.model, self.wanted.version);
+        let has = |other: &&DaemonRecord, piece: u32| {
+            let map = other.pieces_of(model, version);
+            map.is_some_and(|map| map.has(piece))
+        };
+        let offers = offers(&self.node);
+        let is_out = |piece: &u32| {
+            !offers.of(version, *piece).is_empty() || others.iter().any(|other| has(other, *piece))
+        };
+        let not_out = missing.iter().filter(|piece| !is_out(piece)).count();
+        let pieces = self.wanted.model.pieces as usize;
+        not_out > 0 && (not_out as f64) <= pieces as f64 * (1.0 - NEARLY_OUT_SHARE)
     }
 
     /// Whether nothing comes and an older version can be had.
@@ -212,6 +289,25 @@
         is_idle && !self.is_fallback && fallback_of(&self.node, &self.wanted).is_some()
     }
 
+    /// Logs once that nothing comes, and what is missing.
+    fn note_standstill(&mut self) {
+        let stands_still = self.idle_ms() >= STALL_MS;
+        if stands_still && !self.stood_still {
+            let missing = self.missing();
+            log::info!(
+                event = "weights_standstill",
+                version = self.wanted.version,
+                missing:? = missing,
+                from_origin = self.from_origin,
+                origin_failed_ms_ago = self
+                    .origin_failed_at
+                    .map_or(0, |at| self.node.clock.now().since(at));
+                ""
+            );
+        }
+        self.stood_still = stands_still;
+    }
+
     fn idle_ms(&self) -> u64 {
         self.node.clock.now().since(self.progress_at)
     }
--- a/crates/moleroad_gateway/src/agent/offers.rs
+++ b/crates/moleroad_gateway/src/agent/offers.rs
@@ -11,7 +11,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use moleroad_rollout::prelude::Spread;
-use moleroad_types::prelude::InstanceId;
+use moleroad_types::prelude::{InstanceId, Millis};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, MutexGuard};
@@ -30,6 +30,8 @@
 #[derive(Debug, Default)]
 pub struct Offers {
     versions: BTreeMap<u64, BTreeMap<u32, Vec<SocketAddr>>>,
+    /// When agents last said that they draw a piece from the origin, by version.
+    coming: BTreeMap<u64, BTreeMap<u32, Millis>>,
 }
 
 impl Offers {
@@ -45,6 +47,19 @@
         }
     }
 
+    /// Remembers that an agent draws a piece from the origin.
+    pub fn announce(&mut self, now: Millis, version: u64, piece: u32) {
+        self.coming.entry(version).or_default().insert(piece, now);
+        while self.coming.len() > MOST_VERSIONS {
+            self.coming.pop_first();
+        }
+    }
+
+    /// When an agent last said that it draws the piece from the origin.
+    pub fn announced_at(&self, version: u64, piece: u32) -> Option<Millis> {
+        self.coming.get(&version)?.get(&piece).copied()
+    }
+
     /// Agents that offered a piece, the first one first.
     pub fn of(&self, version: u64, piece: u32) -> &[SocketAddr] {
         let pieces = self.versions.get(&version);
@@ -52,6 +67,12 @@
         offers.map_or(&[], Vec::as_slice)
     }
 
+    /// The highest piece of a version that was offered.
+    pub fn newest(&self, version: u64) -> Option<u32> {
+        let pieces = self.versions.get(&version)?;
+        pieces.last_key_value().map(|(piece, _)| *piece)
+    }
+
     /// Forgets what the agent at `from` offered: it cannot be reached.
     pub fn forget(&mut self, from: SocketAddr) {
         let pieces = self.versions.values_mut().flat_map(BTreeMap::values_mut);
@@ -79,7 +100,11 @@
     };
     match offer {
         Offer::Piece(piece) if piece < model.pieces => offers(node).add(version, piece, from),
-        Offer::Piece(_) => return,
+        Offer::Coming(piece) if piece < model.pieces => {
+            offers(node).announce(node.clock.now(), version, piece);
+            return;
+        }
+        Offer::Piece(_) | Offer::Coming(_) => return,
         Offer::Digests(shared) => take_digests(node, model, version, shared),
     }
     node.offered.notify_waiters();
@@ -105,14 +130,24 @@
 
 /// Tells the agents below this one what it has of a version.
 pub fn pass_on(node: &Arc<Node>, spread: &Arc<Spread>, wanted: &Wanted, offer: Offer) {
-    let telling = Telling {
-        node: node.clone(),
-        spread: spread.clone(),
-        model: wanted.model.clone(),
-        version: wanted.version,
-        offer,
-    };
-    tokio::spawn(telling.tell_below());
+    let telling = Telling::new(node, spread, wanted, offer);
+    let own = node.view().own.instance.clone();
+    let below = telling.children(&own);
+    tokio::spawn(telling.tell(below));
+}
+
+/// Tells those who reckon with this agent's draw of a piece from the origin that
+/// it comes, or that it is here.
+pub fn tell_of_draw(
+    node: &Arc<Node>,
+    spread: &Arc<Spread>,
+    wanted: &Wanted,
+    piece: u32,
+    offer: Offer,
+) {
+    let told = spread.told_of_draw(piece).into_iter().cloned().collect();
+    let telling = Telling::new(node, spread, wanted, offer);
+    tokio::spawn(telling.tell(told));
 }
 
 /// An offer on its way to the agents below this one.
@@ -125,22 +160,27 @@
 }
 
 impl Telling {
-    /// Tells the children of this agent, and in place of those that cannot be
-    /// told their children.
-    async fn tell_below(self) {
-        let own = self.node.view().own.instance.clone();
+    fn new(node: &Arc<Node>, spread: &Arc<Spread>, wanted: &Wanted, offer: Offer) -> Self {
+        Self {
+            node: node.clone(),
+            spread: spread.clone(),
+            model: wanted.model.clone(),
+            version: wanted.version,
+            offer,
+        }
+    }
+
+    /// Tells these agents, and in place of those that cannot be told their
+    /// children.
+    async fn tell(self, agents: Vec<InstanceId>) {
         let mut calls = FuturesUnordered::new();
-        calls.extend(
-            self.children(&own)
-                .into_iter()
-                .map(|child| self.tell(child)),
-        );
+        calls.extend(agents.into_iter().map(|agent| self.tell_one(agent)));
         while let Some((agent, is_told)) = calls.next().await {
             if !is_told {
                 calls.extend(
                     self.children(&agent)
                         .into_iter()
-                        .map(|child| self.tell(child)),
+                        .map(|child| self.tell_one(child)),
                 );
             }
         }
@@ -149,7 +189,7 @@
     /// The part of the version that the offer is about, as its tree counts it.
     fn part(&self) -> u32 {
         match self.offer {
-            Offer::Piece(piece) => piece,
+            Offer::Piece(piece) | Offer::Coming(piece) => piece,
             Offer::Digests(_) => self.model.digests_part(),
         }
     }
@@ -159,7 +199,7 @@
         children.into_iter().cloned().collect()
     }
 
-    async fn tell(&self, agent: InstanceId) -> (InstanceId, bool) {
+    async fn tell_one(&self, agent: InstanceId) -> (InstanceId, bool) {
         let Some(address) = self.address_of(&agent) else {
             return (agent, false);
         };
@@ -184,7 +224,7 @@
 
     /// Whether the agent is known to have the piece.
     fn has_it(&self, agent: &InstanceId) -> bool {
-        let Offer::Piece(piece) = self.offer else {
+        let (Offer::Piece(piece) | Offer::Coming(piece)) = self.offer else {
             return false;
         };
         let view = self.node.view();
--- a/crates/moleroad_gateway/src/candidates.rs
+++ b/crates/moleroad_gateway/src/candidates.rs
@@ -5,7 +5,7 @@
 use crate::places::ServicePlaces;
 use crate::settings::{RoleSetting, Settings};
 use crate::view::View;
-use moleroad_config::prelude::Service;
+use moleroad_config::prelude::{RouteTable, Service};
 use moleroad_directory::prelude::*;
 use moleroad_directory::target::whole_version;
 use moleroad_dispatch::prelude::*;
@@ -79,9 +79,37 @@
             places.targets.ignores_failures = !settings.experiments.has(Mechanism::Avoidance);
             places.targets.set(candidates);
         }
+        self.note_arrivals(now, &table);
         self.services
             .retain(|name, places| table.service(name).is_some() || !places.is_idle());
     }
+
+    /// Notes how far weights have come that are on their way to engines.
+    fn note_arrivals(&mut self, now: Millis, table: &RouteTable) {
+        let origins = self.catalog.origins.iter();
+        let fastest_kbps = origins.map(|origin| origin.link_kbps).max().unwrap_or(0);
+        for service in table.services() {
+            let Some(model) = service.models.first() else {
+                continue;
+            };
+            let named = self.named.get(&model.name).and_then(|named| named.newest());
+            let held = self.most_held(&service.name, &model.name, named.unwrap_or(0));
+            if let Some(places) = self.services.get_mut(&service.name) {
+                places.arrival.note(now, held, model.pieces);
+                let bits = model.piece_bytes as f64 * 8.0;
+                places.piece_ms = bits / (fastest_kbps as f64).max(1.0);
+            }
+        }
+    }
+
+    /// The most pieces that an agent holds of a version from `least` on.
+    fn most_held(&self, service: &str, model: &str, least: u64) -> u32 {
+        let daemons = self.directory.daemons().map(|heard| &heard.record);
+        let agents = daemons.filter(|record| record.service.as_deref() == Some(service));
+        let maps = agents.flat_map(|agent| &agent.pieces);
+        let fitting = maps.filter(|map| map.model == model && map.version >= least);
+        fitting.map(PieceMap::count).max().unwrap_or(0)
+    }
 }
 
 fn candidate(
--- a/crates/moleroad_gateway/src/experiments.rs
+++ b/crates/moleroad_gateway/src/experiments.rs
@@ -14,6 +14,8 @@
     SharedPlaces,
     /// A request waits for a place for a part of its wanted latency.
     Waiting,
+    /// Requests are held to be served late where a place can be expected.
+    HeldOverdue,
     /// Targets that fail are avoided for a while.
     Avoidance,
     /// Engines that are slower than published count as slower.
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -4,8 +4,8 @@
 use crate::experiments::Mechanism;
 use crate::front::answer::{Answer, AnswerBody, OwnAnswer};
 use crate::front::exchange::{self, Reply, SendError, Verdict, is_promise};
+use crate::front::patience;
 use crate::front::request::{Accepted, forwarded};
-use crate::front::stream;
 use crate::node::Node;
 use crate::places::{Ask, Belief, NoPlace, Place, acquire};
 use bytes::Bytes;
@@ -13,7 +13,7 @@
 use hyper::header::HeaderMap;
 use moleroad_config::prelude::Repeatability;
 use moleroad_directory::prelude::TargetId;
-use moleroad_dispatch::prelude::{Choice, Needs, Outcome};
+use moleroad_dispatch::prelude::{Choice, Line, Needs, Outcome};
 use moleroad_types::prelude::Millis;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +25,9 @@
 const MOST_UNREACHABLE: usize = 4;
 /// Share of the wanted latency for which a request waits for a place.
 const WAIT_SHARE: f64 = 0.22;
+/// Time before a caller leaves that a late answer still needs to begin, in
+/// milliseconds: a prompt is read beside others, and its first event is passed on.
+const OVERDUE_ANSWER_MS: u64 = 500;
 /// Rank of requests that a target had begun.
 const MOST_URGENT: u8 = 0;
 /// Time before the end of a request's time in which it is not sent any more,
@@ -198,37 +201,77 @@
             self.node.metrics.count("repeat_over_budget");
             return Err(GiveUp::NotAgain);
         }
-        let latency = self.request.route.target_latency_ms;
+        let ask = self.ask();
         let is_first = self.sends == 0;
-        // A request that no target has begun is refused while its caller can
-        // still be served in time elsewhere or later; one that was begun has
-        // cost a target's time already.
-        let waits = self.node.settings.experiments.has(Mechanism::Waiting);
-        let wait_share = if waits { WAIT_SHARE } else { 0.0 };
+        let place = match acquire(&self.node, &ask).await {
+            Ok(place) => place,
+            Err(no_place) if is_first => self.overdue_place(ask, no_place).await?,
+            Err(no_place) => return Err(GiveUp::NoPlace(no_place)),
+        };
+        if self.sends == 0 && self.unreachable == 0 {
+            self.note_first_send();
+            let waited = self.node.clock.now().since(self.request.arrived);
+            self.node.metrics.wait_s.observe(waited as f64 / 1_000.0);
+        }
+        Ok(place)
+    }
+
+    /// What the request asks of a place, in the hope of its wanted latency. One
+    /// that a target has begun has cost that target's time: it is urgent, and
+    /// waits as long as its caller does.
+    fn ask(&self) -> Ask {
+        let request = &self.request;
+        let is_first = self.sends == 0;
+        let latency_ms = request.route.target_latency_ms;
         let until = if is_first {
-            self.request.arrived + (latency as f64 * wait_share) as u64
+            request.arrived + self.in_time_wait_ms()
         } else {
-            self.request.until
+            request.until
         };
-        let ask = Ask {
-            service: self.request.service.clone(),
+        Ask {
+            service: request.service.clone(),
             tried: self.tried.clone(),
-            prompt_tokens: self.request.prompt_tokens,
+            prompt_tokens: request.prompt_tokens,
             priority: if is_first {
-                self.request.priority
+                request.priority
             } else {
                 MOST_URGENT
             },
-            wanted_by: is_first.then(|| self.request.arrived + latency),
-            until: until.min(Millis(self.request.until.0 - LEAST_USEFUL_MS)),
-        };
-        let place = acquire(&self.node, &ask).await.map_err(GiveUp::NoPlace)?;
-        if self.sends == 0 && self.unreachable == 0 {
-            self.note_first_send();
-            let waited = self.node.clock.now().since(self.request.arrived);
-            self.node.metrics.wait_s.observe(waited as f64 / 1_000.0);
+            wanted_by: is_first.then(|| request.arrived + latency_ms),
+            until: until.min(Millis(request.until.0 - LEAST_USEFUL_MS)),
+            line: Line::InTime,
         }
-        Ok(place)
+    }
+
+    /// How long a request waits for a place in the hope of its wanted latency.
+    fn in_time_wait_ms(&self) -> u64 {
+        let waits = self.node.settings.experiments.has(Mechanism::Waiting);
+        let share = if waits { WAIT_SHARE } else { 0.0 };
+        (self.request.route.target_latency_ms as f64 * share) as u64
+    }
+
+    /// Waits for a place to be served late, where one can be expected before
+    /// the caller leaves: a late answer serves the caller better than coming
+    /// back with its time already running.
+    async fn overdue_place(&self, in_time: Ask, no_place: NoPlace) -> Result<Place, GiveUp> {
+        let held = self.node.settings.experiments.has(Mechanism::HeldOverdue);
+        let leaves_at = self.request.arrived + patience::caller_ms(&self.request.route);
+        let until = leaves_at.min(self.request.until);
+        let last_send = Millis(until.0.saturating_sub(OVERDUE_ANSWER_MS));
+        let now = self.node.clock.now();
+        let expected_ms = self.node.expected_wait_ms(&in_time.service);
+        let comes = expected_ms.is_some_and(|wait_ms| now + wait_ms <= last_send);
+        if !held || !comes {
+            return Err(GiveUp::NoPlace(no_place));
+        }
+        let ask = Ask {
+            wanted_by: None,
+            until: last_send,
+            line: Line::Overdue,
+            ..in_time
+        };
+        let place = acquire(&self.node, &ask).await;
+        place.map_err(GiveUp::NoPlace)
     }
 
     fn note_first_send(&self) {
@@ -260,6 +303,7 @@
             least,
             prompt_tokens: self.request.prompt_tokens,
             within_ms: None,
+            spare: 0,
         };
         view.services
             .get_mut(&self.request.service)
@@ -291,7 +335,7 @@
         if !request.route.streaming {
             return sending.await;
         }
-        let patience = Duration::from_millis(stream::first_event_patience_ms(&request.route));
+        let patience = Duration::from_millis(patience::first_event_ms(&request.route));
         let began = Instant::now();
         let silence = async {
             loop {
--- a/crates/moleroad_gateway/src/front/mod.rs
+++ b/crates/moleroad_gateway/src/front/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! [`serve`] takes connections, [`request`] reads and checks a request,
 //! [`attempt`] sends it until it has an answer, [`exchange`] is one send over
-//! a connection of the [`pool`], [`whole`] reads answers to their end, [`stream`] passes events on and resumes at
+//! a connection of the [`pool`], [`patience`] says how long
+//! silence is borne, [`whole`] reads answers to their end, [`stream`] passes events on and resumes at
 //! another target, [`answer`] holds the answers of our own.
 
 pub mod answer;
@@ -10,6 +11,7 @@
 mod attempt_log;
 pub mod events;
 pub mod exchange;
+mod patience;
 pub mod pool;
 pub mod request;
 pub mod serve;
--- a/crates/moleroad_gateway/src/front/stream.rs
+++ b/crates/moleroad_gateway/src/front/stream.rs
@@ -5,11 +5,11 @@
 use crate::front::attempt::{Attempts, LOOK_FOR_OTHERS, Running, note_last_send, passed_on};
 use crate::front::events::EventSplitter;
 use crate::front::exchange::Verdict;
+use crate::front::patience;
 use crate::front::request::Accepted;
 use crate::node::Node;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use moleroad_config::prelude::Route;
 use moleroad_dispatch::prelude::Outcome;
 use std::io;
 use std::sync::Arc;
@@ -19,22 +19,6 @@
 
 /// Parts that wait for a slow reader.
 const PARTS_AHEAD: usize = 16;
-/// A first event is waited for this many times the wanted latency.
-const FIRST_EVENT_PATIENCE: u64 = 3;
-/// A next event is waited for this many times the wanted pause.
-const PAUSE_PATIENCE: u64 = 3;
-/// Shortest wait for an event before another target is asked, in milliseconds.
-const SHORTEST_PATIENCE_MS: u64 = 800;
-
-/// How long a first event is waited for, in milliseconds.
-pub fn first_event_patience_ms(route: &Route) -> u64 {
-    (route.target_latency_ms * FIRST_EVENT_PATIENCE).max(SHORTEST_PATIENCE_MS)
-}
-
-fn pause_patience_ms(route: &Route) -> u64 {
-    (route.target_pause_ms * PAUSE_PATIENCE).max(SHORTEST_PATIENCE_MS)
-}
-
 /// How the events of one target ended.
 enum End {
     Complete,
@@ -124,7 +108,7 @@
 ) -> First {
     let request = &attempts.request;
     let until = node.clock.instant(request.until);
-    let patience = Duration::from_millis(first_event_patience_ms(&request.route));
+    let patience = Duration::from_millis(patience::first_event_ms(&request.route));
     let silent_at = Instant::now() + patience;
     loop {
         let look = Instant::now() + LOOK_FOR_OTHERS;
@@ -221,7 +205,7 @@
     async fn pass_on(&mut self, running: &mut Running) -> End {
         let request = self.attempts.request.clone();
         let until = self.node.clock.instant(request.until);
-        let patience = Duration::from_millis(pause_patience_ms(&request.route));
+        let patience = Duration::from_millis(patience::pause_ms(&request.route));
         let mut look = Instant::now() + patience;
         loop {
             let limit = until.min(look);
--- a/crates/moleroad_gateway/src/named_versions.rs
+++ b/crates/moleroad_gateway/src/named_versions.rs
@@ -36,6 +36,11 @@
         self.times.keys().copied()
     }
 
+    /// When `version` was named, as far as known.
+    pub fn named_at(&self, version: u64) -> Option<Millis> {
+        self.times.get(&version).copied()
+    }
+
     /// When the first version after `held` was named.
     pub fn waiting_since(&self, held: u64) -> Option<Millis> {
         let later = self.times.range(held + 1..);
--- a/crates/moleroad_gateway/src/peer.rs
+++ b/crates/moleroad_gateway/src/peer.rs
@@ -113,6 +113,8 @@
 pub enum Offer {
     /// A piece that it can give.
     Piece(u32),
+    /// A piece that it draws from the origin.
+    Coming(u32),
     /// What the pieces must hash to.
     Digests(SharedDigests),
 }
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -3,8 +3,10 @@
 use crate::node::Node;
 use crate::probe;
 use crate::settings::Bounds;
+use crate::view::View;
 use moleroad_directory::prelude::TargetId;
 use moleroad_dispatch::prelude::*;
+use moleroad_rollout::prelude::Arrival;
 use moleroad_types::prelude::Millis;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -25,8 +27,17 @@
     pub wanted_by: Option<Millis>,
     /// Until when the request waits for a place.
     pub until: Millis,
+    /// What it still hopes for.
+    pub line: Line,
 }
 
+/// Places at an engine that requests without hope of their wanted latency leave
+/// free, so that those who come in time find one.
+const SPARE_FOR_IN_TIME: u32 = 1;
+/// Share of an entry's part of all places that such requests may take: after an
+/// outage they would fill every engine and make the next ones late too.
+const OVERDUE_SHARE: f64 = 0.3;
+
 impl Ask {
     /// What a choice at `now` must meet, with `least` as the lowest version of
     /// weights.
@@ -36,6 +47,10 @@
             least,
             prompt_tokens: self.prompt_tokens,
             within_ms: self.wanted_by.map(|wanted_by| wanted_by.since(now)),
+            spare: match self.line {
+                Line::InTime => 0,
+                Line::Overdue => SPARE_FOR_IN_TIME,
+            },
         }
     }
 }
@@ -43,6 +58,20 @@
 /// Time between looks of the next waiting request at the targets, in
 /// milliseconds: a third of the shortest pass of an engine.
 const LOOK_AGAIN_MS: u64 = 15;
+/// The same for one without hope of its wanted latency: each look asks up to
+/// five agents, and nothing is lost with a few milliseconds more.
+const OVERDUE_LOOK_AGAIN_MS: u64 = 45;
+
+/// Requests without hope of their wanted latency that look at the targets side by
+/// side: engines that come back together have hundreds of places at once.
+const OVERDUE_LOOKING: usize = 3;
+
+fn look_again_ms(line: Line) -> u64 {
+    match line {
+        Line::InTime => LOOK_AGAIN_MS,
+        Line::Overdue => OVERDUE_LOOK_AGAIN_MS,
+    }
+}
 
 /// Why there is no place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,6 +100,13 @@
     queue: WaitQueue,
     waiting: HashMap<WaiterId, Waiting>,
     next_waiter: u64,
+    overdue_pace: Pace,
+    /// Requests without hope of their wanted latency that are at targets.
+    overdue_running: u32,
+    /// How far weights have come that are on their way to engines.
+    pub arrival: Arrival,
+    /// Time of a piece of weights on the origin's link, in milliseconds.
+    pub piece_ms: f64,
 }
 
 impl ServicePlaces {
@@ -86,6 +122,10 @@
             queue: WaitQueue::default(),
             waiting: HashMap::new(),
             next_waiter: 0,
+            overdue_pace: Pace::default(),
+            overdue_running: 0,
+            arrival: Arrival::default(),
+            piece_ms: 0.0,
         }
     }
 
@@ -118,6 +158,7 @@
             let Some(waiting) = self.waiting.remove(&id) else {
                 continue;
             };
+            self.note_granted(now, waiting.ask.line);
             let target = candidate.id.clone();
             let tokens = waiting.ask.prompt_tokens;
             self.targets.started(now, &target, tokens);
@@ -129,10 +170,12 @@
     }
 
     fn wait(&mut self, now: Millis, ask: &Ask) -> Option<(WaiterId, oneshot::Receiver<Candidate>)> {
+        let ahead = self.queue.len_of(ask.line);
         self.next_waiter += 1;
         let id = WaiterId(self.next_waiter);
         let entered = self.queue.enter(Waiter {
             id,
+            line: ask.line,
             priority: ask.priority,
             since: now,
             wanted_by: ask.wanted_by.unwrap_or(ask.until),
@@ -141,12 +184,48 @@
         if !entered {
             return None;
         }
+        if ask.line == Line::Overdue {
+            self.overdue_pace.entered(now, ahead);
+        }
         let (granted, grant) = oneshot::channel();
         let ask = ask.clone();
         self.waiting.insert(id, Waiting { ask, granted });
         Some((id, grant))
     }
 
+    fn note_granted(&mut self, now: Millis, line: Line) {
+        if line == Line::Overdue {
+            self.overdue_pace.granted(now);
+        }
+    }
+
+    /// Whether another request without hope of its wanted latency may be sent:
+    /// all entries together leave most places to those that come in time.
+    fn admits(&self, line: Line, entries: usize) -> bool {
+        if line == Line::InTime {
+            return true;
+        }
+        let own_places = f64::from(self.targets.places()) / entries.max(1) as f64;
+        let most = (own_places * OVERDUE_SHARE).max(1.0) as u32;
+        self.overdue_running < most
+    }
+
+    /// How long a request without hope of its wanted latency would wait for a
+    /// place, in milliseconds; `None` when no target can take any and it is not
+    /// known when one will.
+    pub fn expected_overdue_wait_ms(&self, now: Millis, least: Option<u64>) -> Option<u64> {
+        if !self.targets.any_serves(least) {
+            return self.expected_outage_ms(now);
+        }
+        let ahead = self.queue.len_of(Line::Overdue);
+        Some(self.overdue_pace.expected_wait_ms(now, ahead) as u64)
+    }
+
+    /// Time until weights that are on their way are served, in milliseconds.
+    fn expected_outage_ms(&self, now: Millis) -> Option<u64> {
+        self.arrival.expected_ms(now, self.piece_ms)
+    }
+
     fn forget(&mut self, id: WaiterId) {
         self.queue.leave(id);
         self.waiting.remove(&id);
@@ -172,11 +251,30 @@
     service: String,
     /// The target.
     pub candidate: Candidate,
+    line: Line,
     unread_tokens: Option<u64>,
     outcome: Outcome,
 }
 
 impl Place {
+    fn new(node: &Arc<Node>, ask: &Ask, candidate: Candidate) -> Self {
+        let belief = belief(node, ask, &candidate);
+        if ask.line == Line::Overdue
+            && let Some(places) = node.view().services.get_mut(&ask.service)
+        {
+            places.overdue_running += 1;
+        }
+        Self {
+            belief,
+            node: node.clone(),
+            service: ask.service.clone(),
+            candidate,
+            line: ask.line,
+            unread_tokens: Some(ask.prompt_tokens),
+            outcome: Outcome::Abandoned,
+        }
+    }
+
     /// Says that the target has read the prompt.
     pub fn was_read(&mut self) {
         let Some(tokens) = self.unread_tokens.take() else {
@@ -204,6 +302,9 @@
             places
                 .targets
                 .finished(now, &self.candidate.id, self.outcome);
+            if self.line == Line::Overdue {
+                places.overdue_running = places.overdue_running.saturating_sub(1);
+            }
             places.serve_waiting(now, least);
         }
     }
@@ -240,20 +341,13 @@
 /// [`NoPlace`] when there is none until [`Ask::until`], or too many wait.
 pub async fn acquire(node: &Arc<Node>, ask: &Ask) -> Result<Place, NoPlace> {
     let now = node.clock.now();
-    let place = |candidate: Candidate| Place {
-        belief: belief(node, ask, &candidate),
-        node: node.clone(),
-        service: ask.service.clone(),
-        candidate,
-        unread_tokens: Some(ask.prompt_tokens),
-        outcome: Outcome::Abandoned,
-    };
+    let place = |candidate| Place::new(node, ask, candidate);
     let nobody_waits = {
         let view = node.view();
         let Some(places) = view.services.get(&ask.service) else {
-            return Err(no_place(now, None));
+            return Err(no_place(now, None, None));
         };
-        places.queue.is_empty()
+        places.queue.len_of(ask.line) == 0 && places.admits(ask.line, view.entry_count(now))
     };
     if nobody_waits && let Some(candidate) = probe::find(node, ask).await {
         return Ok(place(candidate));
@@ -263,7 +357,7 @@
         let places = view.services.get_mut(&ask.service);
         match places.and_then(|places| places.wait(now, ask)) {
             Some(waiting) => waiting,
-            None => return Err(no_place(now, view.services.get(&ask.service))),
+            None => return Err(no_place_for(node, &view, ask)),
         }
     };
     let mut in_queue = InQueue {
@@ -273,7 +367,7 @@
         grant,
     };
     loop {
-        let look = (node.clock.now() + LOOK_AGAIN_MS).min(ask.until);
+        let look = (node.clock.now() + look_again_ms(ask.line)).min(ask.until);
         let granted = tokio::time::timeout_at(node.clock.instant(look), &mut in_queue.grant).await;
         if let Ok(Ok(candidate)) = granted {
             return Ok(place(candidate));
@@ -281,22 +375,33 @@
         let now = node.clock.now();
         if now >= ask.until {
             let view = node.view();
-            return Err(no_place(now, view.services.get(&ask.service)));
+            return Err(no_place_for(node, &view, ask));
         }
         if is_next(node, ask, id)
             && let Some(candidate) = probe::find(node, ask).await
         {
+            let now = node.clock.now();
+            if let Some(places) = node.view().services.get_mut(&ask.service) {
+                places.note_granted(now, ask.line);
+            }
             return Ok(place(candidate));
         }
     }
 }
 
-/// Whether the waiting request is the next to be sent, and asks agents itself.
+/// Whether the waiting request is among the next to be sent, and asks agents itself.
 fn is_next(node: &Node, ask: &Ask, id: WaiterId) -> bool {
     let view = node.view();
     let places = view.services.get(&ask.service);
     places.is_some_and(|places| {
-        places.targets.have_agents() && places.queue.next(node.clock.now()) == Some(id)
+        let count = match ask.line {
+            Line::InTime => 1,
+            Line::Overdue => OVERDUE_LOOKING,
+        };
+        let now = node.clock.now();
+        let is_admitted = places.admits(ask.line, view.entry_count(now));
+        let asks = places.targets.have_agents() && is_admitted;
+        asks && places.queue.is_among_first(count, id, now)
     })
 }
 
@@ -323,17 +428,28 @@
 /// Part of that time over which returns are spread.
 const RETRY_AFTER_SPREAD_MS: u64 = 900;
 
-/// The same when no target can take requests at all.
+/// Time before engines serve again from which requests are held for them, in
+/// milliseconds; who is refused comes back within it.
+const HELD_BEFORE_MS: u64 = 1_500;
+/// The same when no target can take requests at all and nothing tells when one
+/// will.
 const RETRY_AFTER_OUTAGE_MS: u64 = 1_800;
 
-fn no_place(now: Millis, places: Option<&ServicePlaces>) -> NoPlace {
+fn no_place_for(node: &Node, view: &View, ask: &Ask) -> NoPlace {
+    let least = node.least_version(view, &ask.service);
+    let places = view.services.get(&ask.service);
+    no_place(node.clock.now(), places, least)
+}
+
+fn no_place(now: Millis, places: Option<&ServicePlaces>, least: Option<u64>) -> NoPlace {
     let candidates = places.map_or(0, |places| places.targets.candidates().len());
-    let is_outage = candidates == 0;
+    let is_outage = !places.is_some_and(|places| places.targets.any_serves(least));
     let spread = rand::random::<u64>() % RETRY_AFTER_SPREAD_MS;
-    let least = if is_outage {
-        RETRY_AFTER_OUTAGE_MS
-    } else {
-        RETRY_AFTER_LEAST_MS
+    let comes_in_ms = places.and_then(|places| places.expected_outage_ms(now));
+    let least = match (is_outage, comes_in_ms) {
+        (true, Some(ms)) => ms.saturating_sub(HELD_BEFORE_MS).max(RETRY_AFTER_LEAST_MS),
+        (true, None) => RETRY_AFTER_OUTAGE_MS,
+        (false, _) => RETRY_AFTER_LEAST_MS,
     };
     NoPlace {
         retry_after_ms: least + spread,
--- a/crates/moleroad_rollout/src/choice.rs
+++ b/crates/moleroad_rollout/src/choice.rs
@@ -1,7 +1,7 @@
 //! Which missing piece an agent fetches next, and from what kind of source.
 
 use crate::sources::Patience;
-use crate::spread::Spread;
+use crate::spread::{FANOUT, Spread};
 
 /// What an agent knows of one piece that it lacks.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -10,6 +10,9 @@
     pub piece: u32,
     /// Whether an agent that can be asked has offered it.
     pub offered: bool,
+    /// Time since an agent last said that it draws it from the origin, in
+    /// milliseconds; 0 once one has it, though it cannot be asked just now.
+    pub announced_ms: Option<u64>,
     /// Agents of the own region that can be asked and are known to have it.
     pub near: usize,
     /// Agents of other regions that can be asked and are known to have it.
@@ -51,6 +54,8 @@
     pub origin_failed_ms: Option<u64>,
     /// Whether a piece may be taken from another region without an offer.
     pub may_cross: bool,
+    /// The highest piece that is here or was offered.
+    pub newest_seen: Option<u32>,
 }
 
 /// Without a piece for this long a fetch stands still; when pieces come
@@ -69,6 +74,22 @@
 /// the one before it, in milliseconds: above the longest pause of a first agent.
 const RETURN_STEP_MS: u64 = 1_500;
 
+/// Time between two turns at the origin, in percent of the time in which it sends
+/// a piece: at the end of a copy some ten pieces are asked for at once.
+const TURN_PERCENT: u64 = 80;
+/// An origin whose newest piece came at most this late keeps its pace, in
+/// milliseconds.
+const PACE_KEPT_MS: u64 = 1_000;
+/// Agents that take over from a silent one: those that it tells of its draws.
+const TAKING_OVER: u32 = FANOUT as u32;
+/// Lateness that is borne of every agent while the origin keeps its pace, in
+/// milliseconds: the spread of the times at which agents begin.
+const TAKE_OVER_FIRST_MS: u64 = 150;
+/// ... and for each rank, in milliseconds: the way of an announcement, and a
+/// piece on the origin's link beside a few others. A piece of an agent that is
+/// silent so leaves the origin 0.3 s after its turn and not a second after it.
+const TAKE_OVER_STEP_MS: u64 = 150;
+
 /// Where to take the piece from, and its order: the lowest is fetched first.
 ///
 /// First what others wait for: a piece for which the agent stands high in
@@ -94,16 +115,36 @@
     }
     let draws = spread.permission(piece, conditions.patience, conditions.overdue_ms(piece));
     let is_let_in = conditions.may_return(rank);
-    // The origin gives one piece after the other: it shares its link among
-    // all that is asked for, and the first piece would come with the last.
-    let is_its_turn = conditions.elapsed_ms >= u64::from(piece) * conditions.origin_piece_ms;
-    if draws.from_origin && is_its_turn && is_let_in && conditions.origin_is_free {
+    let takes_over = spread.is_in_origin_region() && conditions.is_passed_over(&missing, rank);
+    let is_due = conditions.has_turn(piece) && is_let_in;
+    if (draws.from_origin || takes_over) && is_due && conditions.origin_is_free {
         return Some((SourceKind::Origin, rank));
     }
     None
 }
 
+/// Time between two announcements of a draw that is under way, in milliseconds.
+pub const ANNOUNCE_EVERY_MS: u64 = 150;
+/// Time for which an announcement stands, in milliseconds: an agent that ends or
+/// freezes leaves out the next two.
+const ANNOUNCED_FOR_MS: u64 = 400;
+
+/// Whether the agent says that it draws the piece from the origin: it is the one
+/// that does, and the turn of the piece has come. It may still be busy with the
+/// one before it.
+pub fn announces(piece: u32, spread: &Spread, conditions: &Conditions) -> bool {
+    let is_first = spread.is_in_origin_region() && spread.rank(piece) == Some(0);
+    is_first && conditions.has_turn(piece)
+}
+
 impl Conditions {
+    /// Whether the turn of the piece has come. The origin gives one piece after
+    /// the other: it shares its link among all that is asked for, and the first
+    /// piece would come with the last.
+    fn has_turn(&self, piece: u32) -> bool {
+        self.elapsed_ms >= self.turn_ms(piece)
+    }
+
     /// Whether an agent of this rank asks an origin again that gave nothing: the
     /// first agents of the pieces come back first, so that one copy leaves an
     /// origin that was away and not one for each agent.
@@ -113,6 +154,32 @@
             .is_none_or(|failed_ms| failed_ms >= pause_ms)
     }
 
+    /// Whether the origin keeps its pace and the agent that was to draw the piece
+    /// has not said that it does, or has ended since: the next by rank draws it
+    /// while the origin still answers.
+    fn is_passed_over(&self, missing: &MissingPiece, rank: u32) -> bool {
+        let Some(newest) = self.newest_seen else {
+            return false;
+        };
+        let keeps_pace = self.late_ms(newest) <= PACE_KEPT_MS;
+        let is_drawn = missing.announced_ms.is_some_and(|ms| ms < ANNOUNCED_FOR_MS);
+        let borne_ms = TAKE_OVER_FIRST_MS + u64::from(rank) * TAKE_OVER_STEP_MS;
+        let may_take = (1..=TAKING_OVER).contains(&rank) && !is_drawn;
+        may_take && keeps_pace && self.late_ms(missing.piece) >= borne_ms
+    }
+
+    /// When the turn of the piece comes: a little faster than the origin sends, so
+    /// that it is never idle because one agent is late.
+    fn turn_ms(&self, piece: u32) -> u64 {
+        let bare_ms = u64::from(piece) * self.origin_piece_ms;
+        bare_ms * TURN_PERCENT / 100
+    }
+
+    /// Time since the turn of the piece at the origin, in milliseconds.
+    fn late_ms(&self, piece: u32) -> u64 {
+        self.elapsed_ms.saturating_sub(self.turn_ms(piece))
+    }
+
     /// How long the piece is overdue: the time in which the pieces up to it
     /// leave the origin and pass over a link, and the patience with the agent
     /// that was to bring it, are over. In milliseconds.
--- a/crates/moleroad_rollout/src/lib.rs
+++ b/crates/moleroad_rollout/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 #![warn(missing_docs)]
 
+pub mod arrival;
 pub mod bound;
 pub mod choice;
 pub mod fallback;
@@ -27,8 +28,11 @@
 
 /// The types most users of the crate need.
 pub mod prelude {
+    pub use crate::arrival::Arrival;
     pub use crate::bound::OldWeights;
-    pub use crate::choice::{Conditions, MissingPiece, STALL_MS, SourceKind, source_of};
+    pub use crate::choice::{
+        ANNOUNCE_EVERY_MS, Conditions, MissingPiece, STALL_MS, SourceKind, announces, source_of,
+    };
     pub use crate::fallback::fallback;
     pub use crate::pause::Pause;
     pub use crate::sources::{
--- a/crates/moleroad_rollout/src/spread.rs
+++ b/crates/moleroad_rollout/src/spread.rs
@@ -19,7 +19,7 @@
 /// Children of an agent in its region's tree, and of a region among regions.
 /// With two, the last of 1,000 agents is ten steps from the root and no agent
 /// gives a piece more than four times.
-const FANOUT: usize = 2;
+pub const FANOUT: usize = 2;
 
 /// Where an agent stands in the tree of one piece.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,6 +34,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Spread {
     own: InstanceId,
+    is_in_origin_region: bool,
     /// Agents by region, without the first one.
     others: BTreeMap<String, Vec<InstanceId>>,
     first: Vec<InstanceId>,
@@ -62,6 +63,7 @@
         let first = first_region.and_then(|region| others.remove(&region));
         let mut spread = Self {
             own: own.clone(),
+            is_in_origin_region: false,
             others,
             first: first.unwrap_or_default(),
             places: Vec::new(),
@@ -76,9 +78,15 @@
         };
         let places = (0..pieces).map(place).collect();
         spread.places = places;
+        spread.is_in_origin_region = is_first_region;
         spread
     }
 
+    /// Whether the own agent is in the region that draws from the origin.
+    pub fn is_in_origin_region(&self) -> bool {
+        self.is_in_origin_region
+    }
+
     /// Rank of the own agent in its region for `piece`, from 0 for the one that
     /// brings the piece into the region. An agent that is no member has none.
     pub fn rank(&self, piece: u32) -> Option<usize> {
@@ -139,6 +147,23 @@
         children
     }
 
+    /// Whom the own agent tells of `piece` when it draws it from the origin: its
+    /// children, and in place of the agents before it, which were silent, theirs.
+    pub fn told_of_draw(&self, piece: u32) -> Vec<&InstanceId> {
+        let own_rank = self.rank(piece).unwrap_or(0);
+        let Some(region) = self.region_of(&self.own) else {
+            return Vec::new();
+        };
+        let mut told = self.children(&self.own, piece);
+        for agent in ranked(region, piece).into_iter().take(own_rank.min(FANOUT)) {
+            told.extend(self.children(agent, piece));
+        }
+        told.retain(|agent| **agent != self.own);
+        told.sort();
+        told.dedup();
+        told
+    }
+
     fn place(&self, piece: u32) -> Option<Place> {
         self.places.get(piece as usize).copied().flatten()
     }
--- a/crates/moleroad_rollout/tests/swarm.rs
+++ b/crates/moleroad_rollout/tests/swarm.rs
@@ -16,6 +16,7 @@
         origin_connections: 48,
         origin_off: 0..0,
         dead: 0,
+        dies_ms: 0,
         seed,
     }
 }
@@ -93,3 +94,33 @@
         assert!(outcome.draws <= 48 * 3, "{agents} agents: {outcome:?}");
     }
 }
+
+#[test]
+fn a_copy_is_out_though_agents_are_silent_and_the_origin_ends_soon() {
+    // One copy needs 2.1 s of the origin's link; it ends 0.4 s later.
+    let cases = [
+        (76, 0, 0),
+        (76, 6, 0),
+        (76, 9, 0),
+        (76, 6, 1_400),
+        (204, 0, 0),
+        (204, 20, 0),
+    ];
+    for (agents, dead, dies_ms) in cases {
+        for seed in 0..4 {
+            let setup = Setup {
+                origin_piece_ms: 43,
+                origin_off: 48 * 43 + 400..u64::MAX,
+                dead,
+                dies_ms,
+                ..setup(agents, seed)
+            };
+            let outcome = play(setup.clone());
+            let bound_ms = bare_ms(&setup) * 5 / 2;
+            assert!(
+                outcome.done_ms <= bound_ms,
+                "{agents} agents, {dead} silent: {outcome:?}"
+            );
+        }
+    }
+}
