Let the share of overdue requests follow what in-time ones meet

Hypothesis: requests that are held and served late take places of those that come in time; how many are to spare differs between sites, and an entry sees it.

--- a/crates/moleroad_dispatch/src/lib.rs
+++ b/crates/moleroad_dispatch/src/lib.rs
@@ -5,7 +5,8 @@
 //! ended. Each entry shares the targets with others that it does not ask:
 //! [`load`] estimates what they have in flight from what agents report,
 //! [`choice`] picks the cheapest target, [`queue`] orders those that wait for
-//! a place, [`pace`] tells how soon late ones get one, [`share`] says whose the last places are, [`health`] remembers what failed, and [`budget`] holds the entry's
+//! a place, [`pace`] tells how soon late ones get one
+//! and [`overdue_share`] how many they may take, [`share`] says whose the last places are, [`health`] remembers what failed, and [`budget`] holds the entry's
 //! share of the repeats that all entries may send.
 //!
 //! ```
@@ -22,6 +23,7 @@
 pub mod choice;
 pub mod health;
 pub mod load;
+pub mod overdue_share;
 pub mod pace;
 pub mod queue;
 pub mod share;
@@ -32,6 +34,7 @@
     pub use crate::choice::{Candidate, Choice, Distance, Needs, Reach, ReadingSpeed, Targets};
     pub use crate::health::{Health, Outcome};
     pub use crate::load::TargetLoad;
+    pub use crate::overdue_share::OverdueShare;
     pub use crate::pace::Pace;
     pub use crate::queue::{Line, WaitQueue, Waiter, WaiterId};
     pub use crate::share::{EntryDemand, share};
--- a/crates/moleroad_dispatch/tests/overdue.rs
+++ b/crates/moleroad_dispatch/tests/overdue.rs
@@ -93,3 +93,28 @@
     assert!(targets.any_serves(Some(4)));
     assert!(!targets.any_serves(Some(5)));
 }
+
+#[test]
+fn overdue_requests_give_way_when_others_miss_their_time() {
+    let mut share = OverdueShare::default();
+    // A dozen places: three may run.
+    for _ in 0..3 {
+        assert!(share.admits(10.0));
+        share.started();
+    }
+    assert!(!share.admits(10.0));
+    (0..8).for_each(|_| share.in_time_missed());
+    share.ended();
+    assert!(!share.admits(10.0));
+    // One always may.
+    share.ended();
+    share.ended();
+    assert!(share.admits(10.0));
+    // Nobody runs: what is missed is not their fault.
+    let before = share;
+    share.in_time_missed();
+    assert_eq!(share, before);
+    (0..100).for_each(|_| share.in_time_placed());
+    (0..2).for_each(|_| share.started());
+    assert!(share.admits(10.0));
+}
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -203,7 +203,11 @@
         }
         let ask = self.ask();
         let is_first = self.sends == 0;
-        let place = match acquire(&self.node, &ask).await {
+        let in_time = acquire(&self.node, &ask).await;
+        if is_first {
+            self.note_in_time(in_time.is_ok());
+        }
+        let place = match in_time {
             Ok(place) => place,
             Err(no_place) if is_first => self.overdue_place(ask, no_place).await?,
             Err(no_place) => return Err(GiveUp::NoPlace(no_place)),
@@ -274,6 +278,13 @@
         place.map_err(GiveUp::NoPlace)
     }
 
+    fn note_in_time(&self, is_placed: bool) {
+        let mut view = self.node.view();
+        if let Some(places) = view.services.get_mut(&self.request.service) {
+            places.note_in_time(is_placed);
+        }
+    }
+
     fn note_first_send(&self) {
         let now = self.node.clock.now();
         let mut view = self.node.view();
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -34,9 +34,6 @@
 /// Places at an engine that requests without hope of their wanted latency leave
 /// free, so that those who come in time find one.
 const SPARE_FOR_IN_TIME: u32 = 1;
-/// Share of an entry's part of all places that such requests may take: after an
-/// outage they would fill every engine and make the next ones late too.
-const OVERDUE_SHARE: f64 = 0.3;
 
 impl Ask {
     /// What a choice at `now` must meet, with `least` as the lowest version of
@@ -101,8 +98,8 @@
     waiting: HashMap<WaiterId, Waiting>,
     next_waiter: u64,
     overdue_pace: Pace,
-    /// Requests without hope of their wanted latency that are at targets.
-    overdue_running: u32,
+    /// How many places such requests may take.
+    overdue_share: OverdueShare,
     /// How far weights have come that are on their way to engines.
     pub arrival: Arrival,
     /// Time of a piece of weights on the origin's link, in milliseconds.
@@ -123,7 +120,7 @@
             waiting: HashMap::new(),
             next_waiter: 0,
             overdue_pace: Pace::default(),
-            overdue_running: 0,
+            overdue_share: OverdueShare::default(),
             arrival: Arrival::default(),
             piece_ms: 0.0,
         }
@@ -206,8 +203,16 @@
             return true;
         }
         let own_places = f64::from(self.targets.places()) / entries.max(1) as f64;
-        let most = (own_places * OVERDUE_SHARE).max(1.0) as u32;
-        self.overdue_running < most
+        self.overdue_share.admits(own_places)
+    }
+
+    /// Notes whether a request found a place in time.
+    pub fn note_in_time(&mut self, is_placed: bool) {
+        if is_placed {
+            self.overdue_share.in_time_placed();
+        } else {
+            self.overdue_share.in_time_missed();
+        }
     }
 
     /// How long a request without hope of its wanted latency would wait for a
@@ -262,7 +267,7 @@
         if ask.line == Line::Overdue
             && let Some(places) = node.view().services.get_mut(&ask.service)
         {
-            places.overdue_running += 1;
+            places.overdue_share.started();
         }
         Self {
             belief,
@@ -303,7 +308,7 @@
                 .targets
                 .finished(now, &self.candidate.id, self.outcome);
             if self.line == Line::Overdue {
-                places.overdue_running = places.overdue_running.saturating_sub(1);
+                places.overdue_share.ended();
             }
             places.serve_waiting(now, least);
         }
