--- a/crates/moleroad_dispatch/src/lib.rs
+++ b/crates/moleroad_dispatch/src/lib.rs
@@ -4,7 +4,7 @@
 //! Pure decisions of one entry; the shell reports what was sent and how it
 //! ended. Each entry shares the targets with others that it does not ask:
 //! [`load`] estimates what they have in flight from what agents report,
-//! [`choice`] picks the cheapest target, [`queue`] orders those that wait for
+//! [`reading`] predicts its first event, [`choice`] picks the cheapest target, [`queue`] orders those that wait for
 //! a place, [`pace`] tells how soon late ones get one
 //! and [`overdue_share`] how many they may take, [`share`] says whose the last places are, [`health`] remembers what failed, and [`budget`] holds the entry's
 //! share of the repeats that all entries may send.
@@ -26,16 +26,18 @@
 pub mod overdue_share;
 pub mod pace;
 pub mod queue;
+pub mod reading;
 pub mod share;
 
 /// The types most users of the crate need.
 pub mod prelude {
     pub use crate::budget::{BudgetTerms, RepeatBudget};
-    pub use crate::choice::{Candidate, Choice, Distance, Needs, Reach, ReadingSpeed, Targets};
+    pub use crate::choice::{Candidate, Choice, Distance, Needs, Reach, Targets};
     pub use crate::health::{Health, Outcome};
     pub use crate::load::TargetLoad;
     pub use crate::overdue_share::OverdueShare;
     pub use crate::pace::Pace;
     pub use crate::queue::{Line, WaitQueue, Waiter, WaiterId};
+    pub use crate::reading::ReadingSpeed;
     pub use crate::share::{EntryDemand, share};
 }
--- /dev/null
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -0,0 +1,268 @@
+//! Taking a place at a target, or waiting for one.
+
+use crate::node::Node;
+use crate::places::{Ask, ServicePlaces};
+use crate::probe;
+use crate::view::View;
+use moleroad_dispatch::prelude::*;
+use moleroad_types::prelude::Millis;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// Time between looks of the next waiting request at the targets, in
+/// milliseconds: a third of the shortest pass of an engine.
+const LOOK_AGAIN_MS: u64 = 15;
+/// The same for one without hope of its wanted latency: each look asks up to
+/// five agents, and nothing is lost with a few milliseconds more.
+const OVERDUE_LOOK_AGAIN_MS: u64 = 45;
+
+/// Requests without hope of their wanted latency that look at the targets side by
+/// side: engines that come back together have hundreds of places at once.
+const OVERDUE_LOOKING: usize = 3;
+
+fn look_again_ms(line: Line) -> u64 {
+    match line {
+        Line::InTime => LOOK_AGAIN_MS,
+        Line::Overdue => OVERDUE_LOOK_AGAIN_MS,
+    }
+}
+
+/// Why there is no place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoPlace {
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: u64,
+    /// Requests that waited.
+    pub waiting: usize,
+    /// Targets that might take requests.
+    pub candidates: usize,
+    /// Places believed to be free at them, rounded down.
+    pub free_places: u64,
+}
+
+/// What was believed of a target when a place there was taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Belief {
+    /// Requests in flight there.
+    pub requests: f64,
+    /// Prompt tokens that it had not read.
+    pub unread_tokens: f64,
+    /// Age of its agent's last report, in milliseconds; `None` without one.
+    pub report_age_ms: Option<u64>,
+}
+
+/// A place at a target; given back when dropped.
+pub struct Place {
+    /// What was believed of the target.
+    pub belief: Belief,
+    node: Arc<Node>,
+    service: String,
+    /// The target.
+    pub candidate: Candidate,
+    line: Line,
+    unread_tokens: Option<u64>,
+    outcome: Outcome,
+}
+
+impl Place {
+    fn new(node: &Arc<Node>, ask: &Ask, candidate: Candidate) -> Self {
+        let belief = belief(node, ask, &candidate);
+        if ask.line == Line::Overdue
+            && let Some(places) = node.view().services.get_mut(&ask.service)
+        {
+            places.overdue_share.started();
+        }
+        Self {
+            belief,
+            node: node.clone(),
+            service: ask.service.clone(),
+            candidate,
+            line: ask.line,
+            unread_tokens: Some(ask.prompt_tokens),
+            outcome: Outcome::Abandoned,
+        }
+    }
+
+    /// Says that the target has read the prompt.
+    pub fn was_read(&mut self) {
+        let Some(tokens) = self.unread_tokens.take() else {
+            return;
+        };
+        let mut view = self.node.view();
+        if let Some(places) = view.services.get_mut(&self.service) {
+            places.targets.was_read(&self.candidate.id, tokens);
+        }
+    }
+
+    /// Says how the send ended; without it the place counts as abandoned.
+    pub fn ended(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.was_read();
+        let now = self.node.clock.now();
+        let mut view = self.node.view();
+        let least = self.node.least_version(&view, &self.service);
+        if let Some(places) = view.services.get_mut(&self.service) {
+            places
+                .targets
+                .finished(now, &self.candidate.id, self.outcome);
+            if self.line == Line::Overdue {
+                places.overdue_share.ended();
+            }
+            places.serve_waiting(now, least);
+        }
+    }
+}
+
+/// A request in the queue; leaves it when dropped, and gives back a place that
+/// was granted and not taken.
+struct InQueue {
+    node: Arc<Node>,
+    ask: Ask,
+    id: WaiterId,
+    grant: oneshot::Receiver<Candidate>,
+}
+
+impl Drop for InQueue {
+    fn drop(&mut self) {
+        let now = self.node.clock.now();
+        let mut view = self.node.view();
+        let Some(places) = view.services.get_mut(&self.ask.service) else {
+            return;
+        };
+        places.forget(self.id);
+        if let Ok(candidate) = self.grant.try_recv() {
+            let (targets, tokens) = (&mut places.targets, self.ask.prompt_tokens);
+            targets.was_read(&candidate.id, tokens);
+            targets.finished(now, &candidate.id, Outcome::Abandoned);
+        }
+    }
+}
+
+/// Waits for a place.
+///
+/// # Errors
+/// [`NoPlace`] when there is none until [`Ask::until`], or too many wait.
+pub async fn acquire(node: &Arc<Node>, ask: &Ask) -> Result<Place, NoPlace> {
+    let now = node.clock.now();
+    let place = |candidate| Place::new(node, ask, candidate);
+    let nobody_waits = {
+        let view = node.view();
+        let Some(places) = view.services.get(&ask.service) else {
+            return Err(no_place(now, None, None));
+        };
+        places.queue.len_of(ask.line) == 0 && places.admits(ask.line, view.entry_count(now))
+    };
+    if nobody_waits && let Some(candidate) = probe::find(node, ask).await {
+        return Ok(place(candidate));
+    }
+    let (id, grant) = {
+        let mut view = node.view();
+        let places = view.services.get_mut(&ask.service);
+        match places.and_then(|places| places.wait(now, ask)) {
+            Some(waiting) => waiting,
+            None => return Err(no_place_for(node, &view, ask)),
+        }
+    };
+    let mut in_queue = InQueue {
+        node: node.clone(),
+        ask: ask.clone(),
+        id,
+        grant,
+    };
+    loop {
+        let look = (node.clock.now() + look_again_ms(ask.line)).min(ask.until);
+        let granted = tokio::time::timeout_at(node.clock.instant(look), &mut in_queue.grant).await;
+        if let Ok(Ok(candidate)) = granted {
+            return Ok(place(candidate));
+        }
+        let now = node.clock.now();
+        if now >= ask.until {
+            let view = node.view();
+            return Err(no_place_for(node, &view, ask));
+        }
+        if is_next(node, ask, id)
+            && let Some(candidate) = probe::find(node, ask).await
+        {
+            let now = node.clock.now();
+            if let Some(places) = node.view().services.get_mut(&ask.service) {
+                places.note_granted(now, ask.line);
+            }
+            return Ok(place(candidate));
+        }
+    }
+}
+
+/// Whether the waiting request is among the next to be sent, and asks agents itself.
+fn is_next(node: &Node, ask: &Ask, id: WaiterId) -> bool {
+    let view = node.view();
+    let places = view.services.get(&ask.service);
+    places.is_some_and(|places| {
+        let count = match ask.line {
+            Line::InTime => 1,
+            Line::Overdue => OVERDUE_LOOKING,
+        };
+        let now = node.clock.now();
+        let is_admitted = places.admits(ask.line, view.entry_count(now));
+        let asks = places.targets.have_agents() && is_admitted;
+        asks && places.queue.is_among_first(count, id, now)
+    })
+}
+
+fn belief(node: &Node, ask: &Ask, candidate: &Candidate) -> Belief {
+    let now = node.clock.now();
+    let view = node.view();
+    let Some(places) = view.services.get(&ask.service) else {
+        return Belief::default();
+    };
+    let load = places.targets.load(&candidate.id);
+    let usual = places
+        .targets
+        .reading
+        .map_or(0.0, |reading| reading.usual_prompt);
+    Belief {
+        requests: load.requests(now),
+        unread_tokens: load.unread_tokens(now, usual),
+        report_age_ms: load.report_age(now),
+    }
+}
+
+/// Shortest time after which a refused request may come back, in milliseconds.
+const RETRY_AFTER_LEAST_MS: u64 = 300;
+/// Part of that time over which returns are spread.
+const RETRY_AFTER_SPREAD_MS: u64 = 900;
+
+/// Time before engines serve again from which requests are held for them, in
+/// milliseconds; who is refused comes back within it.
+const HELD_BEFORE_MS: u64 = 1_500;
+/// The same when no target can take requests at all and nothing tells when one
+/// will.
+const RETRY_AFTER_OUTAGE_MS: u64 = 1_800;
+
+fn no_place_for(node: &Node, view: &View, ask: &Ask) -> NoPlace {
+    let least = node.least_version(view, &ask.service);
+    let places = view.services.get(&ask.service);
+    no_place(node.clock.now(), places, least)
+}
+
+fn no_place(now: Millis, places: Option<&ServicePlaces>, least: Option<u64>) -> NoPlace {
+    let candidates = places.map_or(0, |places| places.targets.candidates().len());
+    let is_outage = !places.is_some_and(|places| places.targets.any_serves(least));
+    let spread = rand::random::<u64>() % RETRY_AFTER_SPREAD_MS;
+    let comes_in_ms = places.and_then(|places| places.expected_outage_ms(now));
+    let least = match (is_outage, comes_in_ms) {
+        (true, Some(ms)) => ms.saturating_sub(HELD_BEFORE_MS).max(RETRY_AFTER_LEAST_MS),
+        (true, None) => RETRY_AFTER_OUTAGE_MS,
+        (false, _) => RETRY_AFTER_LEAST_MS,
+    };
+    NoPlace {
+        retry_after_ms: least + spread,
+        waiting: places.map_or(0, |places| places.waiting()),
+        candidates,
+        free_places: places.map_or(0, |places| places.targets.free_places(now) as u64),
+    }
+}
--- a/crates/moleroad_gateway/src/agent/choice.rs
+++ b/crates/moleroad_gateway/src/agent/choice.rs
@@ -52,27 +52,8 @@
         self.look_at_members();
         let now = self.node.clock.now();
         let missing = self.missing();
-        let own_link_kbps = link_kbps(&self.node);
-        let view = self.node.view();
-        let others = fellows(&view, now);
-        let origins = self.free_origins(now, &view.catalog.origins);
-        let fastest = view.catalog.origins.iter().map(|origin| origin.link_kbps);
-        let conditions = Conditions {
-            patience: self.patience,
-            elapsed_ms: now.since(self.divided_at),
-            origin_piece_ms: fastest.max().map_or(0, |kbps| self.piece_ms(kbps as f64)),
-            link_piece_ms: self.piece_ms(own_link_kbps),
-            origin_is_free: !origins.is_empty(),
-            origin_failed_ms: self.origin_failed_at.map(|failed| now.since(failed)),
-            may_cross: !self.crosses_regions(&others),
-            newest_seen: self.newest_seen(&missing),
-        };
-        let spread = self.membership.spread.clone();
-        drop(view);
-        let due = missing
-            .iter()
-            .filter(|piece| announces(**piece, &spread, &conditions));
-        due.for_each(|piece| self.announce(*piece));
+        let (conditions, origins) = self.conditions(now, &missing);
+        self.announce_due(&missing, &conditions);
         let view = self.node.view();
         let others = fellows(&view, now);
         // Another start in each agent, so that agents of a region bring
@@ -119,6 +100,36 @@
         best.map(|(piece, source, _)| (piece, source))
     }
 
+    /// What the choice depends on beside the piece, and the origins that can be
+    /// asked.
+    fn conditions(&self, now: Millis, missing: &[u32]) -> (Conditions, Vec<SocketAddr>) {
+        let own_link_kbps = link_kbps(&self.node);
+        let view = self.node.view();
+        let others = fellows(&view, now);
+        let origins = self.free_origins(now, &view.catalog.origins);
+        let fastest = view.catalog.origins.iter().map(|origin| origin.link_kbps);
+        let conditions = Conditions {
+            patience: self.patience,
+            elapsed_ms: now.since(self.divided_at),
+            origin_piece_ms: fastest.max().map_or(0, |kbps| self.piece_ms(kbps as f64)),
+            link_piece_ms: self.piece_ms(own_link_kbps),
+            origin_is_free: !origins.is_empty(),
+            origin_failed_ms: self.origin_failed_at.map(|failed| now.since(failed)),
+            may_cross: !self.crosses_regions(&others),
+            newest_seen: self.newest_seen(missing),
+        };
+        (conditions, origins)
+    }
+
+    /// Tells others which pieces this agent draws from the origin.
+    fn announce_due(&mut self, missing: &[u32], conditions: &Conditions) {
+        let spread = self.membership.spread.clone();
+        let is_due = |piece: &&u32| announces(**piece, &spread, conditions);
+        for piece in missing.iter().filter(is_due) {
+            self.announce(*piece);
+        }
+    }
+
     /// Time since an agent last said that it draws the piece from the origin; 0
     /// once one has it.
     fn announced_ms(&self, now: Millis, piece: u32) -> Option<u64> {
--- a/crates/moleroad_gateway/src/front/attempt_log.rs
+++ b/crates/moleroad_gateway/src/front/attempt_log.rs
@@ -1,8 +1,9 @@
 //! Lines of the log about the sends of a request.
 
+use crate::acquire::{NoPlace, Place};
 use crate::front::attempt::Attempts;
 use crate::front::exchange::{Reply, SendError, Verdict};
-use crate::places::{NoPlace, Place};
+use moleroad_types::prelude::Millis;
 
 impl Attempts {
     /// Says that no target has room, and what was known of them.
@@ -20,6 +21,19 @@
         );
     }
 
+    /// Counts a request that is held to be served late, and says why.
+    pub(super) fn log_held(&self, now: Millis, until: Millis, expected_ms: Option<u64>) {
+        self.node.metrics.count("held_overdue");
+        log::info!(
+            event = "held_overdue",
+            request = self.request.id.to_str().unwrap_or("-"),
+            service = self.request.service.as_str(),
+            expected_ms = expected_ms.unwrap_or(0),
+            held_for_ms = until.since(now);
+            ""
+        );
+    }
+
     /// Counts a send, and says how it ended unless it was answered.
     pub(super) fn log_send(&self, place: &Place, sent: &Result<Reply, SendError>) {
         let candidate = &place.candidate;
--- a/crates/moleroad_gateway/src/front/mod.rs
+++ b/crates/moleroad_gateway/src/front/mod.rs
@@ -1,7 +1,8 @@
 //! Callers' requests: taken, sent to a target, answered.
 //!
 //! [`serve`] takes connections, [`request`] reads and checks a request,
-//! [`attempt`] sends it until it has an answer, [`exchange`] is one send over
+//! [`attempt`] sends it until it has an answer, [`waiting`] says how
+//! long it waits for a place, [`exchange`] is one send over
 //! a connection of the [`pool`], [`patience`] says how long
 //! silence is borne, [`whole`] reads answers to their end, [`stream`] passes events on and resumes at
 //! another target, [`answer`] holds the answers of our own.
@@ -16,4 +17,5 @@
 pub mod request;
 pub mod serve;
 pub mod stream;
+mod waiting;
 pub mod whole;
--- /dev/null
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -0,0 +1,139 @@
+//! How long a request waits for a place at a target: in the hope of its wanted
+//! latency first, then to be served late.
+
+use crate::acquire::{NoPlace, Place, acquire};
+use crate::experiments::Mechanism;
+use crate::front::attempt::{Attempts, GiveUp};
+use crate::front::patience;
+use crate::places::Ask;
+use moleroad_dispatch::prelude::Line;
+use moleroad_types::prelude::Millis;
+
+/// Share of the wanted latency for which a request waits for a place.
+const WAIT_SHARE: f64 = 0.22;
+/// Time before a caller leaves that a late answer still needs to begin, in
+/// milliseconds: a prompt is read beside others, and its first event is passed on.
+const OVERDUE_ANSWER_MS: u64 = 500;
+/// Rank of requests that a target had begun.
+const MOST_URGENT: u8 = 0;
+/// Time before the end of a request's time in which it is not sent any more,
+/// in milliseconds.
+pub const LEAST_USEFUL_MS: u64 = 60;
+
+impl Attempts {
+    /// A place for the next send.
+    ///
+    /// # Errors
+    /// [`GiveUp`] says why none is made.
+    pub(super) async fn next_place(&mut self) -> Result<Place, GiveUp> {
+        let now = self.node.clock.now();
+        if now + LEAST_USEFUL_MS > self.request.until {
+            return Err(GiveUp::TimeOver);
+        }
+        if self.sends >= self.request.route.max_attempts.max(1) {
+            return Err(GiveUp::NotAgain);
+        }
+        if self.sends > 0 && !self.take_repeat(now) {
+            self.node.metrics.count("repeat_over_budget");
+            return Err(GiveUp::NotAgain);
+        }
+        let ask = self.ask();
+        let is_first = self.sends == 0;
+        let in_time = acquire(&self.node, &ask).await;
+        if is_first {
+            self.note_in_time(in_time.is_ok());
+        }
+        let place = match in_time {
+            Ok(place) => place,
+            Err(no_place) if is_first => self.overdue_place(ask, no_place).await?,
+            Err(no_place) => return Err(GiveUp::NoPlace(no_place)),
+        };
+        if self.sends == 0 && self.unreachable == 0 {
+            self.note_first_send();
+            let waited = self.node.clock.now().since(self.request.arrived);
+            self.node.metrics.wait_s.observe(waited as f64 / 1_000.0);
+        }
+        Ok(place)
+    }
+
+    /// What the request asks of a place, in the hope of its wanted latency. One
+    /// that a target has begun has cost that target's time: it is urgent, and
+    /// waits as long as its caller does.
+    fn ask(&self) -> Ask {
+        let request = &self.request;
+        let is_first = self.sends == 0;
+        let latency_ms = request.route.target_latency_ms;
+        let until = if is_first {
+            request.arrived + self.in_time_wait_ms()
+        } else {
+            request.until
+        };
+        Ask {
+            service: request.service.clone(),
+            tried: self.tried.clone(),
+            prompt_tokens: request.prompt_tokens,
+            priority: if is_first {
+                request.priority
+            } else {
+                MOST_URGENT
+            },
+            wanted_by: is_first.then(|| request.arrived + latency_ms),
+            until: until.min(Millis(request.until.0 - LEAST_USEFUL_MS)),
+            line: Line::InTime,
+        }
+    }
+
+    /// How long a request waits for a place in the hope of its wanted latency.
+    fn in_time_wait_ms(&self) -> u64 {
+        let waits = self.node.settings.experiments.has(Mechanism::Waiting);
+        let share = if waits { WAIT_SHARE } else { 0.0 };
+        (self.request.route.target_latency_ms as f64 * share) as u64
+    }
+
+    /// Waits for a place to be served late, where one can be expected before
+    /// the caller leaves: a late answer serves the caller better than coming
+    /// back with its time already running.
+    async fn overdue_place(&self, in_time: Ask, no_place: NoPlace) -> Result<Place, GiveUp> {
+        let held = self.node.settings.experiments.has(Mechanism::HeldOverdue);
+        let leaves_at = self.request.arrived + patience::caller_ms(&self.request.route);
+        let until = leaves_at.min(self.request.until);
+        let last_send = Millis(until.0.saturating_sub(OVERDUE_ANSWER_MS));
+        let now = self.node.clock.now();
+        let expected_ms = self.node.expected_wait_ms(&in_time.service);
+        let comes = expected_ms.is_some_and(|wait_ms| now + wait_ms <= last_send);
+        if !held || !comes {
+            return Err(GiveUp::NoPlace(no_place));
+        }
+        let ask = Ask {
+            wanted_by: None,
+            until: last_send,
+            line: Line::Overdue,
+            ..in_time
+        };
+        self.log_held(now, last_send, expected_ms);
+        let place = acquire(&self.node, &ask).await;
+        place.map_err(GiveUp::NoPlace)
+    }
+
+    fn note_in_time(&self, is_placed: bool) {
+        let mut view = self.node.view();
+        if let Some(places) = view.services.get_mut(&self.request.service) {
+            places.note_in_time(is_placed);
+        }
+    }
+
+    fn note_first_send(&self) {
+        let now = self.node.clock.now();
+        let mut view = self.node.view();
+        if let Some(places) = view.services.get_mut(&self.request.service) {
+            places.budget.note_request(now);
+        }
+    }
+
+    fn take_repeat(&self, now: Millis) -> bool {
+        let mut view = self.node.view();
+        let entries = view.entry_count(now);
+        let places = view.services.get_mut(&self.request.service);
+        places.is_some_and(|places| places.budget.take(now, entries))
+    }
+}
--- a/crates/moleroad_gateway/src/lib.rs
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! outside speaks is behind [`interface::Interface`].
 #![warn(missing_docs)]
 
+mod acquire;
 pub mod agent;
 pub mod candidates;
 pub mod clock;
