Leave older weights an eighth of the bound before its end

Hypothesis: entries stop sending to engines with older weights a fifth of the bound (1.9 s of 9.7) before its end; what guards the rule is the time that engines are given, so most of it only leaves engines idle.

--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -13,8 +13,10 @@
 use std::sync::Arc;
 
 /// Part of the time for a version that is left when requests stop going to
-/// older weights: time on the way and in the target's queue.
-const VERSION_MARGIN_PART: u64 = 5;
+/// older weights: time on the way and in the target's queue. Engines are given
+/// no more time than a request may begin in, so a larger part only leaves them
+/// idle while newer weights are still on their way.
+const VERSION_MARGIN_PART: u64 = 8;
 
 /// What one daemon believes.
 pub struct View {
