--- a/crates/moleroad_gateway/src/acquire.rs
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -9,8 +9,8 @@
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
-/// Time between looks of the next waiting request at the targets, in
-/// milliseconds: a third of the shortest pass of an engine.
+/// Time between two looks of a waiting request at the targets, in milliseconds: a
+/// third of the shortest pass of an engine.
 const LOOK_AGAIN_MS: u64 = 15;
 /// The same for one without hope of its wanted latency: each look asks up to
 /// five agents, and nothing is lost with a few milliseconds more.
@@ -197,7 +197,8 @@
     }
 }
 
-/// Whether the waiting request is among the next to be sent, and asks agents itself.
+/// Whether the waiting request is among the next to be sent, and asks agents
+/// itself.
 fn is_next(node: &Node, ask: &Ask, id: WaiterId) -> bool {
     let view = node.view();
     let places = view.services.get(&ask.service);
@@ -233,15 +234,13 @@
 
 /// Shortest time after which a refused request may come back, in milliseconds.
 const RETRY_AFTER_LEAST_MS: u64 = 300;
-/// Part of that time over which returns are spread.
+/// The same while no target can take requests and nothing tells when one will.
+const RETRY_AFTER_OUTAGE_MS: u64 = 1_800;
+/// Time over which the returns of refused requests are spread, in milliseconds.
 const RETRY_AFTER_SPREAD_MS: u64 = 900;
-
-/// Time before engines serve again from which requests are held for them, in
-/// milliseconds; who is refused comes back within it.
+/// Who is refused because weights are still far from being served comes back
+/// this long before they are expected, in milliseconds, and is held from then on.
 const HELD_BEFORE_MS: u64 = 1_500;
-/// The same when no target can take requests at all and nothing tells when one
-/// will.
-const RETRY_AFTER_OUTAGE_MS: u64 = 1_800;
 
 fn no_place_for(node: &Node, view: &View, ask: &Ask) -> NoPlace {
     let least = node.least_version(view, &ask.service);
--- a/crates/moleroad_gateway/src/front/mod.rs
+++ b/crates/moleroad_gateway/src/front/mod.rs
@@ -1,9 +1,9 @@
 //! Callers' requests: taken, sent to a target, answered.
 //!
 //! [`serve`] takes connections, [`request`] reads and checks a request,
-//! [`attempt`] sends it until it has an answer, [`waiting`] says how
+//! [`attempt`] sends it until it has an answer, `waiting` says how
 //! long it waits for a place, [`exchange`] is one send over
-//! a connection of the [`pool`], [`patience`] says how long
+//! a connection of the [`pool`], `patience` says how long
 //! silence is borne, [`whole`] reads answers to their end, [`stream`] passes events on and resumes at
 //! another target, [`answer`] holds the answers of our own.
 
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -63,8 +63,9 @@
     pub(crate) queue: WaitQueue,
     waiting: HashMap<WaiterId, Waiting>,
     next_waiter: u64,
+    /// How soon overdue requests get places.
     overdue_pace: Pace,
-    /// How many places such requests may take.
+    /// How many places overdue requests may take.
     pub(crate) overdue_share: OverdueShare,
     /// How far weights have come that are on their way to engines.
     pub arrival: Arrival,
