Refuse at once again at an entry that has just begun

An entry that knew no configuration or target yet held its callers for up to 1.5 s; all of them then asked agents over new connections at the same moment, on a quarter of a core.

Change: taken back; an entry that has just begun refuses as before.

--- a/crates/moleroad_gateway/src/front/request.rs
+++ b/crates/moleroad_gateway/src/front/request.rs
@@ -60,8 +60,9 @@
     request: Request<Incoming>,
     arrived: Millis,
 ) -> Result<Accepted, OwnAnswer> {
-    let table = table_in_force(node, arrived).await;
-    let table = table.ok_or(OwnAnswer::NoConfiguration)?;
+    let Some(table) = node.view().table.clone() else {
+        return Err(OwnAnswer::NoConfiguration);
+    };
     let (head, body) = request.into_parts();
     let names = node.interface.headers();
     let host = host_of(&head.headers, &head.uri).ok_or(OwnAnswer::BadRequest)?;
@@ -112,25 +113,6 @@
     Ok(accepted)
 }
 
-/// Time for which a request waits for the first configuration, in milliseconds.
-const CONFIGURATION_WAIT_MS: u64 = 1_500;
-/// Time between looks whether it is there.
-const CONFIGURATION_LOOK: Duration = Duration::from_millis(25);
-
-/// What is in force. A process that began a moment ago hears of it within its
-/// first second, and its callers wait that long.
-async fn table_in_force(node: &Node, arrived: Millis) -> Option<Arc<RouteTable>> {
-    loop {
-        let table = node.view().table.clone();
-        let now = node.clock.now();
-        let waits = node.is_young(now) && now.since(arrived) < CONFIGURATION_WAIT_MS;
-        if table.is_some() || !waits {
-            return table;
-        }
-        tokio::time::sleep(CONFIGURATION_LOOK).await;
-    }
-}
-
 fn host_of(headers: &HeaderMap, uri: &hyper::Uri) -> Option<String> {
     let named = headers.get(HOST).and_then(|value| value.to_str().ok());
     named.or(uri.host()).map(str::to_string)
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -242,15 +242,13 @@
     }
 
     /// How long a request without hope of its wanted latency would wait for a
-    /// place, in milliseconds; `None` when that is not known. A process that
-    /// began a moment ago hears of targets within its first seconds.
+    /// place, in milliseconds; `None` when that is not known.
     pub fn expected_wait_ms(&self, service: &str) -> Option<u64> {
         let now = self.clock.now();
         let view = self.view();
         let least = self.least_version(&view, service);
         let places = view.services.get(service);
-        let expected = places.and_then(|places| places.expected_overdue_wait_ms(now, least));
-        expected.or_else(|| self.is_young(now).then_some(HEARS_WITHIN_MS))
+        places.and_then(|places| places.expected_overdue_wait_ms(now, least))
     }
 
     /// Gives free places to those that wait.
@@ -299,9 +297,6 @@
 /// milliseconds: after a loss of power everywhere, control daemons elect, and
 /// daemons find each other, within two seconds.
 const YOUNG_MS: u64 = 3_000;
-/// Time in which a process that began a moment ago hears of targets, in
-/// milliseconds: a heartbeat of a target and its way over a relay.
-const HEARS_WITHIN_MS: u64 = 1_500;
 /// Versions whose digests are remembered.
 const MOST_DIGESTS: usize = 3;
 /// Part by which demand must change for others to be told.
