Filter targets in one place; carry allowed regions from the configuration to the choice

Cause: two deployments ask for regions in which requests may be served, for halls that get nothing, and for a bound on cold targets; a request's way to a target had four places that each looked at some of what bars it. Change: barrier() says why a target may not get a request; every choice passes it, and a target whose agent was asked is looked at again with what was learned meanwhile. AllowedRegions goes from the configuration into each request.

--- a/crates/moleroad_config/src/configuration.rs
+++ b/crates/moleroad_config/src/configuration.rs
@@ -1,5 +1,6 @@
 //! The plain data of one configuration.
 
+use moleroad_types::prelude::AllowedRegions;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -57,6 +58,8 @@
     pub priority: u8,
     /// Whether requests need no key.
     pub public: bool,
+    /// Regions in which its requests may be served.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Time an engine takes for its steps, as published by its operator.
@@ -100,6 +103,15 @@
     pub link_mbps: f64,
 }
 
+/// How many requests a target takes while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// How long a target is cold after its start, in milliseconds.
+    pub lasts_ms: u64,
+    /// Requests that a cold target takes in a second.
+    pub requests_per_s: f64,
+}
+
 /// One service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -117,6 +129,8 @@
     pub origin: Option<OriginService>,
     /// Data hall of an origin.
     pub hall: Option<String>,
+    /// Bound on its targets while they are cold; `None` without one.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Bounds on what a caller may send.
@@ -152,6 +166,9 @@
     pub keys: Vec<String>,
     /// Rank that goes before the route's.
     pub priority: Option<u8>,
+    /// Regions in which its requests may be served; what the route allows binds
+    /// as well.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// One whole configuration.
--- a/crates/moleroad_config/src/lib.rs
+++ b/crates/moleroad_config/src/lib.rs
@@ -24,7 +24,7 @@
 pub mod prelude {
     pub use crate::check::{ConfigurationError, check};
     pub use crate::configuration::{
-        ClientAccount, ConfigVersion, Configuration, EngineModel, Limits, OriginService,
+        ClientAccount, ColdStart, ConfigVersion, Configuration, EngineModel, Limits, OriginService,
         Repeatability, Route, Service, StepModel, WeightedService,
     };
     pub use crate::route_table::RouteTable;
--- a/crates/moleroad_config/tests/config.rs
+++ b/crates/moleroad_config/tests/config.rs
@@ -1,6 +1,7 @@
 //! Checks of configurations, and look-ups in them.
 
 use moleroad_config::prelude::*;
+use moleroad_types::prelude::AllowedRegions;
 
 fn route(host: &str, prefix: &str, service: &str) -> Route {
     Route {
@@ -20,6 +21,7 @@
         max_attempts: 2,
         priority: 1,
         public: false,
+        allowed_regions: AllowedRegions::all(),
     }
 }
 
@@ -32,6 +34,7 @@
         steps: None,
         origin: None,
         hall: None,
+        cold_start: None,
     }
 }
 
@@ -40,6 +43,7 @@
         name: name.into(),
         keys: keys.iter().map(|key| key.to_string()).collect(),
         priority: None,
+        allowed_regions: AllowedRegions::all(),
     }
 }
 
--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -1,10 +1,11 @@
 //! Choosing among the targets of a service.
 
+use crate::eligibility::barrier;
 use crate::health::Outcome;
 use crate::load::TargetLoad;
 use crate::reading::ReadingSpeed;
 use moleroad_directory::prelude::TargetId;
-use moleroad_types::prelude::Millis;
+use moleroad_types::prelude::{AllowedRegions, Millis, Region};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -46,6 +47,10 @@
     pub share: u32,
     /// How far it is.
     pub distance: Distance,
+    /// Region that it stands in.
+    pub region: Region,
+    /// Whether its data hall is evacuated, so that it gets no requests.
+    pub evacuated: bool,
     /// Version of the weights that it holds whole; `None` for plain targets.
     pub version: Option<u64>,
     /// Whether it is about to change its weights.
@@ -104,6 +109,8 @@
     pub within_ms: Option<u64>,
     /// Places that must stay free at the target for others.
     pub spare: u32,
+    /// Regions in which it may be served; `None` allows all.
+    pub regions: Option<&'a AllowedRegions>,
 }
 
 /// Part of its slots up to which any entry sends to a target; beyond it each
@@ -172,20 +179,19 @@
 
     /// Places over all targets.
     pub fn places(&self) -> u32 {
-        self.candidates
-            .iter()
-            .map(|candidate| candidate.slots)
-            .sum()
+        let open = self.candidates.iter().filter(|c| !c.evacuated);
+        open.map(|candidate| candidate.slots).sum()
     }
 
-    /// Whether some target may take requests, with `least` as the lowest version
-    /// of weights.
-    pub fn any_serves(&self, least: Option<u64>) -> bool {
-        let is_new_enough = |candidate: &Candidate| match (least, candidate.version) {
-            (Some(least), Some(version)) => version >= least,
-            _ => true,
-        };
-        self.candidates.iter().any(is_new_enough)
+    /// Whether some target may take a request with these needs, now or once it
+    /// has a place.
+    pub fn any_serves(&self, needs: Needs<'_>) -> bool {
+        let serves = |candidate: &Candidate| barrier(candidate, needs).is_none();
+        self.candidates.iter().any(serves)
+    }
+
+    fn candidate(&self, id: &TargetId) -> Option<&Candidate> {
+        self.candidates.iter().find(|candidate| candidate.id == *id)
     }
 
     /// What is known of the load of a target.
@@ -243,10 +249,7 @@
 
     /// The sound targets that meet `needs`; when none is sound, all of them.
     fn pool(&self, now: Millis, needs: Needs<'_>) -> Vec<&Candidate> {
-        let fits = |candidate: &&Candidate| {
-            let is_new_enough = |least| candidate.version.is_none_or(|v| v >= least);
-            !needs.tried.contains(&candidate.id) && needs.least.is_none_or(is_new_enough)
-        };
+        let fits = |candidate: &&Candidate| barrier(candidate, needs).is_none();
         let fitting: Vec<&Candidate> = self.candidates.iter().filter(fits).collect();
         let sound = |candidate: &&&Candidate| {
             let is_avoided = self.load(&candidate.id).health.is_avoided(now);
@@ -283,15 +286,20 @@
         draw_some(pool, count, draw).into_iter().cloned().collect()
     }
 
-    /// The cheapest of these targets that has a place and can be in time.
+    /// The cheapest of these targets that may still take the request, has a
+    /// place and can be in time.
     pub fn best_of(
         &self,
         now: Millis,
         needs: Needs<'_>,
         looked_at: &[Candidate],
     ) -> Option<Candidate> {
-        let free = looked_at
+        // What was learned while agents were asked counts.
+        let known = looked_at
             .iter()
+            .filter_map(|looked_at| self.candidate(&looked_at.id));
+        let free = known
+            .filter(|candidate| barrier(candidate, needs).is_none())
             .filter(|candidate| self.has_place(now, candidate, needs.spare))
             .filter(|candidate| self.is_in_time(now, candidate, needs));
         let best = free.min_by(|a, b| self.cost_ms(now, a).total_cmp(&self.cost_ms(now, b)));
@@ -370,7 +378,7 @@
         let usable = self
             .candidates
             .iter()
-            .filter(|candidate| !candidate.switching);
+            .filter(|candidate| !candidate.switching && !candidate.evacuated);
         usable.map(free).sum()
     }
 }
--- a/crates/moleroad_dispatch/src/lib.rs
+++ b/crates/moleroad_dispatch/src/lib.rs
@@ -4,7 +4,8 @@
 //! Pure decisions of one entry; the shell reports what was sent and how it
 //! ended. Each entry shares the targets with others that it does not ask:
 //! [`load`] estimates what they have in flight from what agents report,
-//! [`reading`] predicts its first event, [`choice`] picks the cheapest target, [`queue`] orders those that wait for
+//! [`reading`] predicts its first event, [`eligibility`] says which targets a
+//! request may go to, [`choice`] picks the cheapest of them, [`queue`] orders those that wait for
 //! a place, [`pace`] tells how soon late ones get one
 //! and [`overdue_share`] how many they may take, [`share`] says whose the last places are, [`health`] remembers what failed, and [`budget`] holds the entry's
 //! share of the repeats that all entries may send.
@@ -21,6 +22,7 @@
 
 pub mod budget;
 pub mod choice;
+pub mod eligibility;
 pub mod health;
 pub mod load;
 pub mod overdue_share;
@@ -33,6 +35,7 @@
 pub mod prelude {
     pub use crate::budget::{BudgetTerms, RepeatBudget};
     pub use crate::choice::{Candidate, Choice, Distance, Needs, Reach, Targets};
+    pub use crate::eligibility::{Barrier, barrier};
     pub use crate::health::{Health, Outcome};
     pub use crate::load::TargetLoad;
     pub use crate::overdue_share::OverdueShare;
--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -2,7 +2,7 @@
 
 use moleroad_directory::prelude::TargetId;
 use moleroad_dispatch::prelude::*;
-use moleroad_types::prelude::Millis;
+use moleroad_types::prelude::{Millis, Region};
 
 fn candidate(name: &str, distance: Distance) -> Candidate {
     Candidate {
@@ -12,6 +12,8 @@
         most_own: 4,
         share: 4,
         distance,
+        region: Region::new("r"),
+        evacuated: false,
         version: Some(1),
         switching: false,
         slowness: 1.0,
--- a/crates/moleroad_dispatch/tests/overdue.rs
+++ b/crates/moleroad_dispatch/tests/overdue.rs
@@ -3,7 +3,7 @@
 
 use moleroad_directory::prelude::TargetId;
 use moleroad_dispatch::prelude::*;
-use moleroad_types::prelude::Millis;
+use moleroad_types::prelude::{Millis, Region};
 
 fn waiter(id: u64, line: Line, since: u64) -> Waiter {
     Waiter {
@@ -57,6 +57,13 @@
     assert!(pace.expected_wait_ms(Millis(9_000), 0) < 1_000.0);
 }
 
+fn at_least(version: u64) -> Needs<'static> {
+    Needs {
+        least: Some(version),
+        ..Needs::default()
+    }
+}
+
 #[test]
 fn a_request_without_hope_leaves_a_place_to_others() {
     let mut targets = Targets::default();
@@ -67,6 +74,8 @@
         most_own: 3,
         share: 3,
         distance: Distance::SameHall,
+        region: Region::new("r"),
+        evacuated: false,
         version: Some(4),
         switching: false,
         slowness: 1.0,
@@ -90,8 +99,8 @@
         Choice::Send(_)
     ));
     assert_eq!(targets.places(), 3);
-    assert!(targets.any_serves(Some(4)));
-    assert!(!targets.any_serves(Some(5)));
+    assert!(targets.any_serves(at_least(4)));
+    assert!(!targets.any_serves(at_least(5)));
 }
 
 #[test]
--- a/crates/moleroad_gateway/src/acquire.rs
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -153,7 +153,7 @@
     let nobody_waits = {
         let view = node.view();
         let Some(places) = view.services.get(&ask.service) else {
-            return Err(no_place(now, None, None));
+            return Err(no_place(now, None, Needs::default()));
         };
         places.queue.len_of(ask.line) == 0 && places.admits(ask.line, view.entry_count(now))
     };
@@ -245,12 +245,13 @@
 fn no_place_for(node: &Node, view: &View, ask: &Ask) -> NoPlace {
     let least = node.least_version(view, &ask.service);
     let places = view.services.get(&ask.service);
-    no_place(node.clock.now(), places, least)
+    let now = node.clock.now();
+    no_place(now, places, ask.needs(now, least))
 }
 
-fn no_place(now: Millis, places: Option<&ServicePlaces>, least: Option<u64>) -> NoPlace {
+fn no_place(now: Millis, places: Option<&ServicePlaces>, needs: Needs<'_>) -> NoPlace {
     let candidates = places.map_or(0, |places| places.targets.candidates().len());
-    let is_outage = !places.is_some_and(|places| places.targets.any_serves(least));
+    let is_outage = !places.is_some_and(|places| places.targets.any_serves(needs));
     let spread = rand::random::<u64>() % RETRY_AFTER_SPREAD_MS;
     let comes_in_ms = places.and_then(|places| places.expected_outage_ms(now));
     let least = match (is_outage, comes_in_ms) {
--- a/crates/moleroad_gateway/src/candidates.rs
+++ b/crates/moleroad_gateway/src/candidates.rs
@@ -9,7 +9,7 @@
 use moleroad_directory::prelude::*;
 use moleroad_directory::target::whole_version;
 use moleroad_dispatch::prelude::*;
-use moleroad_types::prelude::Millis;
+use moleroad_types::prelude::{Millis, Region};
 use std::collections::HashMap;
 
 /// Age up to which an agent's report goes before the engine's own heartbeat,
@@ -158,6 +158,8 @@
             slots
         },
         distance,
+        region: Region::new(settings.region_of(&record.hall)),
+        evacuated: false,
         version,
         switching: report.is_some_and(|report| report.switching),
         slowness: pace + cold,
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -193,6 +193,7 @@
             prompt_tokens: self.request.prompt_tokens,
             within_ms: None,
             spare: 0,
+            regions: Some(&self.request.regions),
         };
         view.services
             .get_mut(&self.request.service)
--- a/crates/moleroad_gateway/src/front/waiting.rs
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -80,6 +80,7 @@
             wanted_by: is_first.then(|| request.arrived + latency_ms),
             until: until.min(Millis(request.until.0 - LEAST_USEFUL_MS)),
             line: Line::InTime,
+            regions: request.regions.clone(),
         }
     }
 
@@ -99,7 +100,7 @@
         let until = leaves_at.min(self.request.until);
         let last_send = Millis(until.0.saturating_sub(OVERDUE_ANSWER_MS));
         let now = self.node.clock.now();
-        let expected_ms = self.node.expected_wait_ms(&in_time.service);
+        let expected_ms = self.node.expected_wait_ms(&in_time);
         let comes = expected_ms.is_some_and(|wait_ms| now + wait_ms <= last_send);
         if !held || !comes {
             return Err(GiveUp::NoPlace(no_place));
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -10,6 +10,7 @@
 use crate::metrics::Metrics;
 use crate::peer::LeaderHint;
 use crate::peers::Peers;
+use crate::places::Ask;
 use crate::settings::{RoleSetting, Settings};
 use crate::view::View;
 use moleroad_consensus::prelude::MemberInfo;
@@ -243,12 +244,12 @@
 
     /// How long a request without hope of its wanted latency would wait for a
     /// place, in milliseconds; `None` when that is not known.
-    pub fn expected_wait_ms(&self, service: &str) -> Option<u64> {
+    pub fn expected_wait_ms(&self, ask: &Ask) -> Option<u64> {
         let now = self.clock.now();
         let view = self.view();
-        let least = self.least_version(&view, service);
-        let places = view.services.get(service);
-        places.and_then(|places| places.expected_overdue_wait_ms(now, least))
+        let least = self.least_version(&view, &ask.service);
+        let places = view.services.get(&ask.service);
+        places.and_then(|places| places.expected_overdue_wait_ms(now, ask.needs(now, least)))
     }
 
     /// Gives free places to those that wait.
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -5,7 +5,7 @@
 use moleroad_directory::prelude::TargetId;
 use moleroad_dispatch::prelude::*;
 use moleroad_rollout::prelude::Arrival;
-use moleroad_types::prelude::Millis;
+use moleroad_types::prelude::{AllowedRegions, Millis};
 use std::collections::HashMap;
 use tokio::sync::oneshot;
 
@@ -26,6 +26,8 @@
     pub until: Millis,
     /// What it still hopes for.
     pub line: Line,
+    /// Regions in which it may be served.
+    pub regions: AllowedRegions,
 }
 
 /// Places at an engine that requests without hope of their wanted latency leave
@@ -45,6 +47,7 @@
                 Line::InTime => 0,
                 Line::Overdue => SPARE_FOR_IN_TIME,
             },
+            regions: Some(&self.regions),
         }
     }
 }
@@ -189,8 +192,8 @@
     /// How long a request without hope of its wanted latency would wait for a
     /// place, in milliseconds; `None` when no target can take any and it is not
     /// known when one will.
-    pub fn expected_overdue_wait_ms(&self, now: Millis, least: Option<u64>) -> Option<u64> {
-        if !self.targets.any_serves(least) {
+    pub fn expected_overdue_wait_ms(&self, now: Millis, needs: Needs<'_>) -> Option<u64> {
+        if !self.targets.any_serves(needs) {
             return self.expected_outage_ms(now);
         }
         let ahead = self.queue.len_of(Line::Overdue);
--- /dev/null
+++ b/crates/moleroad_types/src/regions.rs
@@ -0,0 +1,63 @@
+//! Sets of regions in which a request may be served.
+
+use crate::id::Region;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// Regions in which a request may be served; without a restriction, all.
+///
+/// Cheap to clone: requests share the set of their configuration.
+///
+/// ```
+/// use moleroad_types::prelude::*;
+///
+/// let route = AllowedRegions::only([Region::new("east"), Region::new("west")]);
+/// let account = AllowedRegions::only([Region::new("west")]);
+/// let both = route.and(&account);
+/// assert!(both.contains(&Region::new("west")));
+/// assert!(!both.contains(&Region::new("east")));
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct AllowedRegions(Option<Arc<BTreeSet<Region>>>);
+
+impl AllowedRegions {
+    /// No restriction.
+    pub fn all() -> Self {
+        Self(None)
+    }
+
+    /// These regions alone; an empty list allows none.
+    pub fn only(regions: impl IntoIterator<Item = Region>) -> Self {
+        Self(Some(Arc::new(regions.into_iter().collect())))
+    }
+
+    /// Whether there is no restriction.
+    pub fn is_all(&self) -> bool {
+        self.0.is_none()
+    }
+
+    /// Whether no region is allowed.
+    pub fn is_none(&self) -> bool {
+        self.0.as_ref().is_some_and(|regions| regions.is_empty())
+    }
+
+    /// Whether `region` is allowed.
+    pub fn contains(&self, region: &Region) -> bool {
+        let regions = self.0.as_ref();
+        regions.is_none_or(|regions| regions.contains(region))
+    }
+
+    /// The regions, where they are restricted.
+    pub fn named(&self) -> Option<&BTreeSet<Region>> {
+        self.0.as_deref()
+    }
+
+    /// The regions that both allow.
+    pub fn and(&self, other: &Self) -> Self {
+        match (&self.0, &other.0) {
+            (None, _) => other.clone(),
+            (_, None) => self.clone(),
+            (Some(left), Some(right)) => Self::only(left.intersection(right).cloned()),
+        }
+    }
+}
