Draw no piece again that is on its way

Ruled out: digests (0.1 s), the number of connections (48 allowed), streams. Change: what was announced a moment ago, is offered or is known in another region is given 1.5 s more before it is drawn again; each draw is logged with its rank and age.

--- a/crates/moleroad_gateway/src/agent/choice.rs
+++ b/crates/moleroad_gateway/src/agent/choice.rs
@@ -133,7 +133,7 @@
 
     /// Time since an agent last said that it draws the piece from the origin; 0
     /// once one has it.
-    fn announced_ms(&self, now: Millis, piece: u32) -> Option<u64> {
+    pub(super) fn announced_ms(&self, now: Millis, piece: u32) -> Option<u64> {
         let (offers, version) = (offers(&self.node), self.wanted.version);
         if !offers.of(version, piece).is_empty() {
             return Some(0);
--- a/crates/moleroad_gateway/src/agent/fetch.rs
+++ b/crates/moleroad_gateway/src/agent/fetch.rs
@@ -176,6 +176,7 @@
             while let Some((piece, source)) = self.next(FETCHED_AT_ONCE) {
                 self.under_way.insert(piece, source);
                 if let Source::Origin(_) = source {
+                    self.log_draw(piece);
                     self.announce(piece);
                 }
                 let digest = self.digests.digests[piece as usize];
@@ -324,6 +325,21 @@
         self.node.clock.now().since(self.progress_at)
     }
 
+    fn log_draw(&self, piece: u32) {
+        let now = self.node.clock.now();
+        let spread = &self.membership.spread;
+        log::info!(
+            event = "piece_drawn",
+            version = self.wanted.version,
+            piece = piece,
+            rank = spread.rank(piece).unwrap_or(0) as u64,
+            in_origin_region = spread.is_in_origin_region(),
+            elapsed_ms = now.since(self.divided_at),
+            announced_ms = self.announced_ms(now, piece).map_or(-1, |ms| ms as i64);
+            ""
+        );
+    }
+
     fn log_fetched(&self) {
         log::info!(
             event = "weights_fetched",
--- a/crates/moleroad_rollout/src/choice.rs
+++ b/crates/moleroad_rollout/src/choice.rs
@@ -85,6 +85,11 @@
 const PACE_KEPT_MS: u64 = 1_000;
 /// Agents that take over from a silent one: those that it tells of its draws.
 const TAKING_OVER: u32 = FANOUT as u32;
+/// Further lateness that is borne of a piece that an agent has or is drawing, in
+/// milliseconds: its link is busy with other pieces, and a second draw would take
+/// the time of the origin's link from pieces that nobody has. In the end the piece
+/// is drawn again: who said that it has it may have restarted without it.
+const HELD_BORNE_MS: u64 = 1_500;
 /// Lateness that is borne of every agent while the origin keeps its pace, in
 /// milliseconds: the spread of the times at which agents begin.
 const TAKE_OVER_FIRST_MS: u64 = 150;
@@ -116,7 +121,12 @@
     if crosses.across_regions && missing.far > 0 && conditions.may_cross {
         return Some((SourceKind::Far, 1));
     }
-    let draws = spread.permission(piece, conditions.patience, conditions.overdue_ms(piece));
+    let overdue_ms = conditions.overdue_ms(piece);
+    let unborne_ms = match missing.is_on_its_way() {
+        true => overdue_ms.saturating_sub(HELD_BORNE_MS),
+        false => overdue_ms,
+    };
+    let draws = spread.permission(piece, conditions.patience, unborne_ms);
     let is_let_in = conditions.may_return(rank);
     let takes_over = spread.is_in_origin_region() && conditions.is_passed_over(&missing, rank);
     let is_due = conditions.has_turn(piece) && is_let_in;
@@ -126,6 +136,13 @@
     None
 }
 
+impl MissingPiece {
+    /// Whether an agent has the piece, or said a moment ago that it draws it.
+    fn is_on_its_way(&self) -> bool {
+        self.far > 0 || self.announced_ms.is_some_and(|ms| ms < ANNOUNCED_FOR_MS)
+    }
+}
+
 /// Time between two announcements of a draw that is under way, in milliseconds.
 pub const ANNOUNCE_EVERY_MS: u64 = 150;
 /// Time for which an announcement stands, in milliseconds: an agent that ends or
@@ -165,9 +182,8 @@
             return false;
         };
         let keeps_pace = self.late_ms(newest) <= PACE_KEPT_MS;
-        let is_drawn = missing.announced_ms.is_some_and(|ms| ms < ANNOUNCED_FOR_MS);
         let borne_ms = TAKE_OVER_FIRST_MS + u64::from(rank) * TAKE_OVER_STEP_MS;
-        let may_take = (1..=TAKING_OVER).contains(&rank) && !is_drawn;
+        let may_take = (1..=TAKING_OVER).contains(&rank) && !missing.is_on_its_way();
         may_take && keeps_pace && self.late_ms(missing.piece) >= borne_ms
     }
 
--- a/crates/moleroad_rollout/tests/swarm.rs
+++ b/crates/moleroad_rollout/tests/swarm.rs
@@ -148,3 +148,19 @@
         }
     }
 }
+
+#[test]
+fn one_copy_leaves_an_origin_that_is_as_slow_as_the_links() {
+    for (agents, link_piece_ms) in [(20, 27), (76, 27), (76, 32), (204, 27)] {
+        for seed in 0..3 {
+            let setup = Setup {
+                pieces: 96,
+                link_piece_ms,
+                origin_piece_ms: 27,
+                ..setup(agents, seed)
+            };
+            let outcome = play(setup.clone());
+            assert!(outcome.draws <= 105, "{agents} agents: {outcome:?}");
+        }
+    }
+}
