Finish an older version while the origin gives nothing newer

Cause: a version of which nine tenths were out was given up 0.9 s after the origin failed, and the newer one needed a whole copy when it was back: no engine took it, and none served from 26.75 to 31.2 s (two versions named 3 s apart, the origin away from 20.5 to 26.5 s). Ruled out: finishing it when the newer one already comes (as before: given up). Change: when to give up is decided in one pure place (overtaking). It waits when at most a quarter is not out, nothing newer is known to have left the origin, and engines can serve it for a second before the newer one is due. Agents that draw wait at most 0.6 s between tries at an origin that refuses (1.5 s before).

--- a/crates/moleroad_gateway/src/agent/choice.rs
+++ b/crates/moleroad_gateway/src/agent/choice.rs
@@ -6,6 +6,7 @@
 use crate::agent::offers::offers;
 use crate::agent::uploads::link_kbps;
 use crate::peer::CatalogOrigin;
+use crate::view::View;
 use moleroad_directory::prelude::*;
 use moleroad_rollout::prelude::*;
 use moleroad_types::prelude::{InstanceId, Millis};
@@ -107,12 +108,11 @@
         let view = self.node.view();
         let others = fellows(&view, now);
         let origins = self.free_origins(now, &view.catalog.origins);
-        let fastest = view.catalog.origins.iter().map(|origin| origin.link_kbps);
         let conditions = Conditions {
             patience: self.patience,
             elapsed_ms: now.since(self.divided_at),
             turns: self.turns.clone(),
-            origin_piece_ms: fastest.max().map_or(0, |kbps| self.piece_ms(kbps as f64)),
+            origin_piece_ms: self.origin_piece_ms(&view),
             link_piece_ms: self.piece_ms(own_link_kbps),
             origin_is_free: !origins.is_empty(),
             origin_failed_ms: self.origin_failed_at.map(|failed| now.since(failed)),
@@ -170,6 +170,13 @@
         self.membership.members = members;
     }
 
+    /// Time that the fastest origin takes for one piece, in milliseconds.
+    pub(super) fn origin_piece_ms(&self, view: &View) -> u64 {
+        let origins = view.catalog.origins.iter();
+        let fastest = origins.map(|origin| origin.link_kbps).max();
+        fastest.map_or(0, |kbps| self.piece_ms(kbps as f64))
+    }
+
     /// Time that a link of this rate takes for one piece, in milliseconds.
     fn piece_ms(&self, link_kbps: f64) -> u64 {
         (self.wanted.model.piece_bytes as f64 * 8.0 / link_kbps.max(1.0)) as u64
--- a/crates/moleroad_gateway/src/agent/fetch.rs
+++ b/crates/moleroad_gateway/src/agent/fetch.rs
@@ -9,6 +9,7 @@
 use crate::interface::PieceDigests;
 use crate::node::Node;
 use crate::peer::Offer;
+use crate::view::leaves_older_after_ms;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use moleroad_directory::prelude::DaemonRecord;
@@ -21,18 +22,15 @@
 /// Pieces fetched from other agents at once; a piece from the origin comes
 /// beside them.
 const FETCHED_AT_ONCE: usize = 4;
+/// Time for an engine to take weights that are here, in milliseconds: its running
+/// requests end, and it takes the order.
+const TAKE_OVER_MS: u64 = 1_000;
+/// About the longest pause of an agent that the origin refused, in milliseconds:
+/// only the first agents of missing pieces ask, and all wait for these pieces.
+const LONGEST_ORIGIN_PAUSE_MS: u64 = 400;
 /// How long a source that did not give a piece is not asked for it again, in
 /// milliseconds.
 const SOURCE_REST_MS: u64 = 40;
-/// A version of which this share is here is finished though a newer one is
-/// wanted: engines serve it meanwhile. Below it the newer one is here sooner
-/// when this one is given up.
-const FINISHED_FROM_SHARE: f64 = 0.75;
-
-/// A version of which this share is known to have left the origin is drawn to the
-/// end: what is known is some hundred milliseconds old, about a quarter of a copy.
-const NEARLY_OUT_SHARE: f64 = 0.5;
-
 /// A version all of whose pieces are here.
 pub struct Fetched {
     /// The version.
@@ -146,7 +144,7 @@
             began_at: now,
             divided_at,
             turns: Turns::all(),
-            origin_pause: Pause::default(),
+            origin_pause: Pause::of_at_most(LONGEST_ORIGIN_PAUSE_MS),
             origin_failed_at: None,
             from_origin: 0,
             not_given: 0,
@@ -252,12 +250,11 @@
     fn divide_anew(&mut self, now: Millis) {
         self.divided_at = now;
         self.turns = Turns::of_missing(&self.missing());
-        self.origin_pause = Pause::default();
+        self.origin_pause.end();
         self.origin_failed_at = None;
     }
 
-    /// Whether a newer version is wanted and little of this one is here, or
-    /// nothing more of it comes.
+    /// Whether it is better to go on with a newer version.
     fn is_overtaken(&self) -> bool {
         // An engine that was silent at first may hold the version after all.
         if let Held::Version(version) = held_version(&self.node, &self.wanted.model)
@@ -268,32 +265,46 @@
         if wanted(&self.node).map(|now| now.version) == Some(self.wanted.version) {
             return false;
         }
-        let pieces = self.wanted.model.pieces as usize;
-        let missing = self.missing();
-        let held = pieces - missing.len();
-        let is_little = (held as f64) < pieces as f64 * FINISHED_FROM_SHARE;
-        let is_given_up = is_little && !self.is_fallback && !self.is_nearly_out(&missing);
-        is_given_up || self.idle_ms() > self.patience.origin_ms * 2
+        self.overtaking().gives_up()
     }
 
-    /// Whether most pieces have left the origin and a few have not: these are
-    /// drawn before the version is given up, so that agents have it between them
-    /// should the origin fail.
-    fn is_nearly_out(&self, missing: &[u32]) -> bool {
+    /// What is known of this version and of newer ones.
+    fn overtaking(&self) -> Overtaking {
+        let now = self.node.clock.now();
+        let missing = self.missing();
         let view = self.node.view();
-        let others = fellows(&view, self.node.clock.now());
-        let (model, version) = (&self.wanted.model.model, self.wanted.version);
+        let origin_piece_ms = self.origin_piece_ms(&view);
+        let (model, version) = (&self.wanted.model, self.wanted.version);
+        let others = fellows(&view, now);
         let has = |other: &&DaemonRecord, piece: u32| {
-            let map = other.pieces_of(model, version);
+            let map = other.pieces_of(&model.model, version);
             map.is_some_and(|map| map.has(piece))
         };
+        let has_newer = |other: &&DaemonRecord| {
+            let mut maps = other.pieces.iter();
+            maps.any(|map| map.model == model.model && map.version > version && map.count() > 0)
+        };
         let offers = offers(&self.node);
         let is_out = |piece: &u32| {
             !offers.of(version, *piece).is_empty() || others.iter().any(|other| has(other, *piece))
         };
-        let not_out = missing.iter().filter(|piece| !is_out(piece)).count();
-        let pieces = self.wanted.model.pieces as usize;
-        not_out > 0 && (not_out as f64) <= pieces as f64 * (1.0 - NEARLY_OUT_SHARE)
+        let not_out = missing.iter().filter(|piece| !is_out(piece)).count() as u32;
+        let named = view.named.get(&model.model);
+        let newer = named.map_or(0, |named| named.versions().filter(|v| *v > version).count());
+        let newest_named_at = named.and_then(|named| named.waiting_since(version));
+        let usable_for_ms = leaves_older_after_ms(self.node.settings.bounds.version_ms);
+        Overtaking {
+            pieces: model.pieces,
+            missing: missing.len() as u32,
+            not_out,
+            is_fallback: self.is_fallback,
+            idle_ms: self.idle_ms(),
+            patience: self.patience,
+            newer,
+            newer_comes: others.iter().any(has_newer),
+            usable_ms: newest_named_at.map_or(0, |at| (at + usable_for_ms).since(now)),
+            finish_ms: u64::from(not_out) * origin_piece_ms + TAKE_OVER_MS,
+        }
     }
 
     /// Whether nothing comes and an older version can be had.
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -18,6 +18,12 @@
 /// idle while newer weights are still on their way.
 const VERSION_MARGIN_PART: u64 = 8;
 
+/// Time from the naming of a version until requests no longer go to older ones,
+/// in milliseconds, where it is due after `version_ms`.
+pub fn leaves_older_after_ms(version_ms: u64) -> u64 {
+    version_ms - version_ms / VERSION_MARGIN_PART
+}
+
 /// What one daemon believes.
 pub struct View {
     /// What is in force.
@@ -176,7 +182,7 @@
     pub fn least_version(&self, now: Millis, service: &Service, version_ms: u64) -> Option<u64> {
         let model = service.models.first()?;
         let named = self.named.get(&model.name)?;
-        named.due(now, version_ms - version_ms / VERSION_MARGIN_PART)
+        named.due(now, leaves_older_after_ms(version_ms))
     }
 
     /// Until when requests may begin on `version` of the weights for `service`;
--- a/crates/moleroad_rollout/src/lib.rs
+++ b/crates/moleroad_rollout/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod bound;
 pub mod choice;
 pub mod fallback;
+pub mod overtaking;
 pub mod pause;
 pub mod sources;
 pub mod spread;
@@ -35,6 +36,7 @@
         ANNOUNCE_EVERY_MS, Conditions, MissingPiece, STALL_MS, SourceKind, announces, source_of,
     };
     pub use crate::fallback::fallback;
+    pub use crate::overtaking::Overtaking;
     pub use crate::pause::Pause;
     pub use crate::sources::{
         AskedHolder, Member, Patience, Permission, copy_ms, may_ask_origin_for_digests,
--- a/crates/moleroad_rollout/tests/model/mod.rs
+++ b/crates/moleroad_rollout/tests/model/mod.rs
@@ -132,7 +132,7 @@
             self.divided_ms = now;
             let missing: Vec<u32> = (0..pieces).filter(|p| !self.held.contains(p)).collect();
             self.turns = Turns::of_missing(&missing);
-            self.origin_pause = Pause::default();
+            self.origin_pause.end();
             self.origin_failed_ms = None;
         }
         self.progress_ms = now;
@@ -187,7 +187,7 @@
                 announced_own: HashMap::new(),
                 under_way: HashMap::new(),
                 rests: HashMap::new(),
-                origin_pause: Pause::default(),
+                origin_pause: Pause::of_at_most(400),
                 origin_failed_ms: None,
                 far_known_ms: HashMap::new(),
                 up_free_ms: 0,
--- a/crates/moleroad_rollout/tests/rollout.rs
+++ b/crates/moleroad_rollout/tests/rollout.rs
@@ -305,6 +305,26 @@
     assert!(!pause.lasts(now));
 }
 
+#[test]
+fn a_pause_is_as_long_as_its_owner_says_and_can_be_ended() {
+    let mut pause = Pause::of_at_most(400);
+    for _ in 0..10 {
+        pause.note(Millis(0), false, 399);
+        pause.end();
+    }
+    let mut now = Millis(0);
+    for _ in 0..10 {
+        while pause.lasts(now) {
+            now = now + 1;
+        }
+        pause.note(now, false, 399);
+    }
+    // Half of it, and what the draw adds.
+    assert!(pause.lasts(now + 590) && !pause.lasts(now + 600));
+    pause.end();
+    assert!(!pause.lasts(now));
+}
+
 #[test]
 fn what_a_dead_agent_should_bring_is_overdue_after_one_copy_and_taken_over() {
     // 48 pieces of 48 KiB over 15 Mbit/s: 1.26 s bare.
