Grant requests to cold engines by the agents beside them

A cold engine falls over above a rate that all entries together must keep; a cold target only counted as slower, and entries that each thought it free sent it any number. Its agent now gives grants from one token bucket, an entry sends on a grant only and within its life, and targets without an agent are divided among a few entries.

--- a/crates/moleroad_directory/src/directory.rs
+++ b/crates/moleroad_directory/src/directory.rs
@@ -17,6 +17,9 @@
 /// Time after which a target that has nothing new to say is passed on again, in
 /// milliseconds: well below the time after which it is forgotten.
 const TARGET_RENEWED_MS: u64 = 10_000;
+/// By how much longer a target must say it is cold than was known for others to
+/// be told, in milliseconds: calls take different times on their way.
+const COLD_NEWS_MS: u64 = 300;
 /// Silence after which a target is forgotten, in milliseconds.
 pub const TARGET_FORGOTTEN_MS: u64 = 45_000;
 /// Most targets that are kept; further ones are not taken.
@@ -89,11 +92,14 @@
             self.position = position;
             return TargetChange::Changed;
         }
+        let has_turned_cold = turned_cold(known, &record, at);
         known.at = known.at.max(at);
         let next = TargetRecord { life, ..record };
         let mut renewed = next.clone();
         renewed.sequence = known.record.sequence;
-        renewed.cold_left_ms = known.record.cold_left_ms;
+        if !has_turned_cold {
+            renewed.cold_left_ms = known.record.cold_left_ms;
+        }
         let change = if renewed == known.record {
             TargetChange::Renewed
         } else {
@@ -278,6 +284,13 @@
     }
 }
 
+/// Whether a target says that it is cold for longer than was known. That the
+/// time passes is no news.
+fn turned_cold(known: &Heard<TargetRecord>, next: &TargetRecord, at: Millis) -> bool {
+    let known_until = known.at + known.record.cold_left_ms;
+    next.cold_left_ms > 0 && at + next.cold_left_ms > known_until + COLD_NEWS_MS
+}
+
 fn distance(entry: &DaemonRecord, hall: &str, region: &str) -> u8 {
     if entry.hall == hall {
         0
--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -1,5 +1,7 @@
 //! Choosing among the targets of a service.
 
+use crate::cold::{Admission, ColdTarget};
+use crate::division::SendTimes;
 use crate::eligibility::barrier;
 use crate::health::Outcome;
 use crate::load::TargetLoad;
@@ -59,6 +61,10 @@
     pub slowness: f64,
     /// Where the agent beside it answers; `None` without one.
     pub agent: Option<SocketAddr>,
+    /// The bound on it while it is cold; `None` where its service has none.
+    pub cold: Option<ColdTarget>,
+    /// Until when the grant holds on which the request is sent; `None` without.
+    pub granted_until: Option<Millis>,
 }
 
 /// Which targets are looked at.
@@ -95,6 +101,9 @@
 /// What a slow target adds for each time that it is slower than usual.
 const SLOW_COST_MS: f64 = 150.0;
 
+/// How much slower than usual a cold target counts, in times.
+pub const COLD_SLOWNESS: f64 = 1.0;
+
 /// What a request asks of a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Needs<'a> {
@@ -161,6 +170,8 @@
     pub ignores_failures: bool,
     candidates: Vec<Candidate>,
     loads: HashMap<TargetId, TargetLoad>,
+    /// Sends to targets that have a bound while they are cold.
+    sends: HashMap<TargetId, SendTimes>,
 }
 
 impl Targets {
@@ -169,6 +180,8 @@
         self.loads.retain(|id, load| {
             load.own() > 0 || candidates.iter().any(|candidate| candidate.id == *id)
         });
+        let loads = &self.loads;
+        self.sends.retain(|id, _| loads.contains_key(id));
         self.candidates = candidates;
     }
 
@@ -203,6 +216,58 @@
     pub fn started(&mut self, now: Millis, id: &TargetId, tokens: u64) {
         let load = self.loads.entry(id.clone()).or_default();
         load.started(now, tokens);
+        if self.candidate(id).is_some_and(|c| c.cold.is_some()) {
+            self.sends.entry(id.clone()).or_default().note(now);
+        }
+    }
+
+    /// Takes that the agent beside a target counts it as cold.
+    pub fn agent_says_cold(&mut self, id: &TargetId, until: Millis) {
+        let load = self.loads.entry(id.clone()).or_default();
+        load.agent_says_cold(until);
+    }
+
+    /// Until when a target counts as cold; `None` while it does not.
+    pub fn cold_until(&self, now: Millis, candidate: &Candidate) -> Option<Millis> {
+        let cold = candidate.cold?;
+        let until = cold.until.max(self.load(&candidate.id).cold_until());
+        (until > now).then_some(until)
+    }
+
+    /// How a request may go to a target now.
+    pub fn admission(&self, now: Millis, candidate: &Candidate) -> Admission {
+        let Some(cold) = candidate.cold else {
+            return Admission::Free;
+        };
+        if self.cold_until(now, candidate).is_none() {
+            return Admission::Free;
+        }
+        if candidate.agent.is_some() {
+            return Admission::Grant;
+        }
+        let sends = self.sends.get(&candidate.id);
+        let has_room = sends.is_none_or(|sends| sends.has_room(now, cold.part));
+        if cold.part > 0 && now >= cold.part_from && has_room {
+            Admission::Part
+        } else {
+            Admission::Closed
+        }
+    }
+
+    /// How soon one more request can be sent while all targets that serve it
+    /// are cold, in milliseconds; `None` while some is not.
+    pub fn cold_gap_ms(&self, now: Millis, needs: Needs<'_>) -> Option<f64> {
+        let serving = || {
+            self.candidates
+                .iter()
+                .filter(|c| barrier(c, needs).is_none())
+        };
+        if serving().any(|candidate| self.cold_until(now, candidate).is_none()) {
+            return None;
+        }
+        let rates = serving().filter_map(|candidate| candidate.cold);
+        let per_s: f64 = rates.map(|cold| cold.bound.requests_per_s).sum();
+        (per_s > 0.0).then_some(1_000.0 / per_s)
     }
 
     /// Counts a prompt as read: the answer to it began, or never will.
@@ -234,6 +299,7 @@
         }
         let free = pool
             .iter()
+            .filter(|candidate| self.goes_unasked(now, candidate))
             .filter(|candidate| self.has_place(now, candidate, needs.spare))
             .filter(|candidate| self.is_in_time(now, candidate, needs));
         let free: Vec<&Candidate> = free.copied().collect();
@@ -247,6 +313,11 @@
         }
     }
 
+    fn goes_unasked(&self, now: Millis, candidate: &Candidate) -> bool {
+        let admission = self.admission(now, candidate);
+        matches!(admission, Admission::Free | Admission::Part)
+    }
+
     /// The sound targets that meet `needs`; when none is sound, all of them.
     fn pool(&self, now: Millis, needs: Needs<'_>) -> Vec<&Candidate> {
         let fits = |candidate: &&Candidate| barrier(candidate, needs).is_none();
@@ -300,6 +371,7 @@
             .filter_map(|looked_at| self.candidate(&looked_at.id));
         let free = known
             .filter(|candidate| barrier(candidate, needs).is_none())
+            .filter(|candidate| self.admission(now, candidate) != Admission::Closed)
             .filter(|candidate| self.has_place(now, candidate, needs.spare))
             .filter(|candidate| self.is_in_time(now, candidate, needs));
         let best = free.min_by(|a, b| self.cost_ms(now, a).total_cmp(&self.cost_ms(now, b)));
@@ -347,7 +419,12 @@
         let unread = load.unread_tokens(now, reading.usual_prompt);
         let own = needs.prompt_tokens as f64;
         let first_event_ms = reading.first_event_ms(own, unread, load.requests(now));
-        first_event_ms * candidate.slowness <= within_ms as f64
+        first_event_ms * self.slowness(now, candidate) <= within_ms as f64
+    }
+
+    fn slowness(&self, now: Millis, candidate: &Candidate) -> f64 {
+        let is_cold = self.cold_until(now, candidate).is_some();
+        candidate.slowness + if is_cold { COLD_SLOWNESS } else { 0.0 }
     }
 
     /// What sending to the candidate costs, as a time in milliseconds.
@@ -360,12 +437,12 @@
             Some(reading) => {
                 let unread = load.unread_tokens(now, reading.usual_prompt);
                 let first_ms = reading.first_event_ms(0.0, unread, requests);
-                first_ms * candidate.slowness + BUSY_ENGINE_COST_MS * requests / slots
+                first_ms * self.slowness(now, candidate) + BUSY_ENGINE_COST_MS * requests / slots
             }
         };
         let beyond = (requests + 1.0 - slots).max(0.0) * FULL_COST_MS / slots;
         let failing = load.health.failure_rate(now) * FAILURE_COST_MS;
-        let slow = (candidate.slowness - 1.0).max(0.0) * SLOW_COST_MS;
+        let slow = (self.slowness(now, candidate) - 1.0).max(0.0) * SLOW_COST_MS;
         candidate.distance.cost_ms() + busy + beyond + failing + slow
     }
 
--- /dev/null
+++ b/crates/moleroad_dispatch/src/division.rs
@@ -0,0 +1,91 @@
+//! Keeping a bound on a target that nobody owns: a few entries send to it, each
+//! at most its whole part in any second.
+//!
+//! Which entries these are all work out alike from who is ready (rendezvous
+//! hashing: Thaler, Ravishankar, 1998). When views differ there are two sets of
+//! them. Both together stay below the bound, since one takes at most half of
+//! it. Views that differ in `n` entries add at most `n` entries to the first
+//! set, so the bound holds as long as no more differ than a set has members.
+
+use crate::rate_bound::RateBound;
+use moleroad_types::prelude::Millis;
+use std::collections::VecDeque;
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+
+/// Requests in a second that one entry sends at most to a target of which it
+/// has a part: fewer need more entries, more leave less to choose from.
+const PART: u32 = 2;
+/// Sets of entries that may send at the same time while views differ.
+const SETS: u32 = 2;
+/// Time in which an entry sends its part at most, in milliseconds: a second, and
+/// by how much two clocks may run apart in it.
+const SPAN_MS: u64 = 1_020;
+
+/// How the requests of a second are divided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Division {
+    /// Entries that send.
+    pub owners: u32,
+    /// Requests in a second of each.
+    pub part: u32,
+}
+
+impl Division {
+    /// The division under `bound`; without owners when it is below two
+    /// requests a second.
+    pub fn of(bound: RateBound) -> Self {
+        let whole = bound.whole() as u32 / SETS;
+        let rate = bound.requests_per_s.max(0.0) as u32;
+        let part = PART.min(whole).max(1);
+        Self {
+            owners: (whole / part).min(rate.div_ceil(part)),
+            part,
+        }
+    }
+
+    /// The part of `own` at `target`: 0 unless it is one of the owners.
+    pub fn part_of(self, own: &str, entries: &[&str], target: &str) -> u32 {
+        let own_rank = rank(own, target);
+        let before = |entry: &&&str| **entry != own && rank(entry, target) > own_rank;
+        let is_owner = (entries.iter().filter(before).count() as u32) < self.owners;
+        if is_owner { self.part } else { 0 }
+    }
+}
+
+fn rank<'a>(entry: &'a str, target: &str) -> (u64, &'a str) {
+    let mut hasher = DefaultHasher::new();
+    (entry, target).hash(&mut hasher);
+    (hasher.finish(), entry)
+}
+
+/// The last sends of one entry to one target.
+#[derive(Clone, Debug, Default)]
+pub struct SendTimes(VecDeque<Millis>);
+
+impl SendTimes {
+    /// Whether another send keeps to `part` in any second.
+    pub fn has_room(&self, now: Millis, part: u32) -> bool {
+        let recent = self.0.iter().filter(|at| now.since(**at) < SPAN_MS);
+        (recent.count() as u32) < part
+    }
+
+    /// Notes a send.
+    pub fn note(&mut self, now: Millis) {
+        while self.0.front().is_some_and(|at| now.since(*at) >= SPAN_MS) {
+            self.0.pop_front();
+        }
+        if self.0.len() < MOST_TIMES {
+            self.0.push_back(now);
+        }
+    }
+}
+
+/// Sends that are remembered: above every part.
+const MOST_TIMES: usize = 16;
+
+/// When an entry that began at `began`, and heard of a target at `heard`, may
+/// send it its part: an earlier life of the entry may just have done so.
+pub fn may_send_from(began: Millis, heard: Millis) -> Millis {
+    began.max(heard) + SPAN_MS
+}
--- a/crates/moleroad_dispatch/src/lib.rs
+++ b/crates/moleroad_dispatch/src/lib.rs
@@ -22,25 +22,31 @@
 
 pub mod budget;
 pub mod choice;
+pub mod cold;
+pub mod division;
 pub mod eligibility;
 pub mod health;
 pub mod load;
 pub mod overdue_share;
 pub mod pace;
 pub mod queue;
+pub mod rate_bound;
 pub mod reading;
 pub mod share;
 
 /// The types most users of the crate need.
 pub mod prelude {
     pub use crate::budget::{BudgetTerms, RepeatBudget};
-    pub use crate::choice::{Candidate, Choice, Distance, Needs, Reach, Targets};
+    pub use crate::choice::{COLD_SLOWNESS, Candidate, Choice, Distance, Needs, Reach, Targets};
+    pub use crate::cold::{Admission, ColdNews, ColdSource, ColdTarget};
+    pub use crate::division::{Division, SendTimes, may_send_from};
     pub use crate::eligibility::{Barrier, barrier};
     pub use crate::health::{Health, Outcome};
     pub use crate::load::TargetLoad;
     pub use crate::overdue_share::OverdueShare;
     pub use crate::pace::Pace;
     pub use crate::queue::{Line, WaitQueue, Waiter, WaiterId};
+    pub use crate::rate_bound::{GRANT_LIFE_MS, GrantTerms, RateBound, TokenBucket};
     pub use crate::reading::ReadingSpeed;
     pub use crate::share::{EntryDemand, share};
 }
--- a/crates/moleroad_dispatch/src/load.rs
+++ b/crates/moleroad_dispatch/src/load.rs
@@ -34,6 +34,7 @@
     sent_since: Millis,
     report: Option<Report>,
     agent_rests_until: Millis,
+    cold_until: Millis,
     /// The recent past.
     pub health: Health,
 }
@@ -80,6 +81,16 @@
         self.agent_rests_until = now + AGENT_RESTS_MS;
     }
 
+    /// Takes that the agent counts the target as cold until then.
+    pub fn agent_says_cold(&mut self, until: Millis) {
+        self.cold_until = self.cold_until.max(until);
+    }
+
+    /// Until when the agent counts the target as cold.
+    pub fn cold_until(&self) -> Millis {
+        self.cold_until
+    }
+
     /// Whether the agent beside the target did not answer lately.
     pub fn agent_rests(&self, now: Millis) -> bool {
         now < self.agent_rests_until
--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -18,6 +18,8 @@
         switching: false,
         slowness: 1.0,
         agent: None,
+        cold: None,
+        granted_until: None,
     }
 }
 
--- a/crates/moleroad_dispatch/tests/overdue.rs
+++ b/crates/moleroad_dispatch/tests/overdue.rs
@@ -80,6 +80,8 @@
         switching: false,
         slowness: 1.0,
         agent: None,
+        cold: None,
+        granted_until: None,
     }]);
     let overdue = Needs {
         spare: 1,
--- a/crates/moleroad_gateway/src/agent/mod.rs
+++ b/crates/moleroad_gateway/src/agent/mod.rs
@@ -7,12 +7,13 @@
 //! brings it, [`offers`] tells others of it. [`pieces`] knows what is here,
 //! [`store`] puts it into the engine's store, [`change`] lets the engine take
 //! it, [`uploads`] gives pieces to others, [`calls`] are the HTTP calls to the
-//! engine and the origin.
+//! engine and the origin, [`cold`] grants requests while the engine is cold.
 
 pub mod bring;
 pub mod calls;
 pub mod change;
 pub mod choice;
+pub mod cold;
 pub mod digests;
 pub mod fetch;
 pub mod offers;
@@ -29,4 +30,5 @@
 pub fn start(node: &Arc<Node>) {
     tokio::spawn(watch::watch(node.clone()));
     tokio::spawn(bring::bring(node.clone()));
+    tokio::spawn(cold::report_sums(node.clone()));
 }
--- a/crates/moleroad_gateway/src/agent/watch.rs
+++ b/crates/moleroad_gateway/src/agent/watch.rs
@@ -32,7 +32,9 @@
         } else {
             (FIRST_READ_TIMEOUT, FIRST_READ_EVERY)
         };
-        match read_within(&node, timeout).await {
+        let read = read_within(&node, timeout).await;
+        node.cold_engine.is_alive(node.clock.now());
+        match read {
             Some(state) => {
                 unanswered = 0;
                 tell(&node, Some(state.report));
@@ -51,13 +53,17 @@
 /// What the engine has in hand at this moment.
 pub async fn load(node: &Node) -> Option<EngineLoad> {
     let report = read(node).await?.report;
-    let load = EngineLoad {
-        running: report.running,
-        queued: report.queued,
-        takes_new: !is_switching(node),
-    };
+    let (running, queued) = (report.running, report.queued);
     tell(node, Some(report));
-    Some(load)
+    let cold = node.cold_engine.state(node.clock.now());
+    Some(EngineLoad {
+        running,
+        queued,
+        takes_new: !is_switching(node),
+        engine_age_ms: cold.age_ms,
+        cold_left_ms: cold.left_ms,
+        grants_free: cold.grants,
+    })
 }
 
 /// Whether the engine holds some version whole, as far as its layers tell.
@@ -104,6 +110,11 @@
         switching,
         ..report
     });
+    // Engines that found the system with their agents are not cold.
+    let is_founding = node.settings.found_group && !view.engine_was_read;
+    if view.own.report.is_none() && report.is_some() && !is_founding {
+        node.cold_engine.engine_began(node.clock.now());
+    }
     view.engine_was_read |= report.is_some();
     if view.own.report != report {
         note_engine(view.own.report.as_ref(), report.as_ref());
--- a/crates/moleroad_gateway/src/candidates.rs
+++ b/crates/moleroad_gateway/src/candidates.rs
@@ -30,6 +30,7 @@
         let Some(table) = self.table.clone() else {
             return;
         };
+        let colds = self.cold_targets(now, settings, &table);
         let ready: Vec<&DaemonRecord> = self.directory.ready_entries(now).collect();
         let entries: Vec<EntryDemand<'_>> = ready
             .iter()
@@ -55,6 +56,7 @@
             let report = agent.and_then(|agent| current_report(now, agent));
             if let Some(mut candidate) = candidate(settings, service, record, report, &entries) {
                 candidate.agent = agent.map(|agent| agent.record.peer);
+                candidate.cold = colds.get(&record.id).copied();
                 lists.entry(&service.name).or_default().push(candidate);
             }
         }
@@ -146,7 +148,9 @@
     };
     let told = report.filter(|_| settings.experiments.has(Mechanism::Slowness));
     let pace = told.map_or(1.0, |report| f64::from(report.pace));
-    let cold = if record.cold_left_ms > 0 { 1.0 } else { 0.0 };
+    // Where cold targets have a bound, the choice knows when they are cold.
+    let is_slow = record.cold_left_ms > 0 && service.cold_start.is_none();
+    let cold = if is_slow { COLD_SLOWNESS } else { 0.0 };
     Some(Candidate {
         id: record.id.clone(),
         address: record.address,
@@ -164,6 +168,8 @@
         switching: report.is_some_and(|report| report.switching),
         slowness: pace + cold,
         agent: None,
+        cold: None,
+        granted_until: None,
     })
 }
 
--- /dev/null
+++ b/crates/moleroad_gateway/src/cold_news.rs
@@ -0,0 +1,129 @@
+//! Which targets count as cold, from what this daemon heard of them.
+
+use crate::experiments::Mechanism;
+use crate::settings::Settings;
+use crate::view::View;
+use moleroad_config::prelude::{ColdStart, RouteTable};
+use moleroad_directory::prelude::*;
+use moleroad_dispatch::prelude::*;
+use moleroad_types::prelude::Millis;
+use std::collections::HashMap;
+
+/// When targets were first heard of, and which are believed to be cold.
+#[derive(Debug, Default)]
+pub struct ColdMemory {
+    began: Millis,
+    first_heard: HashMap<TargetId, Millis>,
+    believed: HashMap<TargetId, ColdSource>,
+}
+
+impl ColdMemory {
+    /// Remembers the targets of the directory, and forgets others.
+    pub fn note_targets(&mut self, now: Millis, directory: &Directory) {
+        if self.began == Millis(0) {
+            self.began = now;
+        }
+        for heard in directory.targets() {
+            let id = &heard.record.id;
+            if !self.first_heard.contains_key(id) {
+                self.first_heard.insert(id.clone(), now);
+            }
+        }
+        self.first_heard
+            .retain(|id, _| directory.target(id).is_some());
+        self.believed.retain(|id, _| directory.target(id).is_some());
+    }
+
+    fn first_heard(&self, id: &TargetId) -> Millis {
+        self.first_heard.get(id).copied().unwrap_or_default()
+    }
+
+    /// Says so in the log when a target turns cold or is cold no longer.
+    fn note_belief(&mut self, now: Millis, heard: &Heard<TargetRecord>, cold: &ColdTarget) {
+        let id = &heard.record.id;
+        let is_cold = cold.until > now;
+        let known = self.believed.get(id).copied();
+        if is_cold == known.is_some() {
+            return;
+        }
+        if is_cold {
+            self.believed.insert(id.clone(), cold.source);
+        } else {
+            self.believed.remove(id);
+        }
+        log::info!(
+            event = if is_cold { "target_cold" } else { "target_not_cold" },
+            target:% = id,
+            source = known.unwrap_or(cold.source).name(),
+            age_ms = now.since(heard.at),
+            left_ms = cold.until.since(now);
+            ""
+        );
+    }
+}
+
+impl View {
+    /// The bounds on targets while they are cold, where their services have
+    /// any.
+    pub(crate) fn cold_targets(
+        &mut self,
+        now: Millis,
+        settings: &Settings,
+        table: &RouteTable,
+    ) -> HashMap<TargetId, ColdTarget> {
+        let experiments = &settings.experiments;
+        let ways = [Mechanism::ColdGrants, Mechanism::ColdDivision];
+        let is_on = ways.iter().any(|way| experiments.has(*way));
+        if !is_on || table.services().all(|s| s.cold_start.is_none()) {
+            return HashMap::new();
+        }
+        self.cold.note_targets(now, &self.directory);
+        let ready = self.directory.ready_entries(now);
+        let entries: Vec<&str> = ready.map(|entry| entry.instance.as_str()).collect();
+        let mut cold_targets = HashMap::new();
+        for heard in self.directory.targets() {
+            let id = &heard.record.id;
+            let start = table.service(&heard.record.service);
+            let Some(start) = start.and_then(|service| service.cold_start) else {
+                continue;
+            };
+            let cold = self.cold_target(settings, start, heard);
+            let cold = cold.with_part(&settings.instance, &entries, id.as_str());
+            cold_targets.insert(id.clone(), cold);
+        }
+        for heard in self.directory.targets() {
+            if let Some(cold) = cold_targets.get(&heard.record.id) {
+                self.cold.note_belief(now, heard, cold);
+            }
+        }
+        cold_targets
+    }
+
+    fn cold_target(
+        &self,
+        settings: &Settings,
+        start: ColdStart,
+        heard: &Heard<TargetRecord>,
+    ) -> ColdTarget {
+        let id = &heard.record.id;
+        let first_heard = self.cold.first_heard(id);
+        let (until, source) = ColdNews {
+            lasts_ms: start.lasts_ms,
+            first_heard,
+            heard: heard.at,
+            left_ms: heard.record.cold_left_ms,
+            restored: self.restored_at(&heard.record.hall),
+        }
+        .until();
+        let bounds = &settings.bounds;
+        let (overshoot, slack) = (bounds.cold_overshoot, bounds.cold_slack);
+        ColdTarget {
+            bound: RateBound::new(start.requests_per_s, overshoot, slack),
+            until,
+            source,
+            lasts_ms: start.lasts_ms,
+            part: 0,
+            part_from: may_send_from(self.cold.began, first_heard),
+        }
+    }
+}
--- a/crates/moleroad_gateway/src/experiments.rs
+++ b/crates/moleroad_gateway/src/experiments.rs
@@ -24,6 +24,10 @@
     Waves,
     /// An older version stands in for a newest one that does not come.
     Fallback,
+    /// Requests go to cold targets on grants of the agents beside them.
+    ColdGrants,
+    /// Cold targets without such agents are divided among entries.
+    ColdDivision,
     /// Pieces take less of the link while the engine beside the agent serves.
     YieldingPieces,
 }
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -132,6 +132,14 @@
                         return Err(GiveUp::NotAgain);
                     }
                 }
+                Err(SendError::Lapsed) => {
+                    place.ended(Outcome::Abandoned);
+                    self.tried.pop();
+                    self.unreachable += 1;
+                    if self.unreachable >= MOST_UNREACHABLE {
+                        return Err(GiveUp::NotAgain);
+                    }
+                }
                 Err(_) => {
                     self.sends += 1;
                     self.may_have_run = true;
--- a/crates/moleroad_gateway/src/front/attempt_log.rs
+++ b/crates/moleroad_gateway/src/front/attempt_log.rs
@@ -45,6 +45,7 @@
                 Verdict::Final => "final",
             },
             Err(SendError::Unreachable) => "unreachable",
+            Err(SendError::Lapsed) => "lapsed",
             Err(SendError::Broken) => "broken",
             Err(SendError::Spoilt) => "spoilt",
             Err(SendError::TimedOut) => "timed_out",
--- a/crates/moleroad_gateway/src/front/exchange.rs
+++ b/crates/moleroad_gateway/src/front/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::front::pool::Connection;
 use crate::front::request::Accepted;
+use crate::grants;
 use crate::node::Node;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -21,6 +22,8 @@
 pub enum SendError {
     /// No connection came up; nothing was sent.
     Unreachable,
+    /// The grant on which it would have been sent lapsed; nothing was sent.
+    Lapsed,
     /// It was sent, and the connection broke before an answer.
     Broken,
     /// The answer belongs to another request, or is not signed.
@@ -59,7 +62,8 @@
 /// Sends `request` to `candidate` and waits for the head of the answer.
 ///
 /// # Errors
-/// [`SendError`]; only after [`SendError::Unreachable`] nothing was sent.
+/// [`SendError`]; only after [`SendError::Unreachable`] and
+/// [`SendError::Lapsed`] nothing was sent.
 pub async fn send(
     node: &Node,
     request: &Accepted,
@@ -86,6 +90,10 @@
                 }
             }
         };
+        if !grants::holds(node, candidate) {
+            node.pool.give_back(connection, None);
+            return Err(SendError::Lapsed);
+        }
         let sending = connection.sender.try_send_request(message);
         match tokio::time::timeout_at(limit, sending).await {
             Err(_) => return Err(SendError::TimedOut),
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! What all tasks of one process share.
 
+use crate::agent::cold::ColdEngine;
 use crate::agent::offers::Offers;
 use crate::agent::pieces::PieceMemory;
 use crate::clock::Clock;
@@ -42,6 +43,8 @@
     pub metrics: Metrics,
     /// Wakes whoever tells others of this daemon.
     pub news: Notify,
+    /// What is granted to the engine beside this agent while it is cold.
+    pub cold_engine: ColdEngine,
     /// Pieces of weights in memory.
     pub pieces: Mutex<PieceMemory>,
     /// What other agents offered.
@@ -78,6 +81,7 @@
             pool: Pool::default(),
             metrics: Metrics::default(),
             news: Notify::new(),
+            cold_engine: ColdEngine::default(),
             pieces: Mutex::default(),
             offers: Mutex::default(),
             offered: Notify::new(),
--- a/crates/moleroad_gateway/src/peer.rs
+++ b/crates/moleroad_gateway/src/peer.rs
@@ -183,6 +183,37 @@
     pub queued: u32,
     /// Whether it takes new requests.
     pub takes_new: bool,
+    /// How long ago the engine began, in milliseconds; `None` when it was there
+    /// before the agent.
+    #[serde(default)]
+    pub engine_age_ms: Option<u64>,
+    /// How much longer it is cold by what entries heard from it, in
+    /// milliseconds.
+    #[serde(default)]
+    pub cold_left_ms: u64,
+    /// Requests that may be sent to it now while it is cold; `None` before
+    /// any entry asked.
+    #[serde(default)]
+    pub grants_free: Option<u32>,
+}
+
+/// An entry asks whether it may send one request to a cold engine.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GrantAsk {
+    /// Requests a second that the engine should get.
+    pub requests_per_s: f64,
+    /// Most requests that it may get in any one second.
+    pub most_in_a_second: f64,
+    /// How much longer it is cold by what the entry heard, in milliseconds; 0
+    /// when it only cannot tell.
+    pub left_ms: u64,
+}
+
+/// Answers a [`GrantAsk`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantAnswer {
+    /// Whether one request may be sent.
+    pub is_given: bool,
 }
 
 /// Calls that every daemon takes from others.
@@ -204,6 +235,8 @@
     async fn pull() -> ControlState;
     /// Asks an agent what its engine has in hand now.
     async fn engine_load() -> Option<EngineLoad>;
+    /// Asks an agent whether a request may go to its engine while it is cold.
+    async fn grant(ask: GrantAsk) -> GrantAnswer;
     /// Asks an agent for the digests of a version.
     async fn digests(model: String, version: u64) -> Option<SharedDigests>;
     /// Tells an agent what the agent at `from` has of a version.
--- a/crates/moleroad_gateway/src/peer_server.rs
+++ b/crates/moleroad_gateway/src/peer_server.rs
@@ -6,8 +6,8 @@
 use crate::node::Node;
 use crate::operator;
 use crate::peer::{
-    CommitAnswer, EngineLoad, Hello, HelloAnswer, LeaderHint, Offer, Peer, SharedDigests,
-    TargetNews,
+    CommitAnswer, EngineLoad, GrantAnswer, GrantAsk, Hello, HelloAnswer, LeaderHint, Offer, Peer,
+    SharedDigests, TargetNews,
 };
 use crate::peers::transport;
 use futures::StreamExt;
@@ -81,6 +81,10 @@
         crate::agent::watch::load(&self.node).await
     }
 
+    async fn grant(self, _: Context, ask: GrantAsk) -> GrantAnswer {
+        crate::agent::cold::grant(&self.node, ask)
+    }
+
     async fn digests(self, _: Context, model: String, version: u64) -> Option<SharedDigests> {
         self.node.known_digests(&model, version).map(SharedDigests)
     }
--- a/crates/moleroad_gateway/src/probe.rs
+++ b/crates/moleroad_gateway/src/probe.rs
@@ -7,6 +7,7 @@
 //! not answer are passed over, and their engines judged by what is known.
 
 use crate::experiments::Mechanism;
+use crate::grants;
 use crate::node::Node;
 use crate::peer::{EngineLoad, PeerClient};
 use crate::places::Ask;
@@ -33,12 +34,25 @@
     }
     let mut looked_at = look(node, ask, Reach::Near, draw).await;
     let near = best_of(node, ask, &looked_at);
-    if let Some(candidate) = near.filter(|near| is_good_enough(node, ask, near)) {
-        return Some(started(node, ask, candidate));
+    if let Some(best) = near.filter(|near| is_good_enough(node, ask, near)) {
+        looked_at.retain(|candidate| candidate.id != best.id);
+        if let Some(candidate) = grants::admit(node, ask, best).await {
+            return Some(started(node, ask, candidate));
+        }
     }
     looked_at.extend(look(node, ask, Reach::Far, draw).await);
-    let best = best_of(node, ask, &looked_at)?;
-    Some(started(node, ask, best))
+    admitted(node, ask, looked_at).await
+}
+
+/// The best of those looked at that may get the request, with the send counted.
+async fn admitted(node: &Arc<Node>, ask: &Ask, mut looked_at: Vec<Candidate>) -> Option<Candidate> {
+    while let Some(best) = best_of(node, ask, &looked_at) {
+        looked_at.retain(|candidate| candidate.id != best.id);
+        if let Some(candidate) = grants::admit(node, ask, best).await {
+            return Some(started(node, ask, candidate));
+        }
+    }
+    None
 }
 
 fn have_agents(node: &Node, ask: &Ask) -> bool {
@@ -125,7 +139,7 @@
             }
         };
         match answer {
-            Ok(Ok(Some(load))) if !load.takes_new => {}
+            Ok(Ok(Some(load))) if !load.takes_new || load.grants_free == Some(0) => {}
             Ok(Ok(Some(_))) => looked_at.push(candidate),
             _ => {
                 let is_in_time = is_reached_in_time(node, ask, &candidate);
@@ -142,8 +156,12 @@
     looked_at
 }
 
-/// Whether a target may get the request though its agent does not answer.
+/// Whether a target may get the request though its agent does not answer. One
+/// that is cold may not: only its agent knows what others send.
 fn is_reached_in_time(node: &Node, ask: &Ask, candidate: &Candidate) -> bool {
+    if grants::is_needed(node, ask, candidate) {
+        return false;
+    }
     let old = node.old_weights(&ask.service, candidate.version);
     let may_go = |old: OldWeights| old.may_go_unheard(node.clock.now());
     candidate.agent.is_none() || old.is_none_or(may_go)
@@ -157,15 +175,20 @@
     agent: SocketAddr,
 ) -> JoinHandle<Option<EngineLoad>> {
     let (node, service, id) = (node.clone(), ask.service.clone(), candidate.id.clone());
+    let candidate = candidate.clone();
     tokio::spawn(async move {
         let call = |client: PeerClient, context| async move { client.engine_load(context).await };
         let answer = node.peers.call(agent, ANSWER_TIMEOUT, call).await;
-        let load = answer.ok().flatten()?;
+        let mut load = answer.ok().flatten()?;
         let now = node.clock.now();
         let mut view = node.view();
         if let Some(places) = view.services.get_mut(&service) {
             let targets = &mut places.targets;
             targets.reported(now, &id, load.running, load.queued);
+            // Grants matter while the engine is cold only.
+            if !grants::take_state(targets, now, &candidate, &load) {
+                load.grants_free = None;
+            }
         }
         Some(load)
     })
--- a/crates/moleroad_gateway/src/settings.rs
+++ b/crates/moleroad_gateway/src/settings.rs
@@ -97,6 +97,10 @@
     /// milliseconds.
     #[serde(rename = "catch_up_s", deserialize_with = "seconds")]
     pub catch_up_ms: u64,
+    /// Times the rate of a cold target that it may get in one second.
+    pub cold_overshoot: f64,
+    /// Requests beyond that, in one second.
+    pub cold_slack: f64,
 }
 
 impl Default for Bounds {
@@ -112,6 +116,8 @@
             version_ms: 8_000,
             longest_ttl_ms: 5_000,
             catch_up_ms: 4_000,
+            cold_overshoot: 1.5,
+            cold_slack: 5.0,
         }
     }
 }
@@ -257,6 +263,12 @@
         if !(0.0..=10.0).contains(&self.bounds.repeat_ratio) {
             return wrong("bounds.repeat_ratio", "is not between 0 and 10");
         }
+        if !(0.0..=100.0).contains(&self.bounds.cold_overshoot) {
+            return wrong("bounds.cold_overshoot", "is not between 0 and 100");
+        }
+        if !(0.0..=10_000.0).contains(&self.bounds.cold_slack) {
+            return wrong("bounds.cold_slack", "is not between 0 and 10000");
+        }
         Ok(())
     }
 
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -1,5 +1,6 @@
 //! What one daemon believes: what is in force, who is there, who leads.
 
+use crate::cold_news::ColdMemory;
 use crate::control_state::{ConfigDocument, ControlState};
 use crate::interface::Interface;
 use crate::named_versions::NamedVersions;
@@ -46,6 +47,8 @@
     pub called_here: HashMap<TargetId, u64>,
     /// Number of calls of targets so far.
     pub calls: u64,
+    /// Which targets are cold.
+    pub cold: ColdMemory,
 }
 
 impl View {
@@ -65,6 +68,7 @@
             leader: None,
             called_here: HashMap::new(),
             calls: 0,
+            cold: ColdMemory::default(),
         }
     }
 
@@ -193,6 +197,11 @@
         Some(OldWeights::new(newer_named_at, version_ms))
     }
 
+    /// When the data hall was taken back after an evacuation, if it was.
+    pub fn restored_at(&self, _hall: &str) -> Option<Millis> {
+        None
+    }
+
     /// Number of entries that share the targets.
     pub fn entry_count(&self, now: Millis) -> usize {
         self.directory.ready_entries(now).count().max(1)
