--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -10,6 +10,7 @@
 use moleroad_types::prelude::{AllowedRegions, Millis, Region};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// How far a target is from this entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -62,7 +63,7 @@
     /// Where the agent beside it answers; `None` without one.
     pub agent: Option<SocketAddr>,
     /// The bound on it while it is cold; `None` where its service has none.
-    pub cold: Option<ColdTarget>,
+    pub cold: Option<Arc<ColdTarget>>,
     /// Until when the grant holds on which the request is sent; `None` without.
     pub granted_until: Option<Millis>,
 }
@@ -229,14 +230,14 @@
 
     /// Until when a target counts as cold; `None` while it does not.
     pub fn cold_until(&self, now: Millis, candidate: &Candidate) -> Option<Millis> {
-        let cold = candidate.cold?;
+        let cold = candidate.cold.as_deref()?;
         let until = cold.until.max(self.load(&candidate.id).cold_until());
         (until > now).then_some(until)
     }
 
     /// How a request may go to a target now.
     pub fn admission(&self, now: Millis, candidate: &Candidate) -> Admission {
-        let Some(cold) = candidate.cold else {
+        let Some(cold) = candidate.cold.as_deref() else {
             return Admission::Free;
         };
         if self.cold_until(now, candidate).is_none() {
@@ -265,7 +266,7 @@
         if serving().any(|candidate| self.cold_until(now, candidate).is_none()) {
             return None;
         }
-        let rates = serving().filter_map(|candidate| candidate.cold);
+        let rates = serving().filter_map(|candidate| candidate.cold.as_deref());
         let per_s: f64 = rates.map(|cold| cold.bound.requests_per_s).sum();
         (per_s > 0.0).then_some(1_000.0 / per_s)
     }
--- a/crates/moleroad_gateway/src/candidates.rs
+++ b/crates/moleroad_gateway/src/candidates.rs
@@ -56,7 +56,7 @@
             let report = agent.and_then(|agent| current_report(now, agent));
             if let Some(mut candidate) = candidate(settings, service, record, report, &entries) {
                 candidate.agent = agent.map(|agent| agent.record.peer);
-                candidate.cold = colds.get(&record.id).copied();
+                candidate.cold = colds.get(&record.id).cloned();
                 lists.entry(&service.name).or_default().push(candidate);
             }
         }
--- a/crates/moleroad_gateway/src/cold_news.rs
+++ b/crates/moleroad_gateway/src/cold_news.rs
@@ -8,6 +8,7 @@
 use moleroad_dispatch::prelude::*;
 use moleroad_types::prelude::Millis;
 use std::collections::HashMap;
+use std::sync::Arc;
 
 /// When targets were first heard of, and which are believed to be cold.
 #[derive(Debug, Default)]
@@ -70,7 +71,7 @@
         now: Millis,
         settings: &Settings,
         table: &RouteTable,
-    ) -> HashMap<TargetId, ColdTarget> {
+    ) -> HashMap<TargetId, Arc<ColdTarget>> {
         let experiments = &settings.experiments;
         let ways = [Mechanism::ColdGrants, Mechanism::ColdDivision];
         let is_on = ways.iter().any(|way| experiments.has(*way));
@@ -89,7 +90,7 @@
             };
             let cold = self.cold_target(settings, start, heard);
             let cold = cold.with_part(&settings.instance, &entries, id.as_str());
-            cold_targets.insert(id.clone(), cold);
+            cold_targets.insert(id.clone(), Arc::new(cold));
         }
         for heard in self.directory.targets() {
             if let Some(cold) = cold_targets.get(&heard.record.id) {
--- a/crates/moleroad_gateway/src/grants.rs
+++ b/crates/moleroad_gateway/src/grants.rs
@@ -22,7 +22,7 @@
     let (admission, left_ms) = {
         let view = node.view();
         let places = view.services.get(&ask.service)?;
-        let left_ms = chosen.cold.map_or(0, |cold| cold.known_left_ms(asked_at));
+        let left_ms = chosen.cold.as_deref().map_or(0, |cold| cold.known_left_ms(asked_at));
         (places.targets.admission(asked_at, &chosen), left_ms)
     };
     match admission {
@@ -30,7 +30,7 @@
         Admission::Closed => return None,
         Admission::Grant => {}
     }
-    let (agent, cold) = (chosen.agent?, chosen.cold?);
+    let (agent, cold) = (chosen.agent?, chosen.cold.as_deref()?);
     let grant_ask = GrantAsk {
         requests_per_s: cold.bound.requests_per_s,
         most_in_a_second: cold.bound.most_in_a_second,
@@ -111,7 +111,7 @@
     candidate: &Candidate,
     load: &EngineLoad,
 ) -> bool {
-    let Some(cold) = candidate.cold else {
+    let Some(cold) = candidate.cold.as_deref() else {
         return false;
     };
     let young_ms = |age_ms| cold.lasts_ms.saturating_sub(age_ms);
