--- /dev/null
+++ b/crates/moleroad_dispatch/tests/rate_bound.rs
@@ -0,0 +1,319 @@
+//! A bound of requests a second on a target that all entries keep together,
+//! in virtual time.
+
+use moleroad_dispatch::cold::ColdNews;
+use moleroad_dispatch::prelude::*;
+use moleroad_dispatch::rate_bound::DELAY_MS;
+use moleroad_types::prelude::Millis;
+use proptest::prelude::*;
+
+fn usual() -> RateBound {
+    RateBound::new(15.0, 1.5, 5.0)
+}
+
+/// The most requests that arrive in any one second.
+fn most_in_a_second(arrivals: &[u64]) -> usize {
+    let mut sorted = arrivals.to_vec();
+    sorted.sort_unstable();
+    let within = |from: &u64| {
+        let first = sorted.partition_point(|at| at < from);
+        let after = sorted.partition_point(|at| *at < from + 1_000);
+        after - first
+    };
+    sorted.iter().map(within).max().unwrap_or(0)
+}
+
+/// What happens to the agent that gives the grants.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    /// It is killed and there again after a time.
+    Killed(u64),
+    /// It stands still and goes on with what came meanwhile.
+    Frozen(u64),
+    /// It works and its clock stands.
+    ClockStands(u64),
+}
+
+/// One request of some entry for a grant, and how late everything is.
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    at: u64,
+    /// Way of the question; `None` when it is lost.
+    to_agent: Option<u64>,
+    /// Way of the answer.
+    back: u64,
+    /// How long the entry does something else, or stands still, before it sends.
+    dawdles: u64,
+    /// Way of the request.
+    way: u64,
+}
+
+fn attempts() -> impl Strategy<Value = Vec<Attempt>> {
+    let one = (
+        0..6_000_u64,
+        prop::option::weighted(0.95, 0..60_u64),
+        0..120_u64,
+        prop_oneof![4 => 0..5_u64, 1 => 0..400_u64],
+        0..=DELAY_MS,
+    );
+    let attempt = |(at, to_agent, back, dawdles, way)| Attempt {
+        at,
+        to_agent,
+        back,
+        dawdles,
+        way,
+    };
+    prop::collection::vec(one.prop_map(attempt), 0..900)
+}
+
+fn fates() -> impl Strategy<Value = Vec<(u64, Fate)>> {
+    let fate = prop_oneof![
+        (1..800_u64).prop_map(Fate::Killed),
+        (1..2_500_u64).prop_map(Fate::Frozen),
+        (1..1_500_u64).prop_map(Fate::ClockStands),
+    ];
+    prop::collection::vec((0..6_000_u64, fate), 0..6)
+}
+
+/// When the requests of all entries arrive at the target.
+fn arrivals(terms: GrantTerms, attempts: &[Attempt], fates: &[(u64, Fate)]) -> Vec<u64> {
+    let mut fates = fates.to_vec();
+    fates.sort_by_key(|(at, _)| *at);
+    let mut asked: Vec<(u64, &Attempt)> = attempts
+        .iter()
+        .filter_map(|attempt| Some((attempt.at + attempt.to_agent?, attempt)))
+        .collect();
+    asked.sort_by_key(|(at, _)| *at);
+    let mut bucket = TokenBucket::new(Millis(0), terms);
+    let (mut down_until, mut frozen_until, mut clock_behind) = (0, 0, 0);
+    let mut next_fate = 0;
+    let mut arrivals = Vec::new();
+    for (at, attempt) in asked {
+        while let Some((fate_at, fate)) = fates.get(next_fate).filter(|(when, _)| *when <= at) {
+            next_fate += 1;
+            match fate {
+                Fate::Killed(time) => {
+                    down_until = fate_at + time;
+                    let now = Millis(down_until.saturating_sub(clock_behind));
+                    bucket = TokenBucket::new(now, terms);
+                }
+                Fate::Frozen(time) => frozen_until = fate_at + time,
+                Fate::ClockStands(time) => clock_behind += time,
+            }
+        }
+        if at < down_until {
+            continue;
+        }
+        // A frozen agent finds the question when it goes on.
+        let served_at = at.max(frozen_until);
+        let is_given = bucket.take(Millis(served_at.saturating_sub(clock_behind)));
+        let sent_at = served_at + attempt.back + attempt.dawdles;
+        if is_given && sent_at <= attempt.at + GRANT_LIFE_MS {
+            arrivals.push(sent_at + attempt.way);
+        }
+    }
+    arrivals
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    #[test]
+    fn whatever_is_lost_late_killed_or_frozen_the_bound_holds(
+        attempts in attempts(),
+        fates in fates(),
+        rate in 1.0..40.0_f64,
+        overshoot in 1.0..2.0_f64,
+        slack in 0.0..10.0_f64,
+    ) {
+        for bound in [usual(), RateBound::new(rate, overshoot, slack)] {
+            let Some(terms) = bound.terms() else { continue };
+            let most = most_in_a_second(&arrivals(terms, &attempts, &fates));
+            prop_assert!(most as f64 <= terms.most_in_a_second(), "{most} of {terms:?}");
+            prop_assert!(most as f64 <= bound.most_in_a_second, "{most} of {bound:?}");
+        }
+    }
+
+    #[test]
+    fn terms_are_below_every_bound(
+        rate in 0.01..500.0_f64,
+        overshoot in 0.0..3.0_f64,
+        slack in 0.0..50.0_f64,
+    ) {
+        let bound = RateBound::new(rate, overshoot, slack);
+        match bound.terms() {
+            None => prop_assert!(bound.most_in_a_second < 1.0),
+            Some(terms) => {
+                prop_assert!(terms.most_in_a_second() <= bound.most_in_a_second);
+                prop_assert!(terms.per_s <= rate && terms.per_s > 0.0 && terms.depth >= 1.0);
+            }
+        }
+        let division = Division::of(bound);
+        let both_sets = 2 * division.owners * division.part;
+        prop_assert!(f64::from(both_sets) <= bound.most_in_a_second);
+    }
+
+    /// Each entry believes that those of its own side are all there are; some
+    /// are restarted, and all press.
+    #[test]
+    fn two_sets_of_entries_that_disagree_keep_a_divided_bound(
+        sides in prop::collection::vec(any::<bool>(), 2..60),
+        restarts in prop::collection::vec((0..60_usize, 0..4_000_u64), 0..10),
+        steps in prop::collection::vec(1..40_u64, 60),
+    ) {
+        let bound = usual();
+        let division = Division::of(bound);
+        let names: Vec<String> = (0..sides.len()).map(|n| format!("entry-{n}")).collect();
+        let mut arrivals = Vec::new();
+        for (index, name) in names.iter().enumerate() {
+            let same_side = |(other, _): &(usize, &String)| sides[*other] == sides[index];
+            let seen: Vec<&str> = names
+                .iter()
+                .enumerate()
+                .filter(same_side)
+                .map(|(_, name)| name.as_str())
+                .collect();
+            let part = division.part_of(name, &seen, "target");
+            let mut lives: Vec<u64> = restarts
+                .iter()
+                .filter(|(who, _)| *who == index)
+                .map(|(_, at)| *at)
+                .collect();
+            lives.sort_unstable();
+            let mut sends = SendTimes::default();
+            let (mut from, mut at, mut step) = (Millis(0), 0, index);
+            while at < 5_000 {
+                at += steps[step % steps.len()];
+                step += 1;
+                while lives.first().is_some_and(|life| *life <= at) {
+                    from = may_send_from(Millis(lives.remove(0)), Millis(0));
+                    sends = SendTimes::default();
+                }
+                if part > 0 && Millis(at) >= from && sends.has_room(Millis(at), part) {
+                    sends.note(Millis(at));
+                    arrivals.push(at);
+                }
+            }
+        }
+        let most = most_in_a_second(&arrivals);
+        prop_assert!(most as f64 <= bound.most_in_a_second, "{most}");
+    }
+}
+
+#[test]
+fn the_usual_terms_use_the_whole_rate_and_stay_below_the_bound() {
+    let terms = usual().terms().expect("terms");
+    assert_eq!((terms.per_s, terms.depth), (15.0, 3.0));
+    // 15 × 1.25 + 3, of 27.5 that the target bears.
+    assert_eq!(terms.most_in_a_second(), 21.0);
+}
+
+/// Requests that come by chance, `per_s` of them in all.
+fn by_chance(per_s: f64, span_ms: u64) -> Vec<u64> {
+    let mut state = 7_u64;
+    let mut draw = || {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (state >> 11) as f64 / (1_u64 << 53) as f64
+    };
+    (0..span_ms).filter(|_| draw() < per_s / 1_000.0).collect()
+}
+
+#[test]
+fn under_load_most_of_the_rate_is_taken() {
+    // A target gets nothing that was not asked for: of as many requests as the
+    // rate, and of a few more, at least 0.8 of the rate goes there.
+    for (per_s, least) in [(15.0, 0.8), (22.0, 0.9), (100.0, 0.97)] {
+        let terms = usual().terms().expect("terms");
+        let mut bucket = TokenBucket::new(Millis(0), terms);
+        let asked = by_chance(per_s, 60_000);
+        let given = asked.iter().filter(|at| bucket.take(Millis(**at))).count();
+        let part = given as f64 / (15.0 * 60.0);
+        assert!(part >= least, "{part} at {per_s} a second");
+    }
+    let division = Division::of(usual());
+    let whole = f64::from(division.owners * division.part) / 15.0;
+    assert!(whole >= 0.8, "{whole}");
+}
+
+#[test]
+fn a_bucket_begins_empty_and_is_empty_after_its_owner_stood_still() {
+    let terms = usual().terms().expect("terms");
+    let mut bucket = TokenBucket::new(Millis(5_000), terms);
+    assert!(!bucket.take(Millis(5_000)));
+    assert_eq!(bucket.free(Millis(6_000)), 3);
+    bucket.empty(Millis(6_000));
+    assert!(!bucket.take(Millis(6_000)));
+    // A clock that steps back gives nothing, and takes nothing.
+    assert!(!bucket.take(Millis(1_000)));
+    assert!(bucket.take(Millis(6_070)));
+    assert!(!bucket.take(Millis(6_070)));
+}
+
+#[test]
+fn other_terms_take_effect_at_once() {
+    let terms = usual().terms().expect("terms");
+    let mut bucket = TokenBucket::new(Millis(0), terms);
+    assert_eq!(bucket.free(Millis(1_000)), 3);
+    let lower = RateBound::new(2.0, 1.0, 0.0).terms().expect("terms");
+    assert!(bucket.set_terms(Millis(1_000), lower));
+    assert!(!bucket.set_terms(Millis(1_000), lower));
+    assert_eq!(bucket.free(Millis(1_000)), 1);
+}
+
+#[test]
+fn every_target_has_as_many_owners_as_the_bound_bears() {
+    let names: Vec<String> = (0..45).map(|n| format!("entry-{n}")).collect();
+    let entries: Vec<&str> = names.iter().map(String::as_str).collect();
+    let division = Division::of(usual());
+    assert_eq!((division.owners, division.part), (6, 2));
+    let mut parts_of_entries = vec![0; entries.len()];
+    for target in 0..45 {
+        let target = format!("target-{target}");
+        let part = |entry: &&str| division.part_of(entry, &entries, &target);
+        let parts: Vec<u32> = entries.iter().map(part).collect();
+        assert_eq!(parts.iter().sum::<u32>(), 12);
+        for (sum, part) in parts_of_entries.iter_mut().zip(&parts) {
+            *sum += part;
+        }
+    }
+    assert!(parts_of_entries.iter().all(|sum| *sum > 0));
+    // An entry that knows of itself only has no more than its part.
+    assert_eq!(division.part_of("alone", &[], "target"), 2);
+}
+
+fn news(heard: u64, left_ms: u64) -> ColdNews {
+    ColdNews {
+        lasts_ms: 3_000,
+        first_heard: Millis(1_000),
+        heard: Millis(heard),
+        left_ms,
+        restored: None,
+    }
+}
+
+#[test]
+fn a_target_is_cold_as_long_as_anything_says_so() {
+    // What was just heard of for the first time may be cold.
+    assert_eq!(
+        news(400, 0).until(),
+        (Millis(4_000), ColdSource::FirstHeard)
+    );
+    // Its own later word goes before that.
+    assert_eq!(news(1_500, 0).until().0, Millis(0));
+    assert_eq!(
+        news(2_000, 2_500).until(),
+        (Millis(4_500), ColdSource::Heartbeat)
+    );
+    // Its data hall was taken back after it last spoke, and before.
+    let restored = |at| ColdNews {
+        restored: Some(Millis(at)),
+        ..news(8_000, 0)
+    };
+    assert_eq!(
+        restored(8_500).until(),
+        (Millis(11_500), ColdSource::Restored)
+    );
+    assert_eq!(restored(7_500).until().0, Millis(0));
+}
--- a/crates/moleroad_gateway/src/acquire.rs
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -153,7 +153,7 @@
     let nobody_waits = {
         let view = node.view();
         let Some(places) = view.services.get(&ask.service) else {
-            return Err(no_place(now, None, Needs::default()));
+            return Err(no_place(now, None, Needs::default(), 1));
         };
         places.queue.len_of(ask.line) == 0 && places.admits(ask.line, view.entry_count(now))
     };
@@ -246,10 +246,30 @@
     let least = node.least_version(view, &ask.service);
     let places = view.services.get(&ask.service);
     let now = node.clock.now();
-    no_place(now, places, ask.needs(now, least))
+    let entries = view.entry_count(now);
+    no_place(now, places, ask.needs(now, least), entries)
 }
 
-fn no_place(now: Millis, places: Option<&ServicePlaces>, needs: Needs<'_>) -> NoPlace {
+/// When the next of `waiting` requests gets a place, of all that `entries` send,
+/// while all targets are cold; 0 while some is not.
+fn cold_wait_ms(
+    now: Millis,
+    places: Option<&ServicePlaces>,
+    needs: Needs<'_>,
+    entries: usize,
+) -> u64 {
+    let gap_ms = places.and_then(|places| places.targets.cold_gap_ms(now, needs));
+    let waiting = places.map_or(0, |places| places.waiting());
+    let ahead = (waiting + 1) * entries;
+    gap_ms.map_or(0, |gap_ms| (gap_ms * ahead as f64) as u64)
+}
+
+fn no_place(
+    now: Millis,
+    places: Option<&ServicePlaces>,
+    needs: Needs<'_>,
+    entries: usize,
+) -> NoPlace {
     let candidates = places.map_or(0, |places| places.targets.candidates().len());
     let is_outage = !places.is_some_and(|places| places.targets.any_serves(needs));
     let spread = rand::random::<u64>() % RETRY_AFTER_SPREAD_MS;
@@ -257,7 +277,8 @@
     let least = match (is_outage, comes_in_ms) {
         (true, Some(ms)) => ms.saturating_sub(HELD_BEFORE_MS).max(RETRY_AFTER_LEAST_MS),
         (true, None) => RETRY_AFTER_OUTAGE_MS,
-        (false, _) => RETRY_AFTER_LEAST_MS,
+        (false, _) => cold_wait_ms(now, places, needs, entries)
+            .clamp(RETRY_AFTER_LEAST_MS, RETRY_AFTER_OUTAGE_MS),
     };
     NoPlace {
         retry_after_ms: least + spread,
--- a/crates/moleroad_gateway/src/grants.rs
+++ b/crates/moleroad_gateway/src/grants.rs
@@ -22,7 +22,10 @@
     let (admission, left_ms) = {
         let view = node.view();
         let places = view.services.get(&ask.service)?;
-        let left_ms = chosen.cold.as_deref().map_or(0, |cold| cold.known_left_ms(asked_at));
+        let left_ms = chosen
+            .cold
+            .as_deref()
+            .map_or(0, |cold| cold.known_left_ms(asked_at));
         (places.targets.admission(asked_at, &chosen), left_ms)
     };
     match admission {
--- a/crates/moleroad_gateway/tests/parts.rs
+++ b/crates/moleroad_gateway/tests/parts.rs
@@ -162,7 +162,9 @@
     // The gaps of the template as the platform fills them.
     let fill = |template: &str| {
         let mut text = String::new();
-        for line in template.lines() {
+        // Lines that begin or end a part are no settings of their own.
+        let is_mark = |line: &&str| line.starts_with("{{#") || line.starts_with("{{/");
+        for line in template.lines().filter(|line| !is_mark(line)) {
             let value = match line.split_once("{{") {
                 None => line.to_string(),
                 Some((before, gap)) => {
@@ -194,6 +196,7 @@
     };
     let entry = Settings::parse(&fill(include_str!("../../../deploy/entry.yaml"))).unwrap();
     assert_eq!(entry.bounds.grace_ms, 2_500);
+    assert_eq!(entry.bounds.cold_overshoot, 2.5);
     assert_eq!(entry.seed_peers(), vec!["10.0.0.1:7700".parse().unwrap()]);
     assert_eq!(entry.region_of("hall-a"), "region-a");
     let agent = Settings::parse(&fill(include_str!("../../../deploy/agent.yaml"))).unwrap();
@@ -206,6 +209,32 @@
     assert!(control.data_dir.is_some() && control.listen.frontend.is_none());
 }
 
+#[test]
+fn a_deployment_without_bounds_on_cold_targets_gets_the_usual_ones() {
+    let sound = "instance: a\nrole: agent\nip: 127.0.0.1\nhall: h\nregion: r\npeer_ports: [1,2]\nengine: 127.0.0.1:1\n";
+    let bounds = Settings::parse(sound).unwrap().bounds;
+    assert_eq!((bounds.cold_overshoot, bounds.cold_slack), (1.5, 5.0));
+    for wrong in ["cold_overshoot: -1.0", "cold_slack: -1.0"] {
+        let error = Settings::parse(&format!("{sound}bounds:\n  {wrong}\n")).unwrap_err();
+        assert!(error.to_string().starts_with("MR-6003"), "{error}");
+    }
+    // Each field that may be missing stands in a part of its own.
+    for template in [
+        include_str!("../../../deploy/entry.yaml"),
+        include_str!("../../../deploy/agent.yaml"),
+    ] {
+        for field in ["ColdOvershoot", "ColdSlack"] {
+            let (_, rest) = template
+                .split_once(&format!("{{{{#Bounds.{field}}}}}\n"))
+                .unwrap();
+            let (part, _) = rest
+                .split_once(&format!("{{{{/Bounds.{field}}}}}\n"))
+                .unwrap();
+            assert_eq!(part.lines().count(), 1, "{part}");
+        }
+    }
+}
+
 #[test]
 fn experiments_are_checked_and_in_no_file_that_is_deployed() {
     let sound = "instance: a\nrole: agent\nip: 127.0.0.1\nhall: h\nregion: r\npeer_ports: [1,2]\nengine: 127.0.0.1:1\n";
