--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -243,8 +243,12 @@
         if self.cold_until(now, candidate).is_none() {
             return Admission::Free;
         }
-        if candidate.agent.is_some() {
-            return Admission::Grant;
+        if cold.by_grant {
+            // An agent that is not heard of may grant to other entries.
+            return match candidate.agent {
+                Some(_) => Admission::Grant,
+                None => Admission::Closed,
+            };
         }
         let sends = self.sends.get(&candidate.id);
         let has_room = sends.is_none_or(|sends| sends.has_room(now, cold.part));
--- a/crates/moleroad_dispatch/src/cold.rs
+++ b/crates/moleroad_dispatch/src/cold.rs
@@ -89,6 +89,8 @@
     pub source: ColdSource,
     /// How long a target is cold after its start, in milliseconds.
     pub lasts_ms: u64,
+    /// Whether requests go there on grants of the agent beside it only.
+    pub by_grant: bool,
     /// Requests in a second that this entry may send without a grant.
     pub part: u32,
     /// From when on it may.
@@ -105,8 +107,12 @@
         }
     }
 
-    /// The part of `own` among `entries` that are ready.
+    /// The part of `own` among `entries` that are ready; none where grants are
+    /// given.
     pub fn with_part(mut self, own: &str, entries: &[&str], target: &str) -> Self {
+        if self.by_grant {
+            return self;
+        }
         self.part = Division::of(self.bound).part_of(own, entries, target);
         self
     }
--- a/crates/moleroad_gateway/src/cold_news.rs
+++ b/crates/moleroad_gateway/src/cold_news.rs
@@ -3,7 +3,7 @@
 use crate::experiments::Mechanism;
 use crate::settings::Settings;
 use crate::view::View;
-use moleroad_config::prelude::{ColdStart, RouteTable};
+use moleroad_config::prelude::{ColdStart, RouteTable, Service};
 use moleroad_directory::prelude::*;
 use moleroad_dispatch::prelude::*;
 use moleroad_types::prelude::Millis;
@@ -42,7 +42,8 @@
     /// Says so in the log when a target turns cold or is cold no longer.
     fn note_belief(&mut self, now: Millis, heard: &Heard<TargetRecord>, cold: &ColdTarget) {
         let id = &heard.record.id;
-        let is_cold = cold.until > now;
+        // What is only assumed of targets that are new here is no news.
+        let is_cold = cold.until > now && cold.source != ColdSource::FirstHeard;
         let known = self.believed.get(id).copied();
         if is_cold == known.is_some() {
             return;
@@ -63,6 +64,15 @@
     }
 }
 
+/// Whether a bound on cold targets of the service is kept, and whether by grants:
+/// engines have agents beside them.
+fn way(settings: &Settings, service: &Service) -> Option<(ColdStart, bool)> {
+    let start = service.cold_start?;
+    let by_grant = !service.models.is_empty() && settings.experiments.has(Mechanism::ColdGrants);
+    let is_kept = by_grant || settings.experiments.has(Mechanism::ColdDivision);
+    is_kept.then_some((start, by_grant))
+}
+
 impl View {
     /// The bounds on targets while they are cold, where their services have
     /// any.
@@ -72,10 +82,7 @@
         settings: &Settings,
         table: &RouteTable,
     ) -> HashMap<TargetId, Arc<ColdTarget>> {
-        let experiments = &settings.experiments;
-        let ways = [Mechanism::ColdGrants, Mechanism::ColdDivision];
-        let is_on = ways.iter().any(|way| experiments.has(*way));
-        if !is_on || table.services().all(|s| s.cold_start.is_none()) {
+        if table.services().all(|s| way(settings, s).is_none()) {
             return HashMap::new();
         }
         self.cold.note_targets(now, &self.directory);
@@ -84,11 +91,16 @@
         let mut cold_targets = HashMap::new();
         for heard in self.directory.targets() {
             let id = &heard.record.id;
-            let start = table.service(&heard.record.service);
-            let Some(start) = start.and_then(|service| service.cold_start) else {
+            let Some((start, by_grant)) = table
+                .service(&heard.record.service)
+                .and_then(|service| way(settings, service))
+            else {
                 continue;
             };
-            let cold = self.cold_target(settings, start, heard);
+            let cold = ColdTarget {
+                by_grant,
+                ..self.cold_target(settings, start, heard)
+            };
             let cold = cold.with_part(&settings.instance, &entries, id.as_str());
             cold_targets.insert(id.clone(), Arc::new(cold));
         }
@@ -123,6 +135,7 @@
             until,
             source,
             lasts_ms: start.lasts_ms,
+            by_grant: false,
             part: 0,
             part_from: may_send_from(self.cold.began, first_heard),
         }
--- a/crates/moleroad_gateway/src/grants.rs
+++ b/crates/moleroad_gateway/src/grants.rs
@@ -121,6 +121,16 @@
     let by_age_ms = load.engine_age_ms.map_or(0, young_ms);
     let left_ms = by_age_ms.max(load.cold_left_ms);
     if left_ms > 0 {
+        if targets.cold_until(now, candidate).is_none() {
+            log::info!(
+                event = "target_cold",
+                target:% = candidate.id,
+                source = ColdSource::Agent.name(),
+                age_ms = 0,
+                left_ms = left_ms;
+                ""
+            );
+        }
         targets.agent_says_cold(&candidate.id, now + left_ms);
     }
     targets.cold_until(now, candidate).is_some() && load.grants_free == Some(0)
