--- a/crates/moleroad_gateway/src/peer.rs
+++ b/crates/moleroad_gateway/src/peer.rs
@@ -235,12 +235,12 @@
     async fn pull() -> ControlState;
     /// Asks an agent what its engine has in hand now.
     async fn engine_load() -> Option<EngineLoad>;
-    /// Asks an agent whether a request may go to its engine while it is cold.
-    async fn grant(ask: GrantAsk) -> GrantAnswer;
     /// Asks an agent for the digests of a version.
     async fn digests(model: String, version: u64) -> Option<SharedDigests>;
     /// Tells an agent what the agent at `from` has of a version.
     async fn offer(model: String, version: u64, offer: Offer, from: SocketAddr);
     /// Asks an agent for a piece of weights.
     async fn piece(model: String, version: u64, piece: u32) -> Option<ByteBuf>;
+    /// Asks an agent whether a request may go to its engine while it is cold.
+    async fn grant(ask: GrantAsk) -> GrantAnswer;
 }
