A target that turns cold again is news though it says the same; gateway tests of cold targets

A target that said again that it is cold for as long as before passed for one that only renewed itself, so entries that it did not call were not told. Found by the new test of the directory.

--- a/crates/moleroad_directory/src/directory.rs
+++ b/crates/moleroad_directory/src/directory.rs
@@ -97,10 +97,8 @@
         let next = TargetRecord { life, ..record };
         let mut renewed = next.clone();
         renewed.sequence = known.record.sequence;
-        if !has_turned_cold {
-            renewed.cold_left_ms = known.record.cold_left_ms;
-        }
-        let change = if renewed == known.record {
+        renewed.cold_left_ms = known.record.cold_left_ms;
+        let change = if renewed == known.record && !has_turned_cold {
             TargetChange::Renewed
         } else {
             TargetChange::Changed
--- a/crates/moleroad_directory/tests/directory.rs
+++ b/crates/moleroad_directory/tests/directory.rs
@@ -160,3 +160,35 @@
     pieces.set(0, false);
     assert_eq!(pieces.count(), 1);
 }
+
+#[test]
+fn that_a_target_turns_cold_is_news_and_that_time_passes_is_not() {
+    let mut directory = Directory::new();
+    let told = |sequence, cold_left_ms| TargetRecord {
+        cold_left_ms,
+        ..target("a", 1, sequence)
+    };
+    let hear =
+        |directory: &mut Directory, at: u64, record| directory.hear_target(Millis(at), record, 0);
+    hear(&mut directory, 0, told(1, 0));
+    let before = directory.position();
+    assert_eq!(
+        hear(&mut directory, 1_000, told(2, 3_000)),
+        TargetChange::Changed
+    );
+    assert!(directory.position() > before);
+    // As long as was said, give or take what a call takes on its way.
+    for (at, sequence, left_ms) in [(2_000, 3, 2_100), (4_200, 4, 0)] {
+        let change = hear(&mut directory, at, told(sequence, left_ms));
+        assert_eq!(change, TargetChange::Renewed);
+    }
+    // Cold again while it is still cold.
+    assert_eq!(
+        hear(&mut directory, 5_000, told(5, 3_000)),
+        TargetChange::Changed
+    );
+    assert_eq!(
+        hear(&mut directory, 6_000, told(6, 3_000)),
+        TargetChange::Changed
+    );
+}
--- /dev/null
+++ b/crates/moleroad_gateway/tests/cold.rs
@@ -0,0 +1,250 @@
+//! Which targets count as cold, and what is granted to them, without a network.
+
+use moleroad_config::prelude::*;
+use moleroad_directory::prelude::*;
+use moleroad_dispatch::prelude::*;
+use moleroad_gateway::agent::cold::{ColdEngine, GrantSum};
+use moleroad_gateway::grants::take_state;
+use moleroad_gateway::peer::{EngineLoad, GrantAsk};
+use moleroad_gateway::settings::Settings;
+use moleroad_gateway::view::View;
+use moleroad_types::prelude::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], number))
+}
+
+fn settings(off: &str) -> Settings {
+    let text = format!(
+        "instance: entry-1\nrole: entry\nip: 127.0.0.1\nhall: h\nregion: r\npeer_ports: [1,2]\nlisten: {{frontend: '127.0.0.1:3'}}\nexperiments: {{off: [{off}]}}\n"
+    );
+    Settings::parse(&text).expect("sound settings")
+}
+
+fn daemon(role: DaemonRole, number: u16) -> DaemonRecord {
+    DaemonRecord {
+        instance: InstanceId::new(format!("{role:?}-{number}")),
+        incarnation: 1,
+        sequence: 1,
+        role,
+        state: DaemonState::Ready,
+        peer: address(number),
+        frontend: None,
+        control: None,
+        has_log: false,
+        requests_per_s: 0.0,
+        hall: "h".into(),
+        region: "r".into(),
+        engine: (role == DaemonRole::Agent).then(|| address(9)),
+        service: Some("chat".into()),
+        pieces: Vec::new(),
+        report: None,
+    }
+}
+
+/// A service of engines, or a plain one, whose targets have a bound or not.
+fn table(is_engine: bool, cold_start: Option<ColdStart>) -> Arc<RouteTable> {
+    let model = EngineModel {
+        name: "m".into(),
+        layers: 4,
+        pieces: 1,
+        piece_bytes: 10,
+    };
+    let service = Service {
+        name: "chat".into(),
+        max_connections: 0,
+        slots: 12,
+        models: if is_engine { vec![model] } else { Vec::new() },
+        steps: None,
+        origin: None,
+        hall: None,
+        cold_start,
+    };
+    let configuration = Configuration {
+        services: vec![service],
+        ..Configuration::default()
+    };
+    Arc::new(RouteTable::compile(&configuration))
+}
+
+const BOUND: ColdStart = ColdStart {
+    lasts_ms: 3_000,
+    requests_per_s: 15.0,
+};
+
+fn target(cold_left_ms: u64, sequence: u64) -> TargetRecord {
+    let held = Holding {
+        model: "m".into(),
+        from: 0,
+        to: 4,
+        version: 1,
+    };
+    TargetRecord {
+        cold_left_ms,
+        sequence,
+        slots: 12,
+        holdings: Some(vec![held]),
+        ..TargetRecord::new(TargetId::new("t"), "chat", address(9))
+    }
+}
+
+/// A view with a target that was first heard of at 1,000 ms and is not cold
+/// any more by its own word, and its agent.
+fn view(table: Arc<RouteTable>, settings: &Settings) -> View {
+    let mut view = View::new(daemon(DaemonRole::Entry, 1));
+    view.table = Some(table);
+    let directory = &mut view.directory;
+    directory.hear_daemon(Millis(1_000), daemon(DaemonRole::Agent, 2), 0);
+    directory.hear_target(Millis(1_000), target(0, 1), 0);
+    view.refresh_candidates(Millis(1_000), settings);
+    view.directory.hear_target(Millis(2_200), target(0, 2), 0);
+    view.refresh_candidates(Millis(2_200), settings);
+    view
+}
+
+fn admission(view: &View, now: u64) -> Admission {
+    let targets = &view.services["chat"].targets;
+    targets.admission(Millis(now), &targets.candidates()[0])
+}
+
+#[test]
+fn an_engine_is_cold_while_it_is_new_here_and_while_it_says_so() {
+    let settings = settings("");
+    let mut view = View::new(daemon(DaemonRole::Entry, 1));
+    view.table = Some(table(true, Some(BOUND)));
+    let now = Millis(1_000);
+    view.directory.hear_target(now, target(0, 1), 0);
+    view.refresh_candidates(now, &settings);
+    // Its agent may be there and grant to others.
+    assert_eq!(admission(&view, 1_000), Admission::Closed);
+    let agent = daemon(DaemonRole::Agent, 2);
+    view.directory.hear_daemon(now, agent, 0);
+    view.refresh_candidates(now, &settings);
+    assert_eq!(admission(&view, 1_000), Admission::Grant);
+    assert_eq!(admission(&view, 4_000), Admission::Free);
+    view.directory.hear_target(Millis(2_200), target(0, 2), 0);
+    view.refresh_candidates(Millis(2_200), &settings);
+    assert_eq!(admission(&view, 2_200), Admission::Free);
+    // Relayed word is as old as it is.
+    view.directory
+        .hear_target(Millis(9_000), target(2_000, 9), 500);
+    view.refresh_candidates(Millis(9_000), &settings);
+    assert_eq!(admission(&view, 10_499), Admission::Grant);
+    assert_eq!(admission(&view, 10_500), Admission::Free);
+}
+
+#[test]
+fn without_a_bound_or_a_mechanism_nothing_is_held_back() {
+    for (table, off) in [
+        (table(true, None), ""),
+        (table(true, Some(BOUND)), "cold_grants, cold_division"),
+    ] {
+        let settings = settings(off);
+        let mut view = view(table, &settings);
+        view.directory
+            .hear_target(Millis(3_000), target(3_000, 3), 0);
+        view.refresh_candidates(Millis(3_000), &settings);
+        assert_eq!(admission(&view, 3_000), Admission::Free);
+    }
+}
+
+#[test]
+fn targets_without_agents_are_sent_the_part_of_this_entry() {
+    for (is_engine, off) in [(false, ""), (true, "cold_grants")] {
+        let settings = settings(off);
+        let mut view = view(table(is_engine, Some(BOUND)), &settings);
+        view.directory
+            .hear_target(Millis(3_000), target(3_000, 3), 0);
+        view.refresh_candidates(Millis(3_000), &settings);
+        let id = TargetId::new("t");
+        for at in [3_000, 3_010] {
+            assert_eq!(admission(&view, at), Admission::Part);
+            let targets = &mut view.services.get_mut("chat").expect("it").targets;
+            targets.started(Millis(at), &id, 0);
+        }
+        assert_eq!(admission(&view, 3_020), Admission::Closed);
+        assert_eq!(admission(&view, 4_020), Admission::Part);
+    }
+}
+
+#[test]
+fn what_its_agent_says_counts_at_once() {
+    let settings = settings("");
+    let mut view = view(table(true, Some(BOUND)), &settings);
+    assert_eq!(admission(&view, 5_000), Admission::Free);
+    let targets = &mut view.services.get_mut("chat").expect("it").targets;
+    let candidate = targets.candidates()[0].clone();
+    let mut load = EngineLoad {
+        running: 0,
+        queued: 0,
+        takes_new: true,
+        engine_age_ms: Some(3_500),
+        cold_left_ms: 0,
+        grants_free: Some(0),
+    };
+    // No grant is needed of an engine that began long ago.
+    let mut take = |load: &EngineLoad| take_state(targets, Millis(5_000), &candidate, load);
+    assert!(!take(&load));
+    load.engine_age_ms = Some(1_000);
+    assert!(take(&load));
+    load.grants_free = Some(2);
+    assert!(!take(&load));
+    assert_eq!(admission(&view, 6_999), Admission::Grant);
+    assert_eq!(admission(&view, 7_000), Admission::Free);
+}
+
+fn ask(left_ms: u64) -> GrantAsk {
+    GrantAsk {
+        requests_per_s: 15.0,
+        most_in_a_second: 27.5,
+        left_ms,
+    }
+}
+
+#[test]
+fn an_agent_counts_every_grant_and_tells_what_it_was_told() {
+    let engine = ColdEngine::default();
+    assert_eq!(engine.state(Millis(0)).grants, None);
+    // Empty at first: an earlier life may just have granted.
+    assert!(!engine.grant(Millis(1_000), ask(0)).is_given);
+    let later = |at: u64| engine.grant(Millis(1_000 + at), ask(0)).is_given;
+    assert!(later(70) && !later(71));
+    assert_eq!(engine.state(Millis(1_071)).left_ms, 0);
+    engine.grant(Millis(1_080), ask(900));
+    let state = engine.state(Millis(1_480));
+    assert_eq!((state.left_ms, state.age_ms), (500, None));
+    engine.engine_began(Millis(1_200));
+    assert_eq!(engine.state(Millis(1_480)).age_ms, Some(280));
+    let sum = GrantSum { asked: 4, given: 1 };
+    assert_eq!(engine.take_sum(), sum);
+    assert_eq!(engine.take_sum(), GrantSum::default());
+}
+
+#[test]
+fn an_agent_that_stood_still_begins_with_nothing() {
+    let engine = ColdEngine::default();
+    engine.is_alive(Millis(1_000));
+    engine.grant(Millis(1_000), ask(0));
+    for at in [1_500, 2_000] {
+        engine.is_alive(Millis(at));
+    }
+    assert_eq!(engine.state(Millis(2_000)).grants, Some(3));
+    // It stands still for two seconds, and an entry's question is the first.
+    assert!(!engine.grant(Millis(4_000), ask(0)).is_given);
+    assert!(engine.grant(Millis(4_070), ask(0)).is_given);
+}
+
+#[test]
+fn a_bound_that_bears_nothing_gets_nothing() {
+    let engine = ColdEngine::default();
+    let nothing = GrantAsk {
+        requests_per_s: 0.5,
+        most_in_a_second: 0.75,
+        left_ms: 0,
+    };
+    for at in (0..10_000).step_by(100) {
+        assert!(!engine.grant(Millis(at), nothing).is_given);
+    }
+}
