--- a/crates/moleroad_dispatch/tests/rate_bound.rs
+++ b/crates/moleroad_dispatch/tests/rate_bound.rs
@@ -68,11 +68,11 @@
 
 fn fates() -> impl Strategy<Value = Vec<(u64, Fate)>> {
     let fate = prop_oneof![
-        (1..800_u64).prop_map(Fate::Killed),
+        prop_oneof![1..20_u64, 1..800_u64].prop_map(Fate::Killed),
         (1..2_500_u64).prop_map(Fate::Frozen),
         (1..1_500_u64).prop_map(Fate::ClockStands),
     ];
-    prop::collection::vec((0..6_000_u64, fate), 0..6)
+    prop::collection::vec((0..6_000_u64, fate), 0..40)
 }
 
 /// When the requests of all entries arrive at the target.
