--- /dev/null
+++ b/crates/moleroad_dispatch/src/admission.rs
@@ -0,0 +1,75 @@
+//! How a request may go to a target that may be cold.
+
+use crate::choice::{Candidate, Needs, Targets};
+use crate::cold::Admission;
+use crate::eligibility::barrier;
+use moleroad_directory::prelude::TargetId;
+use moleroad_types::prelude::Millis;
+
+/// How much slower than usual a cold target counts, in times.
+pub const COLD_SLOWNESS: f64 = 1.0;
+
+impl Targets {
+    /// Takes that the agent beside a target counts it as cold.
+    pub fn agent_says_cold(&mut self, id: &TargetId, until: Millis) {
+        let load = self.loads.entry(id.clone()).or_default();
+        load.agent_says_cold(until);
+    }
+
+    /// Until when a target counts as cold; `None` while it does not.
+    pub fn cold_until(&self, now: Millis, candidate: &Candidate) -> Option<Millis> {
+        let cold = candidate.cold.as_deref()?;
+        let until = cold.until.max(self.load(&candidate.id).cold_until());
+        (until > now).then_some(until)
+    }
+
+    /// How a request may go to a target now.
+    pub fn admission(&self, now: Millis, candidate: &Candidate) -> Admission {
+        let Some(cold) = candidate.cold.as_deref() else {
+            return Admission::Free;
+        };
+        if self.cold_until(now, candidate).is_none() {
+            return Admission::Free;
+        }
+        if cold.by_grant {
+            // An agent that is not heard of may grant to other entries.
+            return match candidate.agent {
+                Some(_) => Admission::Grant,
+                None => Admission::Closed,
+            };
+        }
+        let sends = self.sends.get(&candidate.id);
+        let has_room = sends.is_none_or(|sends| sends.has_room(now, cold.part));
+        if cold.part > 0 && now >= cold.part_from && has_room {
+            Admission::Part
+        } else {
+            Admission::Closed
+        }
+    }
+
+    /// How soon one more request can be sent while all targets that serve it
+    /// are cold, in milliseconds; `None` while some is not.
+    pub fn cold_gap_ms(&self, now: Millis, needs: Needs<'_>) -> Option<f64> {
+        let serving = || {
+            self.candidates
+                .iter()
+                .filter(|c| barrier(c, needs).is_none())
+        };
+        if serving().any(|candidate| self.cold_until(now, candidate).is_none()) {
+            return None;
+        }
+        let rates = serving().filter_map(|candidate| candidate.cold.as_deref());
+        let per_s: f64 = rates.map(|cold| cold.bound.requests_per_s).sum();
+        (per_s > 0.0).then_some(1_000.0 / per_s)
+    }
+
+    pub(crate) fn goes_unasked(&self, now: Millis, candidate: &Candidate) -> bool {
+        let admission = self.admission(now, candidate);
+        matches!(admission, Admission::Free | Admission::Part)
+    }
+
+    pub(crate) fn slowness(&self, now: Millis, candidate: &Candidate) -> f64 {
+        let is_cold = self.cold_until(now, candidate).is_some();
+        candidate.slowness + if is_cold { COLD_SLOWNESS } else { 0.0 }
+    }
+}
--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -102,9 +102,6 @@
 /// What a slow target adds for each time that it is slower than usual.
 const SLOW_COST_MS: f64 = 150.0;
 
-/// How much slower than usual a cold target counts, in times.
-pub const COLD_SLOWNESS: f64 = 1.0;
-
 /// What a request asks of a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Needs<'a> {
@@ -169,10 +166,10 @@
     pub reading: Option<ReadingSpeed>,
     /// Whether targets that fail are not avoided.
     pub ignores_failures: bool,
-    candidates: Vec<Candidate>,
-    loads: HashMap<TargetId, TargetLoad>,
+    pub(crate) candidates: Vec<Candidate>,
+    pub(crate) loads: HashMap<TargetId, TargetLoad>,
     /// Sends to targets that have a bound while they are cold.
-    sends: HashMap<TargetId, SendTimes>,
+    pub(crate) sends: HashMap<TargetId, SendTimes>,
 }
 
 impl Targets {
@@ -222,59 +219,6 @@
         }
     }
 
-    /// Takes that the agent beside a target counts it as cold.
-    pub fn agent_says_cold(&mut self, id: &TargetId, until: Millis) {
-        let load = self.loads.entry(id.clone()).or_default();
-        load.agent_says_cold(until);
-    }
-
-    /// Until when a target counts as cold; `None` while it does not.
-    pub fn cold_until(&self, now: Millis, candidate: &Candidate) -> Option<Millis> {
-        let cold = candidate.cold.as_deref()?;
-        let until = cold.until.max(self.load(&candidate.id).cold_until());
-        (until > now).then_some(until)
-    }
-
-    /// How a request may go to a target now.
-    pub fn admission(&self, now: Millis, candidate: &Candidate) -> Admission {
-        let Some(cold) = candidate.cold.as_deref() else {
-            return Admission::Free;
-        };
-        if self.cold_until(now, candidate).is_none() {
-            return Admission::Free;
-        }
-        if cold.by_grant {
-            // An agent that is not heard of may grant to other entries.
-            return match candidate.agent {
-                Some(_) => Admission::Grant,
-                None => Admission::Closed,
-            };
-        }
-        let sends = self.sends.get(&candidate.id);
-        let has_room = sends.is_none_or(|sends| sends.has_room(now, cold.part));
-        if cold.part > 0 && now >= cold.part_from && has_room {
-            Admission::Part
-        } else {
-            Admission::Closed
-        }
-    }
-
-    /// How soon one more request can be sent while all targets that serve it
-    /// are cold, in milliseconds; `None` while some is not.
-    pub fn cold_gap_ms(&self, now: Millis, needs: Needs<'_>) -> Option<f64> {
-        let serving = || {
-            self.candidates
-                .iter()
-                .filter(|c| barrier(c, needs).is_none())
-        };
-        if serving().any(|candidate| self.cold_until(now, candidate).is_none()) {
-            return None;
-        }
-        let rates = serving().filter_map(|candidate| candidate.cold.as_deref());
-        let per_s: f64 = rates.map(|cold| cold.bound.requests_per_s).sum();
-        (per_s > 0.0).then_some(1_000.0 / per_s)
-    }
-
     /// Counts a prompt as read: the answer to it began, or never will.
     pub fn was_read(&mut self, id: &TargetId, tokens: u64) {
         if let Some(load) = self.loads.get_mut(id) {
@@ -318,11 +262,6 @@
         }
     }
 
-    fn goes_unasked(&self, now: Millis, candidate: &Candidate) -> bool {
-        let admission = self.admission(now, candidate);
-        matches!(admission, Admission::Free | Admission::Part)
-    }
-
     /// The sound targets that meet `needs`; when none is sound, all of them.
     fn pool(&self, now: Millis, needs: Needs<'_>) -> Vec<&Candidate> {
         let fits = |candidate: &&Candidate| barrier(candidate, needs).is_none();
@@ -427,11 +366,6 @@
         first_event_ms * self.slowness(now, candidate) <= within_ms as f64
     }
 
-    fn slowness(&self, now: Millis, candidate: &Candidate) -> f64 {
-        let is_cold = self.cold_until(now, candidate).is_some();
-        candidate.slowness + if is_cold { COLD_SLOWNESS } else { 0.0 }
-    }
-
     /// What sending to the candidate costs, as a time in milliseconds.
     pub fn cost_ms(&self, now: Millis, candidate: &Candidate) -> f64 {
         let load = self.load(&candidate.id);
--- a/crates/moleroad_dispatch/src/lib.rs
+++ b/crates/moleroad_dispatch/src/lib.rs
@@ -5,10 +5,16 @@
 //! ended. Each entry shares the targets with others that it does not ask:
 //! [`load`] estimates what they have in flight from what agents report,
 //! [`reading`] predicts its first event, [`eligibility`] says which targets a
-//! request may go to, [`choice`] picks the cheapest of them, [`queue`] orders those that wait for
-//! a place, [`pace`] tells how soon late ones get one
-//! and [`overdue_share`] how many they may take, [`share`] says whose the last places are, [`health`] remembers what failed, and [`budget`] holds the entry's
-//! share of the repeats that all entries may send.
+//! request may go to, [`choice`] picks the cheapest of them, [`queue`] orders
+//! those that wait for a place, [`pace`] tells how soon late ones get one and
+//! [`overdue_share`] how many they may take, [`share`] says whose the last
+//! places are, [`health`] remembers what failed, and [`budget`] holds the
+//! entry's share of the repeats that all entries may send.
+//!
+//! A target that is cold takes few requests a second: [`cold`] says whether it
+//! is, [`admission`] how a request may go there, [`rate_bound`] gives the grants
+//! by which all entries keep the bound, and [`division`] stands in where nobody
+//! gives any.
 //!
 //! ```
 //! use moleroad_dispatch::prelude::*;
@@ -20,6 +26,7 @@
 //! ```
 #![warn(missing_docs)]
 
+pub mod admission;
 pub mod budget;
 pub mod choice;
 pub mod cold;
@@ -36,8 +43,9 @@
 
 /// The types most users of the crate need.
 pub mod prelude {
+    pub use crate::admission::COLD_SLOWNESS;
     pub use crate::budget::{BudgetTerms, RepeatBudget};
-    pub use crate::choice::{COLD_SLOWNESS, Candidate, Choice, Distance, Needs, Reach, Targets};
+    pub use crate::choice::{Candidate, Choice, Distance, Needs, Reach, Targets};
     pub use crate::cold::{Admission, ColdNews, ColdSource, ColdTarget};
     pub use crate::division::{Division, SendTimes, may_send_from};
     pub use crate::eligibility::{Barrier, barrier};
--- a/crates/moleroad_gateway/src/candidates.rs
+++ b/crates/moleroad_gateway/src/candidates.rs
@@ -57,6 +57,10 @@
             if let Some(mut candidate) = candidate(settings, service, record, report, &entries) {
                 candidate.agent = agent.map(|agent| agent.record.peer);
                 candidate.cold = colds.get(&record.id).cloned();
+                // Where cold targets have a bound, the choice knows when they are cold.
+                if candidate.cold.is_none() && record.cold_left_ms > 0 {
+                    candidate.slowness += COLD_SLOWNESS;
+                }
                 lists.entry(&service.name).or_default().push(candidate);
             }
         }
@@ -148,9 +152,6 @@
     };
     let told = report.filter(|_| settings.experiments.has(Mechanism::Slowness));
     let pace = told.map_or(1.0, |report| f64::from(report.pace));
-    // Where cold targets have a bound, the choice knows when they are cold.
-    let is_slow = record.cold_left_ms > 0 && service.cold_start.is_none();
-    let cold = if is_slow { COLD_SLOWNESS } else { 0.0 };
     Some(Candidate {
         id: record.id.clone(),
         address: record.address,
@@ -166,7 +167,7 @@
         evacuated: false,
         version,
         switching: report.is_some_and(|report| report.switching),
-        slowness: pace + cold,
+        slowness: pace,
         agent: None,
         cold: None,
         granted_until: None,
--- a/crates/moleroad_gateway/src/cold_news.rs
+++ b/crates/moleroad_gateway/src/cold_news.rs
@@ -13,7 +13,7 @@
 /// When targets were first heard of, and which are believed to be cold.
 #[derive(Debug, Default)]
 pub struct ColdMemory {
-    began: Millis,
+    began: Option<Millis>,
     first_heard: HashMap<TargetId, Millis>,
     believed: HashMap<TargetId, ColdSource>,
 }
@@ -21,9 +21,7 @@
 impl ColdMemory {
     /// Remembers the targets of the directory, and forgets others.
     pub fn note_targets(&mut self, now: Millis, directory: &Directory) {
-        if self.began == Millis(0) {
-            self.began = now;
-        }
+        self.began.get_or_insert(now);
         for heard in directory.targets() {
             let id = &heard.record.id;
             if !self.first_heard.contains_key(id) {
@@ -137,7 +135,7 @@
             lasts_ms: start.lasts_ms,
             by_grant: false,
             part: 0,
-            part_from: may_send_from(self.cold.began, first_heard),
+            part_from: may_send_from(self.cold.began.unwrap_or_default(), first_heard),
         }
     }
 }
