Ask the agent of a cold engine where it must be, before it was heard of

After a loss of power engines are heard of before their agents, and nothing went to them meanwhile: 1 grant in the first second of traffic, 637 in the next.

--- a/crates/moleroad_gateway/src/candidates.rs
+++ b/crates/moleroad_gateway/src/candidates.rs
@@ -57,6 +57,11 @@
             if let Some(mut candidate) = candidate(settings, service, record, report, &entries) {
                 candidate.agent = agent.map(|agent| agent.record.peer);
                 candidate.cold = colds.get(&record.id).cloned();
+                if candidate.cold.as_ref().is_some_and(|cold| cold.by_grant) {
+                    // Others may have heard of its agent before.
+                    let agent = settings.peer_address_at(record.address.ip());
+                    candidate.agent.get_or_insert(agent);
+                }
                 // Where cold targets have a bound, the choice knows when they are cold.
                 if candidate.cold.is_none() && record.cold_left_ms > 0 {
                     candidate.slowness += COLD_SLOWNESS;
--- a/crates/moleroad_gateway/src/settings.rs
+++ b/crates/moleroad_gateway/src/settings.rs
@@ -277,6 +277,11 @@
         SocketAddr::new(self.ip, self.peer_ports.0)
     }
 
+    /// Peer address of a daemon on the instance at `ip`.
+    pub fn peer_address_at(&self, ip: IpAddr) -> SocketAddr {
+        SocketAddr::new(ip, self.peer_ports.0)
+    }
+
     /// Peer addresses of the seeds: all daemons use the same peer port.
     pub fn seed_peers(&self) -> Vec<SocketAddr> {
         let peer = |seed: &SocketAddr| SocketAddr::new(seed.ip(), self.peer_ports.0);
