Let more entries share a cold target with one request each, by when it arrives

A test saw 5 requests arrive in a second from two entries with two each: sends 1.02 s apart arrived closer on a loaded machine. The span now holds the longest way, as the sums of grants do, and one request an entry leaves room for 14 entries that differ instead of 7.

--- a/crates/moleroad_dispatch/src/division.rs
+++ b/crates/moleroad_dispatch/src/division.rs
@@ -7,20 +7,21 @@
 //! it. Views that differ in `n` entries add at most `n` entries to the first
 //! set, so the bound holds as long as no more differ than a set has members.
 
-use crate::rate_bound::RateBound;
+use crate::rate_bound::{DELAY_MS, RateBound};
 use moleroad_types::prelude::Millis;
 use std::collections::VecDeque;
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 
 /// Requests in a second that one entry sends at most to a target of which it
-/// has a part: fewer need more entries, more leave less to choose from.
-const PART: u32 = 2;
+/// has a part: the fewer, the more entries may send, and the less it matters
+/// that some believe otherwise.
+const PART: u32 = 1;
 /// Sets of entries that may send at the same time while views differ.
 const SETS: u32 = 2;
-/// Time in which an entry sends its part at most, in milliseconds: a second, and
-/// by how much two clocks may run apart in it.
-const SPAN_MS: u64 = 1_020;
+/// Time in which an entry sends its part at most, in milliseconds: what arrives
+/// in a second was sent in that second or on the way before it.
+pub const SPAN_MS: u64 = 1_000 + DELAY_MS;
 
 /// How the requests of a second are divided.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/moleroad_dispatch/tests/rate_bound.rs
+++ b/crates/moleroad_dispatch/tests/rate_bound.rs
@@ -2,6 +2,7 @@
 //! in virtual time.
 
 use moleroad_dispatch::cold::ColdNews;
+use moleroad_dispatch::division::SPAN_MS;
 use moleroad_dispatch::prelude::*;
 use moleroad_dispatch::rate_bound::DELAY_MS;
 use moleroad_types::prelude::Millis;
@@ -160,6 +161,7 @@
         sides in prop::collection::vec(any::<bool>(), 2..60),
         restarts in prop::collection::vec((0..60_usize, 0..4_000_u64), 0..10),
         steps in prop::collection::vec(1..40_u64, 60),
+        ways in prop::collection::vec(0..=DELAY_MS, 61),
     ) {
         let bound = usual();
         let division = Division::of(bound);
@@ -191,7 +193,7 @@
                 }
                 if part > 0 && Millis(at) >= from && sends.has_room(Millis(at), part) {
                     sends.note(Millis(at));
-                    arrivals.push(at);
+                    arrivals.push(at + ways[step % ways.len()]);
                 }
             }
         }
@@ -233,8 +235,9 @@
         assert!(part >= least, "{part} at {per_s} a second");
     }
     let division = Division::of(usual());
-    let whole = f64::from(division.owners * division.part) / 15.0;
-    assert!(whole >= 0.8, "{whole}");
+    let in_a_span = f64::from(division.owners * division.part);
+    let part = in_a_span * 1_000.0 / SPAN_MS as f64 / 15.0;
+    assert!((0.78..0.8).contains(&part), "{part}");
 }
 
 #[test]
@@ -267,20 +270,20 @@
     let names: Vec<String> = (0..45).map(|n| format!("entry-{n}")).collect();
     let entries: Vec<&str> = names.iter().map(String::as_str).collect();
     let division = Division::of(usual());
-    assert_eq!((division.owners, division.part), (6, 2));
+    assert_eq!((division.owners, division.part), (13, 1));
     let mut parts_of_entries = vec![0; entries.len()];
     for target in 0..45 {
         let target = format!("target-{target}");
         let part = |entry: &&str| division.part_of(entry, &entries, &target);
         let parts: Vec<u32> = entries.iter().map(part).collect();
-        assert_eq!(parts.iter().sum::<u32>(), 12);
+        assert_eq!(parts.iter().sum::<u32>(), 13);
         for (sum, part) in parts_of_entries.iter_mut().zip(&parts) {
             *sum += part;
         }
     }
     assert!(parts_of_entries.iter().all(|sum| *sum > 0));
     // An entry that knows of itself only has no more than its part.
-    assert_eq!(division.part_of("alone", &[], "target"), 2);
+    assert_eq!(division.part_of("alone", &[], "target"), 1);
 }
 
 fn news(heard: u64, left_ms: u64) -> ColdNews {
--- a/crates/moleroad_gateway/tests/cold.rs
+++ b/crates/moleroad_gateway/tests/cold.rs
@@ -162,13 +162,11 @@
             .hear_target(Millis(3_000), target(3_000, 3), 0);
         view.refresh_candidates(Millis(3_000), &settings);
         let id = TargetId::new("t");
-        for at in [3_000, 3_010] {
-            assert_eq!(admission(&view, at), Admission::Part);
-            let targets = &mut view.services.get_mut("chat").expect("it").targets;
-            targets.started(Millis(at), &id, 0);
-        }
-        assert_eq!(admission(&view, 3_020), Admission::Closed);
-        assert_eq!(admission(&view, 4_020), Admission::Part);
+        assert_eq!(admission(&view, 3_000), Admission::Part);
+        let targets = &mut view.services.get_mut("chat").expect("it").targets;
+        targets.started(Millis(3_000), &id, 0);
+        assert_eq!(admission(&view, 4_099), Admission::Closed);
+        assert_eq!(admission(&view, 4_100), Admission::Part);
     }
 }
 
