--- a/crates/moleroad_gateway/src/agent/cold.rs
+++ b/crates/moleroad_gateway/src/agent/cold.rs
@@ -32,7 +32,10 @@
     /// Until when it is cold, as entries heard from it.
     told_until: Millis,
     grants: Option<TokenBucket>,
-    alive_at: Millis,
+    /// From when on grants come up: the begin of this process, or when it last
+    /// went on after it stood still.
+    fills_from: Millis,
+    alive_at: Option<Millis>,
     asked: u32,
     given: u32,
 }
@@ -67,9 +70,13 @@
     /// Notes that this process runs.
     pub fn is_alive(&self, now: Millis) {
         let mut state = self.lock();
-        let stood_still = now.since(state.alive_at) > STOOD_STILL_MS;
-        state.alive_at = now;
-        if stood_still && let Some(grants) = &mut state.grants {
+        let before = state.alive_at.replace(now);
+        let runs_on = before.is_some_and(|before| now.since(before) <= STOOD_STILL_MS);
+        if runs_on {
+            return;
+        }
+        state.fills_from = now;
+        if let Some(grants) = &mut state.grants {
             grants.empty(now);
         }
     }
@@ -89,7 +96,8 @@
         let Some(terms) = bound.terms() else {
             return GrantAnswer { is_given: false };
         };
-        let grants = state.grants.get_or_insert(TokenBucket::new(now, terms));
+        let empty = TokenBucket::new(state.fills_from, terms);
+        let grants = state.grants.get_or_insert(empty);
         grants.set_terms(now, terms);
         let is_given = grants.take(now);
         state.asked += 1;
--- a/crates/moleroad_gateway/tests/cold.rs
+++ b/crates/moleroad_gateway/tests/cold.rs
@@ -237,6 +237,17 @@
     assert!(engine.grant(Millis(4_070), ask(0)).is_given);
 }
 
+#[test]
+fn grants_come_up_from_the_begin_of_the_agent_and_not_from_the_first_question() {
+    let engine = ColdEngine::default();
+    for at in [10_000, 10_400] {
+        engine.is_alive(Millis(at));
+    }
+    let given = |at| engine.grant(Millis(at), ask(0)).is_given;
+    assert_eq!([given(10_500), given(10_500), given(10_500)], [true; 3]);
+    assert!(!given(10_500));
+}
+
 #[test]
 fn a_bound_that_bears_nothing_gets_nothing() {
     let engine = ColdEngine::default();
