--- a/crates/moleroad_dispatch/src/division.rs
+++ b/crates/moleroad_dispatch/src/division.rs
@@ -73,12 +73,10 @@
 
     /// Notes a send.
     pub fn note(&mut self, now: Millis) {
-        while self.0.front().is_some_and(|at| now.since(*at) >= SPAN_MS) {
+        if self.0.len() >= MOST_TIMES {
             self.0.pop_front();
         }
-        if self.0.len() < MOST_TIMES {
-            self.0.push_back(now);
-        }
+        self.0.push_back(now);
     }
 }
 
--- a/crates/moleroad_dispatch/tests/rate_bound.rs
+++ b/crates/moleroad_dispatch/tests/rate_bound.rs
@@ -254,6 +254,14 @@
     assert!(!bucket.take(Millis(6_070)));
 }
 
+#[test]
+fn what_was_sent_before_a_target_turned_cold_counts_toward_the_part() {
+    let mut sends = SendTimes::default();
+    (0..100).for_each(|at| sends.note(Millis(at * 10)));
+    assert!(!sends.has_room(Millis(990 + SPAN_MS - 1), 1));
+    assert!(sends.has_room(Millis(990 + SPAN_MS), 1));
+}
+
 #[test]
 fn other_terms_take_effect_at_once() {
     let terms = usual().terms().expect("terms");
