--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -1,5 +1,7 @@
 //! Choosing among the targets of a service.
 
+use crate::cold::{Admission, ColdTarget};
+use crate::division::SendTimes;
 use crate::eligibility::barrier;
 use crate::health::Outcome;
 use crate::load::TargetLoad;
@@ -8,6 +10,7 @@
 use moleroad_types::prelude::{AllowedRegions, Millis, Region};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// How far a target is from this entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -59,6 +62,10 @@
     pub slowness: f64,
     /// Where the agent beside it answers; `None` without one.
     pub agent: Option<SocketAddr>,
+    /// The bound on it while it is cold; `None` where its service has none.
+    pub cold: Option<Arc<ColdTarget>>,
+    /// Until when the grant holds on which the request is sent; `None` without.
+    pub granted_until: Option<Millis>,
 }
 
 /// Which targets are looked at.
@@ -159,8 +166,10 @@
     pub reading: Option<ReadingSpeed>,
     /// Whether targets that fail are not avoided.
     pub ignores_failures: bool,
-    candidates: Vec<Candidate>,
-    loads: HashMap<TargetId, TargetLoad>,
+    pub(crate) candidates: Vec<Candidate>,
+    pub(crate) loads: HashMap<TargetId, TargetLoad>,
+    /// Sends to targets that have a bound while they are cold.
+    pub(crate) sends: HashMap<TargetId, SendTimes>,
 }
 
 impl Targets {
@@ -169,6 +178,8 @@
         self.loads.retain(|id, load| {
             load.own() > 0 || candidates.iter().any(|candidate| candidate.id == *id)
         });
+        let loads = &self.loads;
+        self.sends.retain(|id, _| loads.contains_key(id));
         self.candidates = candidates;
     }
 
@@ -203,6 +214,9 @@
     pub fn started(&mut self, now: Millis, id: &TargetId, tokens: u64) {
         let load = self.loads.entry(id.clone()).or_default();
         load.started(now, tokens);
+        if self.candidate(id).is_some_and(|c| c.cold.is_some()) {
+            self.sends.entry(id.clone()).or_default().note(now);
+        }
     }
 
     /// Counts a prompt as read: the answer to it began, or never will.
@@ -234,6 +248,7 @@
         }
         let free = pool
             .iter()
+            .filter(|candidate| self.goes_unasked(now, candidate))
             .filter(|candidate| self.has_place(now, candidate, needs.spare))
             .filter(|candidate| self.is_in_time(now, candidate, needs));
         let free: Vec<&Candidate> = free.copied().collect();
@@ -300,6 +315,7 @@
             .filter_map(|looked_at| self.candidate(&looked_at.id));
         let free = known
             .filter(|candidate| barrier(candidate, needs).is_none())
+            .filter(|candidate| self.admission(now, candidate) != Admission::Closed)
             .filter(|candidate| self.has_place(now, candidate, needs.spare))
             .filter(|candidate| self.is_in_time(now, candidate, needs));
         let best = free.min_by(|a, b| self.cost_ms(now, a).total_cmp(&self.cost_ms(now, b)));
@@ -347,7 +363,7 @@
         let unread = load.unread_tokens(now, reading.usual_prompt);
         let own = needs.prompt_tokens as f64;
         let first_event_ms = reading.first_event_ms(own, unread, load.requests(now));
-        first_event_ms * candidate.slowness <= within_ms as f64
+        first_event_ms * self.slowness(now, candidate) <= within_ms as f64
     }
 
     /// What sending to the candidate costs, as a time in milliseconds.
@@ -360,12 +376,12 @@
             Some(reading) => {
                 let unread = load.unread_tokens(now, reading.usual_prompt);
                 let first_ms = reading.first_event_ms(0.0, unread, requests);
-                first_ms * candidate.slowness + BUSY_ENGINE_COST_MS * requests / slots
+                first_ms * self.slowness(now, candidate) + BUSY_ENGINE_COST_MS * requests / slots
             }
         };
         let beyond = (requests + 1.0 - slots).max(0.0) * FULL_COST_MS / slots;
         let failing = load.health.failure_rate(now) * FAILURE_COST_MS;
-        let slow = (candidate.slowness - 1.0).max(0.0) * SLOW_COST_MS;
+        let slow = (self.slowness(now, candidate) - 1.0).max(0.0) * SLOW_COST_MS;
         candidate.distance.cost_ms() + busy + beyond + failing + slow
     }
 
--- a/crates/moleroad_dispatch/src/lib.rs
+++ b/crates/moleroad_dispatch/src/lib.rs
@@ -5,10 +5,16 @@
 //! ended. Each entry shares the targets with others that it does not ask:
 //! [`load`] estimates what they have in flight from what agents report,
 //! [`reading`] predicts its first event, [`eligibility`] says which targets a
-//! request may go to, [`choice`] picks the cheapest of them, [`queue`] orders those that wait for
-//! a place, [`pace`] tells how soon late ones get one
-//! and [`overdue_share`] how many they may take, [`share`] says whose the last places are, [`health`] remembers what failed, and [`budget`] holds the entry's
-//! share of the repeats that all entries may send.
+//! request may go to, [`choice`] picks the cheapest of them, [`queue`] orders
+//! those that wait for a place, [`pace`] tells how soon late ones get one and
+//! [`overdue_share`] how many they may take, [`share`] says whose the last
+//! places are, [`health`] remembers what failed, and [`budget`] holds the
+//! entry's share of the repeats that all entries may send.
+//!
+//! A target that is cold takes few requests a second: [`cold`] says whether it
+//! is, [`admission`] how a request may go there, [`rate_bound`] gives the grants
+//! by which all entries keep the bound, and [`division`] stands in where nobody
+//! gives any.
 //!
 //! ```
 //! use moleroad_dispatch::prelude::*;
@@ -20,27 +26,35 @@
 //! ```
 #![warn(missing_docs)]
 
+pub mod admission;
 pub mod budget;
 pub mod choice;
+pub mod cold;
+pub mod division;
 pub mod eligibility;
 pub mod health;
 pub mod load;
 pub mod overdue_share;
 pub mod pace;
 pub mod queue;
+pub mod rate_bound;
 pub mod reading;
 pub mod share;
 
 /// The types most users of the crate need.
 pub mod prelude {
+    pub use crate::admission::COLD_SLOWNESS;
     pub use crate::budget::{BudgetTerms, RepeatBudget};
     pub use crate::choice::{Candidate, Choice, Distance, Needs, Reach, Targets};
+    pub use crate::cold::{Admission, ColdNews, ColdSource, ColdTarget};
+    pub use crate::division::{Division, SendTimes, may_send_from};
     pub use crate::eligibility::{Barrier, barrier};
     pub use crate::health::{Health, Outcome};
     pub use crate::load::TargetLoad;
     pub use crate::overdue_share::OverdueShare;
     pub use crate::pace::Pace;
     pub use crate::queue::{Line, WaitQueue, Waiter, WaiterId};
+    pub use crate::rate_bound::{GRANT_LIFE_MS, GrantTerms, RateBound, TokenBucket};
     pub use crate::reading::ReadingSpeed;
     pub use crate::share::{EntryDemand, share};
 }
