--- a/crates/moleroad_config/src/lib.rs
+++ b/crates/moleroad_config/src/lib.rs
@@ -4,7 +4,8 @@
 //! [`Configuration`](configuration::Configuration) is plain data.
 //! [`check`](check::check) refuses what may never be in force, and
 //! [`RouteTable`](route_table::RouteTable) is the form that requests are
-//! looked up in.
+//! looked up in. [`Residency`](residency::Residency) says in which regions a
+//! request may be served.
 //!
 //! ```
 //! use moleroad_config::prelude::*;
@@ -18,6 +19,7 @@
 
 pub mod check;
 pub mod configuration;
+pub mod residency;
 pub mod route_table;
 
 /// The types most users of the crate need.
@@ -27,5 +29,6 @@
         ClientAccount, ColdStart, ConfigVersion, Configuration, EngineModel, Limits, OriginService,
         Repeatability, Route, Service, StepModel, WeightedService,
     };
+    pub use crate::residency::{Residency, ResidencyWarning, residency_warnings};
     pub use crate::route_table::RouteTable;
 }
--- a/crates/moleroad_config/src/route_table.rs
+++ b/crates/moleroad_config/src/route_table.rs
@@ -3,6 +3,7 @@
 use crate::configuration::{
     ClientAccount, ConfigVersion, Configuration, Limits, Route, Service, WeightedService,
 };
+use moleroad_types::prelude::AllowedRegions;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -11,7 +12,9 @@
 pub struct RouteTable {
     version: ConfigVersion,
     hosts: HashMap<String, Vec<Arc<Route>>>,
+    host_regions: HashMap<String, AllowedRegions>,
     keys: HashMap<String, Arc<ClientAccount>>,
+    accounts: Vec<Arc<ClientAccount>>,
     services: HashMap<String, Arc<Service>>,
     limits: Limits,
     needs_key: bool,
@@ -28,9 +31,16 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
+        let host_regions = hosts.iter().map(|(host, routes)| {
+            let regions = regions_of(routes);
+            (host.clone(), regions)
+        });
+        let host_regions = host_regions.collect();
         let mut keys = HashMap::new();
+        let mut accounts = Vec::new();
         for account in &configuration.accounts {
             let shared = Arc::new(account.clone());
+            accounts.push(shared.clone());
             for key in &account.keys {
                 keys.insert(key.clone(), shared.clone());
             }
@@ -40,7 +50,9 @@
         Self {
             version: configuration.version,
             hosts,
+            host_regions,
             keys,
+            accounts,
             services: services.collect(),
             limits: configuration.limits,
             needs_key: !configuration.accounts.is_empty(),
@@ -64,6 +76,25 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// All routes, in no order.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flatten()
+    }
+
+    /// All accounts.
+    pub fn accounts(&self) -> impl Iterator<Item = &Arc<ClientAccount>> {
+        self.accounts.iter()
+    }
+
+    /// Where entries for a host's callers stand best. Callers that look for an
+    /// entry name the host alone, so these are the regions that all its routes
+    /// allow, and where there is none, those that any of them allows.
+    pub fn regions_of_host(&self, host: &str) -> AllowedRegions {
+        let name = host_name(host).to_ascii_lowercase();
+        let regions = self.host_regions.get(&name);
+        regions.cloned().unwrap_or_default()
+    }
+
     /// Whether requests to routes that are not public need a key.
     pub fn needs_key(&self) -> bool {
         self.needs_key
@@ -109,3 +140,16 @@
         _ => host,
     }
 }
+
+fn regions_of(routes: &[Arc<Route>]) -> AllowedRegions {
+    let sets = routes.iter().map(|route| &route.allowed_regions);
+    let common = sets
+        .clone()
+        .fold(AllowedRegions::all(), |all, set| all.and(set));
+    if !common.is_none() {
+        return common;
+    }
+    let restricted = sets.filter(|set| !set.is_all());
+    let none = AllowedRegions::only([]);
+    restricted.fold(none, |any, set| any.or(set))
+}
--- a/crates/moleroad_directory/src/directory.rs
+++ b/crates/moleroad_directory/src/directory.rs
@@ -3,7 +3,7 @@
 use crate::changes::{Changes, Difference};
 use crate::daemon::{DaemonRecord, DaemonRole, DaemonState};
 use crate::target::{TargetId, TargetLife, TargetRecord};
-use moleroad_types::prelude::{InstanceId, Millis};
+use moleroad_types::prelude::{AllowedRegions, InstanceId, Millis, Region};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
@@ -260,17 +260,34 @@
             .map(|heard| &heard.record)
     }
 
-    /// Addresses for a caller in `hall` and `region`: those of its own data
-    /// hall, with the region's and then all others where there are too few.
-    pub fn addresses_for(&self, now: Millis, hall: &str, region: &str) -> Vec<SocketAddr> {
-        let mut ranked: Vec<(u8, SocketAddr)> = self
+    /// Addresses for a caller in `hall` and `region` whose requests `allowed`
+    /// regions may serve: those of its own data hall, with its region's and then
+    /// those of allowed regions where there are too few. Others are named only
+    /// when there is none of these: an entry there would hold a body where it
+    /// may not be.
+    pub fn addresses_for(
+        &self,
+        now: Millis,
+        hall: &str,
+        region: &str,
+        allowed: &AllowedRegions,
+    ) -> Vec<SocketAddr> {
+        let mut ranked: Vec<(Nearness, SocketAddr)> = self
             .ready_entries(now)
-            .filter_map(|entry| Some((distance(entry, hall, region), entry.frontend?)))
+            .filter_map(|entry| Some((nearness(entry, hall, region, allowed), entry.frontend?)))
             .collect();
         ranked.sort();
-        let enough = |rank: u8| ranked.iter().filter(|(r, _)| *r <= rank).count() >= FEWEST_NAMED;
-        let limit = (0..2).find(|rank| enough(*rank)).unwrap_or(2);
-        let named = ranked.iter().filter(|(rank, _)| *rank <= limit);
+        let count = |least: Nearness| ranked.iter().filter(|(near, _)| *near <= least).count();
+        let limit = if count(Nearness::Hall) >= FEWEST_NAMED {
+            Nearness::Hall
+        } else if count(Nearness::Region) >= FEWEST_NAMED {
+            Nearness::Region
+        } else if count(Nearness::AllowedRegion) > 0 {
+            Nearness::AllowedRegion
+        } else {
+            Nearness::Elsewhere
+        };
+        let named = ranked.iter().filter(|(near, _)| *near <= limit);
         named
             .map(|(_, address)| *address)
             .take(MOST_NAMED)
@@ -278,12 +295,23 @@
     }
 }
 
-fn distance(entry: &DaemonRecord, hall: &str, region: &str) -> u8 {
+/// Where an entry stands for a caller, the best first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Nearness {
+    Hall,
+    Region,
+    AllowedRegion,
+    Elsewhere,
+}
+
+fn nearness(entry: &DaemonRecord, hall: &str, region: &str, allowed: &AllowedRegions) -> Nearness {
     if entry.hall == hall {
-        0
+        Nearness::Hall
     } else if entry.region == region {
-        1
+        Nearness::Region
+    } else if allowed.contains(&Region::new(entry.region.as_str())) {
+        Nearness::AllowedRegion
     } else {
-        2
+        Nearness::Elsewhere
     }
 }
--- a/crates/moleroad_directory/tests/directory.rs
+++ b/crates/moleroad_directory/tests/directory.rs
@@ -96,18 +96,33 @@
     ] {
         directory.hear_daemon(Millis(0), entry(name, hall, region, port), 0);
     }
-    assert_eq!(directory.addresses_for(Millis(1), "h1", "r1").len(), 2);
-    assert_eq!(directory.addresses_for(Millis(1), "h2", "r2").len(), 3);
+    assert_eq!(
+        directory
+            .addresses_for(Millis(1), "h1", "r1", &AllowedRegions::all())
+            .len(),
+        2
+    );
+    assert_eq!(
+        directory
+            .addresses_for(Millis(1), "h2", "r2", &AllowedRegions::all())
+            .len(),
+        3
+    );
     let mut leaving = entry("a1", "h1", "r1", 1);
     leaving.state = DaemonState::Leaving;
     leaving.sequence = 2;
     let position = directory.position();
     assert!(directory.hear_daemon(Millis(2), leaving, 0));
     assert_ne!(position, directory.position());
-    assert_eq!(directory.addresses_for(Millis(3), "h1", "r1").len(), 2);
+    assert_eq!(
+        directory
+            .addresses_for(Millis(3), "h1", "r1", &AllowedRegions::all())
+            .len(),
+        2
+    );
     assert!(
         directory
-            .addresses_for(Millis(9_000), "h1", "r1")
+            .addresses_for(Millis(9_000), "h1", "r1", &AllowedRegions::all())
             .is_empty()
     );
 }
@@ -160,3 +175,51 @@
     pieces.set(0, false);
     assert_eq!(pieces.count(), 1);
 }
+
+/// Entries in the halls and regions `h1`/`r1` to `h4`/`r4`, at ports of their
+/// own, except in those that are left out.
+fn entries_in_four_regions(left_out: &[u16]) -> Directory {
+    let mut directory = Directory::new();
+    for region in (1..=4u16).filter(|region| !left_out.contains(region)) {
+        for number in 0..2 {
+            let (hall, name) = (format!("h{region}"), format!("r{region}"));
+            let port = region * 10 + number;
+            let record = entry(&format!("{hall}-{number}"), &hall, &name, port);
+            directory.hear_daemon(Millis(0), record, 0);
+        }
+    }
+    directory
+}
+
+/// The regions, by number, of the entries that are named to a caller in `h1`
+/// whose requests may be served in these regions.
+fn named_regions(directory: &Directory, allowed: &[&str]) -> Vec<u16> {
+    let allowed = AllowedRegions::only(allowed.iter().map(|name| Region::new(*name)));
+    let named = directory.addresses_for(Millis(1), "h1", "r1", &allowed);
+    let mut regions: Vec<u16> = named.iter().map(|a| (a.port() - 1_000) / 10).collect();
+    regions.dedup();
+    regions
+}
+
+#[test]
+fn entries_of_allowed_regions_are_named_before_all_others() {
+    // The caller's own hall holds nothing that it must not.
+    let whole = entries_in_four_regions(&[]);
+    assert_eq!(named_regions(&whole, &["r2", "r3"]), [1]);
+    let without_own = entries_in_four_regions(&[1]);
+    assert_eq!(named_regions(&without_own, &["r2", "r3"]), [2, 3]);
+    assert_eq!(named_regions(&without_own, &["r4"]), [4]);
+}
+
+#[test]
+fn entries_elsewhere_are_named_when_there_are_no_others() {
+    let without_allowed = entries_in_four_regions(&[1, 2]);
+    assert_eq!(named_regions(&without_allowed, &["r2"]), [3, 4]);
+}
+
+#[test]
+fn one_entry_of_an_allowed_region_is_enough() {
+    let mut directory = entries_in_four_regions(&[1, 2]);
+    directory.hear_daemon(Millis(0), entry("only", "h2", "r2", 20), 0);
+    assert_eq!(named_regions(&directory, &["r2"]), [2]);
+}
--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -64,9 +64,9 @@
 /// Which targets are looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
-    /// Those of the own region.
+    /// Those of the own region; where it has none, some of other regions.
     Near,
-    /// Those of other regions.
+    /// Those of other regions; some more where the own region has none.
     Far,
 }
 
@@ -177,9 +177,12 @@
         &self.candidates
     }
 
-    /// Places over all targets.
-    pub fn places(&self) -> u32 {
-        let open = self.candidates.iter().filter(|c| !c.evacuated);
+    /// Places over all targets of these regions.
+    pub fn places(&self, regions: &AllowedRegions) -> u32 {
+        let open = self
+            .candidates
+            .iter()
+            .filter(|candidate| !candidate.evacuated && regions.contains(&candidate.region));
         open.map(|candidate| candidate.slots).sum()
     }
 
@@ -190,7 +193,8 @@
         self.candidates.iter().any(serves)
     }
 
-    fn candidate(&self, id: &TargetId) -> Option<&Candidate> {
+    /// The target as it is known now.
+    pub fn candidate(&self, id: &TargetId) -> Option<&Candidate> {
         self.candidates.iter().find(|candidate| candidate.id == *id)
     }
 
@@ -276,14 +280,18 @@
         reach: Reach,
         draw: u64,
     ) -> Vec<Candidate> {
-        let is_far = |candidate: &Candidate| candidate.distance == Distance::OtherRegion;
-        let mut pool = self.pool(now, needs);
-        pool.retain(|candidate| is_far(candidate) == (reach == Reach::Far));
-        let count = match reach {
-            Reach::Near => NEAR_ASKED,
-            Reach::Far => FAR_ASKED,
+        let is_far = |candidate: &&Candidate| candidate.distance == Distance::OtherRegion;
+        let (far, near): (Vec<_>, Vec<_>) = self.pool(now, needs).into_iter().partition(is_far);
+        // Where the own region has none, those of others are asked in its place:
+        // such a request gets the best of as many as any other.
+        let (pool, passed_over, count) = match (reach, near.is_empty()) {
+            (Reach::Near, false) => (near, 0, NEAR_ASKED),
+            (Reach::Far, false) => (far, 0, FAR_ASKED),
+            (Reach::Near, true) => (far, 0, NEAR_ASKED),
+            (Reach::Far, true) => (far, NEAR_ASKED, FAR_ASKED),
         };
-        draw_some(pool, count, draw).into_iter().cloned().collect()
+        let drawn = draw_some(pool, passed_over + count, draw);
+        drawn.into_iter().skip(passed_over).cloned().collect()
     }
 
     /// The cheapest of these targets that may still take the request, has a
@@ -369,8 +377,8 @@
         candidate.distance.cost_ms() + busy + beyond + failing + slow
     }
 
-    /// Places that are free, over all targets.
-    pub fn free_places(&self, now: Millis) -> f64 {
+    /// Places that are free, over all targets of these regions.
+    pub fn free_places(&self, now: Millis, regions: &AllowedRegions) -> f64 {
         let free = |candidate: &Candidate| {
             let load = self.load(&candidate.id);
             (f64::from(candidate.slots) - load.requests(now)).max(0.0)
@@ -378,7 +386,8 @@
         let usable = self
             .candidates
             .iter()
-            .filter(|candidate| !candidate.switching && !candidate.evacuated);
+            .filter(|candidate| !candidate.switching && !candidate.evacuated)
+            .filter(|candidate| regions.contains(&candidate.region));
         usable.map(free).sum()
     }
 }
--- a/crates/moleroad_dispatch/src/eligibility.rs
+++ b/crates/moleroad_dispatch/src/eligibility.rs
@@ -5,6 +5,7 @@
 //! and a target whose agent was asked.
 
 use crate::choice::{Candidate, Needs};
+use moleroad_types::prelude::AllowedRegions;
 
 /// Why a target may not get a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -22,8 +23,7 @@
 /// What keeps `candidate` from getting a request with these needs; `None` when
 /// it may be sent there.
 pub fn barrier(candidate: &Candidate, needs: Needs<'_>) -> Option<Barrier> {
-    let is_allowed =
-        |regions: &moleroad_types::prelude::AllowedRegions| regions.contains(&candidate.region);
+    let is_allowed = |regions: &AllowedRegions| regions.contains(&candidate.region);
     if !needs.regions.is_none_or(is_allowed) {
         return Some(Barrier::Region);
     }
@@ -39,3 +39,33 @@
         .contains(&candidate.id)
         .then_some(Barrier::Tried)
 }
+
+/// How many targets each barrier keeps from getting a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BarrierTally {
+    /// Stand in a region where it may not be served.
+    pub region: usize,
+    /// Stand in an evacuated data hall.
+    pub evacuated: usize,
+    /// Have weights that are too old.
+    pub old_weights: usize,
+    /// Had it before.
+    pub tried: usize,
+    /// May get it.
+    pub open: usize,
+}
+
+/// Counts what keeps `candidates` from getting a request with these needs.
+pub fn tally(candidates: &[Candidate], needs: Needs<'_>) -> BarrierTally {
+    let mut tally = BarrierTally::default();
+    for candidate in candidates {
+        match barrier(candidate, needs) {
+            Some(Barrier::Region) => tally.region += 1,
+            Some(Barrier::Evacuated) => tally.evacuated += 1,
+            Some(Barrier::OldWeights) => tally.old_weights += 1,
+            Some(Barrier::Tried) => tally.tried += 1,
+            None => tally.open += 1,
+        }
+    }
+    tally
+}
--- a/crates/moleroad_dispatch/src/lib.rs
+++ b/crates/moleroad_dispatch/src/lib.rs
@@ -35,7 +35,7 @@
 pub mod prelude {
     pub use crate::budget::{BudgetTerms, RepeatBudget};
     pub use crate::choice::{Candidate, Choice, Distance, Needs, Reach, Targets};
-    pub use crate::eligibility::{Barrier, barrier};
+    pub use crate::eligibility::{Barrier, BarrierTally, barrier, tally};
     pub use crate::health::{Health, Outcome};
     pub use crate::load::TargetLoad;
     pub use crate::overdue_share::OverdueShare;
--- a/crates/moleroad_dispatch/src/queue.rs
+++ b/crates/moleroad_dispatch/src/queue.rs
@@ -1,6 +1,6 @@
 //! Requests that wait at the entry for a place at a target.
 
-use moleroad_types::prelude::Millis;
+use moleroad_types::prelude::{AllowedRegions, Millis};
 
 /// Names a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -16,7 +16,7 @@
 }
 
 /// One waiting request.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Waiter {
     /// Its name.
     pub id: WaiterId,
@@ -30,6 +30,8 @@
     pub wanted_by: Millis,
     /// Until when a place is of any use.
     pub until: Millis,
+    /// Regions in which it may be served.
+    pub regions: AllowedRegions,
 }
 
 /// Most requests that wait for one service; further ones are refused.
@@ -66,26 +68,42 @@
         self.waiters.is_empty()
     }
 
-    /// Number of requests that wait in one line.
-    pub fn len_of(&self, line: Line) -> usize {
-        let in_line = self.waiters.iter().filter(|waiter| waiter.line == line);
-        in_line.count()
+    /// Number of requests of one line that wait for any place that one with
+    /// these regions would wait for. Those that may be served in fewer regions
+    /// do not count: the places that they wait for may not be its own.
+    pub fn len_ahead(&self, line: Line, regions: &AllowedRegions) -> usize {
+        let is_ahead = |waiter: &&Waiter| waiter.line == line && waiter.regions.covers(regions);
+        self.waiters.iter().filter(is_ahead).count()
+    }
+
+    /// Notes that another configuration changed where a request may be served.
+    pub fn set_regions(&mut self, id: WaiterId, regions: &AllowedRegions) {
+        let found = self.waiters.iter_mut().find(|waiter| waiter.id == id);
+        if let Some(waiter) = found {
+            waiter.regions = regions.clone();
+        }
     }
 
     /// Who should get the next place: those that hope for their wanted latency
     /// before those that do not; among them those that can still be in time,
-    /// by rank, the longest waiting first.
-    pub fn next(&self, now: Millis) -> Option<WaiterId> {
-        let first = self.useful(now).min_by_key(|waiter| rank(now, waiter));
+    /// by rank, the longest waiting first. Passes over those that may be served
+    /// in regions alone that are `full`.
+    pub fn next(&self, now: Millis, full: &[AllowedRegions]) -> Option<WaiterId> {
+        let has_room = |waiter: &&Waiter| !full.iter().any(|full| full.covers(&waiter.regions));
+        let hopeful = self.useful(now).filter(has_room);
+        let first = hopeful.min_by_key(|waiter| rank(now, waiter));
         first.map(|waiter| waiter.id)
     }
 
-    /// Whether a request is among the first `count` of its line.
+    /// Whether a request is among the first `count` of those of its line that
+    /// wait for the same places.
     pub fn is_among_first(&self, count: usize, id: WaiterId, now: Millis) -> bool {
         let Some(own) = self.waiters.iter().find(|waiter| waiter.id == id) else {
             return false;
         };
-        let same_line = self.useful(now).filter(|waiter| waiter.line == own.line);
+        let same_line = self
+            .useful(now)
+            .filter(|waiter| waiter.line == own.line && waiter.regions.covers(&own.regions));
         let before = same_line.filter(|waiter| rank(now, waiter) < rank(now, own));
         before.count() < count
     }
--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -2,7 +2,7 @@
 
 use moleroad_directory::prelude::TargetId;
 use moleroad_dispatch::prelude::*;
-use moleroad_types::prelude::{Millis, Region};
+use moleroad_types::prelude::{AllowedRegions, Millis, Region};
 
 fn candidate(name: &str, distance: Distance) -> Candidate {
     Candidate {
@@ -52,7 +52,7 @@
         targets.reported(Millis(0), &TargetId::new(name), 4, 0);
     }
     assert_eq!(targets.choose(Millis(1), Needs::default(), 0), Choice::Full);
-    assert_eq!(targets.free_places(Millis(1)), 0.0);
+    assert_eq!(targets.free_places(Millis(1), &AllowedRegions::all()), 0.0);
     // A report that is old counts less and less.
     assert!(matches!(
         targets.choose(Millis(5_000), Needs::default(), 0),
@@ -151,6 +151,7 @@
         since: Millis(since),
         wanted_by: Millis(wanted_by),
         until: Millis(1_000),
+        regions: AllowedRegions::all(),
     }
 }
 
@@ -160,13 +161,13 @@
     assert!(queue.enter(waiter(1, 1, 0, 100)));
     assert!(queue.enter(waiter(2, 1, 10, 300)));
     assert!(queue.enter(waiter(3, 0, 20, 300)));
-    assert_eq!(queue.next(Millis(50)), Some(WaiterId(3)));
+    assert_eq!(queue.next(Millis(50), &[]), Some(WaiterId(3)));
     queue.leave(WaiterId(3));
-    assert_eq!(queue.next(Millis(50)), Some(WaiterId(1)));
-    assert_eq!(queue.next(Millis(200)), Some(WaiterId(2)));
+    assert_eq!(queue.next(Millis(50), &[]), Some(WaiterId(1)));
+    assert_eq!(queue.next(Millis(200), &[]), Some(WaiterId(2)));
     queue.leave(WaiterId(2));
-    assert_eq!(queue.next(Millis(200)), Some(WaiterId(1)));
-    assert_eq!(queue.next(Millis(1_000)), None);
+    assert_eq!(queue.next(Millis(200), &[]), Some(WaiterId(1)));
+    assert_eq!(queue.next(Millis(1_000), &[]), None);
     assert_eq!(queue.expired(Millis(1_000)), vec![WaiterId(1)]);
 }
 
--- a/crates/moleroad_dispatch/tests/overdue.rs
+++ b/crates/moleroad_dispatch/tests/overdue.rs
@@ -3,7 +3,7 @@
 
 use moleroad_directory::prelude::TargetId;
 use moleroad_dispatch::prelude::*;
-use moleroad_types::prelude::{Millis, Region};
+use moleroad_types::prelude::{AllowedRegions, Millis, Region};
 
 fn waiter(id: u64, line: Line, since: u64) -> Waiter {
     Waiter {
@@ -13,6 +13,7 @@
         since: Millis(since),
         wanted_by: Millis(5_000),
         until: Millis(5_000),
+        regions: AllowedRegions::all(),
     }
 }
 
@@ -22,8 +23,8 @@
     assert!(queue.enter(waiter(1, Line::Overdue, 0)));
     assert!(queue.enter(waiter(2, Line::Overdue, 5)));
     assert!(queue.enter(waiter(3, Line::InTime, 90)));
-    assert_eq!(queue.next(Millis(100)), Some(WaiterId(3)));
-    assert_eq!(queue.len_of(Line::Overdue), 2);
+    assert_eq!(queue.next(Millis(100), &[]), Some(WaiterId(3)));
+    assert_eq!(queue.len_ahead(Line::Overdue, &AllowedRegions::all()), 2);
     // Each line looks for places by itself.
     assert!(queue.is_among_first(1, WaiterId(1), Millis(100)));
     assert!(!queue.is_among_first(1, WaiterId(2), Millis(100)));
@@ -98,7 +99,7 @@
         targets.choose(Millis(0), in_time, 0),
         Choice::Send(_)
     ));
-    assert_eq!(targets.places(), 3);
+    assert_eq!(targets.places(&AllowedRegions::all()), 3);
     assert!(targets.any_serves(at_least(4)));
     assert!(!targets.any_serves(at_least(5)));
 }
@@ -108,22 +109,22 @@
     let mut share = OverdueShare::default();
     // A dozen places: three may run.
     for _ in 0..3 {
-        assert!(share.admits(10.0));
-        share.started();
+        assert!(share.admits(10.0, &AllowedRegions::all()));
+        share.started(&Region::new("r"));
     }
-    assert!(!share.admits(10.0));
+    assert!(!share.admits(10.0, &AllowedRegions::all()));
     (0..8).for_each(|_| share.in_time_missed());
-    share.ended();
-    assert!(!share.admits(10.0));
+    share.ended(&Region::new("r"));
+    assert!(!share.admits(10.0, &AllowedRegions::all()));
     // One always may.
-    share.ended();
-    share.ended();
-    assert!(share.admits(10.0));
+    share.ended(&Region::new("r"));
+    share.ended(&Region::new("r"));
+    assert!(share.admits(10.0, &AllowedRegions::all()));
     // Nobody runs: what is missed is not their fault.
-    let before = share;
+    let before = share.clone();
     share.in_time_missed();
     assert_eq!(share, before);
     (0..100).for_each(|_| share.in_time_placed());
-    (0..2).for_each(|_| share.started());
-    assert!(share.admits(10.0));
+    (0..2).for_each(|_| share.started(&Region::new("r")));
+    assert!(share.admits(10.0, &AllowedRegions::all()));
 }
--- /dev/null
+++ b/crates/moleroad_dispatch/tests/residency.rs
@@ -0,0 +1,329 @@
+//! No request reaches a target outside the regions where it may be served.
+
+use moleroad_directory::prelude::TargetId;
+use moleroad_dispatch::prelude::*;
+use moleroad_types::prelude::{AllowedRegions, Millis, Region};
+use proptest::prelude::*;
+
+/// The region of the entry that chooses.
+const OWN: &str = "r0";
+const REGIONS: [&str; 4] = [OWN, "r1", "r2", "r3"];
+
+fn only(names: &[&str]) -> AllowedRegions {
+    AllowedRegions::only(names.iter().map(|name| Region::new(*name)))
+}
+
+fn target(number: usize, region: &str) -> Candidate {
+    Candidate {
+        id: TargetId::new(format!("t{number}")),
+        address: "127.0.0.1:1".parse().unwrap(),
+        slots: 2,
+        most_own: 2,
+        share: 2,
+        distance: if region == OWN {
+            Distance::SameRegion
+        } else {
+            Distance::OtherRegion
+        },
+        region: Region::new(region),
+        evacuated: false,
+        version: Some(2),
+        switching: false,
+        slowness: 1.0,
+        agent: Some("127.0.0.1:2".parse().unwrap()),
+    }
+}
+
+fn targets(regions: &[&str]) -> Targets {
+    let mut targets = Targets::default();
+    let candidates = regions.iter().enumerate();
+    targets.set(
+        candidates
+            .map(|(number, region)| target(number, region))
+            .collect(),
+    );
+    targets
+}
+
+fn allowed_in(regions: &AllowedRegions) -> Needs<'_> {
+    Needs {
+        regions: Some(regions),
+        ..Needs::default()
+    }
+}
+
+fn region_of(choice: Choice) -> Option<String> {
+    match choice {
+        Choice::Send(candidate) => Some(candidate.region.to_string()),
+        Choice::Full | Choice::Nobody => None,
+    }
+}
+
+#[test]
+fn a_near_target_is_passed_over_for_an_allowed_far_one() {
+    let targets = targets(&[OWN, OWN, "r1"]);
+    let far = only(&["r1"]);
+    let chosen = targets.choose(Millis(1), allowed_in(&far), 7);
+    assert_eq!(region_of(chosen).as_deref(), Some("r1"));
+}
+
+#[test]
+fn a_full_allowed_region_is_waited_for() {
+    let mut targets = targets(&[OWN, "r1"]);
+    let far = only(&["r1"]);
+    for _ in 0..2 {
+        targets.started(Millis(0), &TargetId::new("t1"), 0);
+    }
+    assert_eq!(targets.choose(Millis(1), allowed_in(&far), 7), Choice::Full);
+    assert!(targets.any_serves(allowed_in(&far)));
+}
+
+#[test]
+fn without_a_target_in_an_allowed_region_nobody_can_take_it() {
+    let targets = targets(&[OWN, OWN, "r1"]);
+    let empty = only(&["r2"]);
+    assert_eq!(
+        targets.choose(Millis(1), allowed_in(&empty), 7),
+        Choice::Nobody
+    );
+    assert!(!targets.any_serves(allowed_in(&empty)));
+    let none = only(&[]);
+    assert_eq!(
+        targets.choose(Millis(1), allowed_in(&none), 7),
+        Choice::Nobody
+    );
+}
+
+#[test]
+fn each_target_is_counted_under_what_keeps_it_out_first() {
+    let mut candidates: Vec<Candidate> = [OWN, "r1", "r1", "r1", "r1", "r2"]
+        .iter()
+        .enumerate()
+        .map(|(number, region)| target(number, region))
+        .collect();
+    candidates[1].evacuated = true;
+    candidates[2].version = Some(1);
+    let tried = [candidates[3].id.clone(), candidates[0].id.clone()];
+    let regions = only(&["r1"]);
+    let needs = Needs {
+        tried: &tried,
+        least: Some(2),
+        regions: Some(&regions),
+        ..Needs::default()
+    };
+    let expected = BarrierTally {
+        region: 2,
+        evacuated: 1,
+        old_weights: 1,
+        tried: 1,
+        open: 1,
+    };
+    assert_eq!(tally(&candidates, needs), expected);
+}
+
+#[test]
+fn places_count_in_allowed_regions_alone() {
+    let mut targets = targets(&[OWN, "r1", "r1", "r2"]);
+    let two = only(&["r1", "r2"]);
+    assert_eq!(targets.places(&AllowedRegions::all()), 8);
+    assert_eq!(targets.places(&two), 6);
+    targets.started(Millis(0), &TargetId::new("t1"), 0);
+    targets.started(Millis(0), &TargetId::new("t0"), 0);
+    assert_eq!(targets.free_places(Millis(1), &two), 5.0);
+}
+
+#[test]
+fn as_many_agents_are_asked_where_the_own_region_is_not_allowed() {
+    let regions: Vec<&str> = (0..40).map(|number| REGIONS[number % 4]).collect();
+    let targets = targets(&regions);
+    let home = only(&["r1", "r2"]);
+    let ids = |needs, reach| -> Vec<TargetId> {
+        let drawn = targets.shortlist(Millis(1), needs, reach, 99);
+        drawn.into_iter().map(|candidate| candidate.id).collect()
+    };
+    for reach in [Reach::Near, Reach::Far] {
+        let any = ids(Needs::default(), reach).len();
+        assert_eq!(ids(allowed_in(&home), reach).len(), any, "{reach:?}");
+    }
+    let near = ids(allowed_in(&home), Reach::Near);
+    let far = ids(allowed_in(&home), Reach::Far);
+    assert!(
+        far.iter().all(|id| !near.contains(id)),
+        "none is asked twice"
+    );
+}
+
+fn waiter(id: u64, regions: &AllowedRegions) -> Waiter {
+    Waiter {
+        id: WaiterId(id),
+        line: Line::InTime,
+        priority: 1,
+        since: Millis(id),
+        wanted_by: Millis(1_000),
+        until: Millis(1_000),
+        regions: regions.clone(),
+    }
+}
+
+#[test]
+fn one_that_waits_for_a_full_region_holds_nobody_else_up() {
+    let (home, all) = (only(&["r1"]), AllowedRegions::all());
+    let mut queue = WaitQueue::default();
+    assert!(queue.enter(waiter(1, &home)));
+    assert!(queue.enter(waiter(2, &home)));
+    assert!(queue.enter(waiter(3, &all)));
+    let now = Millis(50);
+    assert_eq!(queue.next(now, &[]), Some(WaiterId(1)));
+    assert_eq!(
+        queue.next(now, std::slice::from_ref(&home)),
+        Some(WaiterId(3))
+    );
+    assert_eq!(queue.next(now, std::slice::from_ref(&all)), None);
+    assert!(queue.is_among_first(1, WaiterId(3), now));
+    assert!(!queue.is_among_first(1, WaiterId(2), now));
+    // One that may go anywhere waits for the places of the home as well.
+    assert_eq!(queue.len_ahead(Line::InTime, &home), 3);
+    assert_eq!(queue.len_ahead(Line::InTime, &all), 1);
+}
+
+#[test]
+fn a_waiting_request_takes_the_regions_of_a_newer_configuration() {
+    let (home, other) = (only(&["r1"]), only(&["r2"]));
+    let mut queue = WaitQueue::default();
+    assert!(queue.enter(waiter(1, &home)));
+    queue.set_regions(WaiterId(1), &other);
+    assert_eq!(queue.next(Millis(50), &[home]), Some(WaiterId(1)));
+    assert_eq!(queue.next(Millis(50), &[other]), None);
+}
+
+#[test]
+fn overdue_requests_elsewhere_take_nothing_of_a_regions_share() {
+    let mut share = OverdueShare::default();
+    for _ in 0..3 {
+        share.started(&Region::new("r2"));
+    }
+    assert!(!share.admits(10.0, &AllowedRegions::all()));
+    assert!(share.admits(10.0, &only(&["r1"])));
+    assert!(!share.admits(10.0, &only(&["r1", "r2"])));
+    share.ended(&Region::new("r2"));
+    assert!(share.admits(10.0, &only(&["r1", "r2"])));
+}
+
+/// A set of regions: bit `n` stands for the region `n`; without a bit, all.
+fn set_of(bits: u8) -> AllowedRegions {
+    if bits == 0 {
+        return AllowedRegions::all();
+    }
+    let named = REGIONS.iter().enumerate();
+    let chosen = named.filter(|(number, _)| bits & (1 << number) != 0);
+    AllowedRegions::only(chosen.map(|(_, name)| Region::new(*name)))
+}
+
+/// Something that happens between and around the sends of one request.
+#[derive(Clone, Debug)]
+enum Happening {
+    /// It is sent by what is known.
+    Send { draw: u64 },
+    /// It is sent to the best of those whose agents are asked, after one of
+    /// them changed meanwhile.
+    Ask { draw: u64, evacuated: usize },
+    /// Another configuration comes into force.
+    Configure { route: u8, account: u8 },
+    /// A target fails, and is avoided.
+    Fail(usize),
+    /// The directory hears of other targets.
+    Hear(Vec<u8>),
+}
+
+fn happening() -> impl Strategy<Value = Happening> {
+    prop_oneof![
+        4 => any::<u64>().prop_map(|draw| Happening::Send { draw }),
+        4 => (any::<u64>(), 0..12usize)
+            .prop_map(|(draw, evacuated)| Happening::Ask { draw, evacuated }),
+        2 => (0..16u8, 0..16u8)
+            .prop_map(|(route, account)| Happening::Configure { route, account }),
+        1 => (0..12usize).prop_map(Happening::Fail),
+        1 => prop::collection::vec(0..4u8, 0..12).prop_map(Happening::Hear),
+    ]
+}
+
+fn heard(regions: &[u8]) -> Vec<Candidate> {
+    let candidates = regions.iter().enumerate();
+    candidates
+        .map(|(number, region)| target(number, REGIONS[usize::from(*region)]))
+        .collect()
+}
+
+/// Carries out one choice, and returns the target that is sent to.
+fn choose(
+    targets: &mut Targets,
+    now: Millis,
+    needs: Needs<'_>,
+    how: &Happening,
+) -> Option<Candidate> {
+    match how {
+        Happening::Send { draw } => match targets.choose(now, needs, *draw) {
+            Choice::Send(candidate) => Some(candidate),
+            Choice::Full | Choice::Nobody => None,
+        },
+        Happening::Ask { draw, evacuated } => {
+            let mut asked = targets.shortlist(now, needs, Reach::Near, *draw);
+            asked.extend(targets.shortlist(now, needs, Reach::Far, *draw));
+            let mut changed = targets.candidates().to_vec();
+            if let Some(candidate) = changed.get_mut(*evacuated) {
+                candidate.evacuated = true;
+            }
+            targets.set(changed);
+            targets.best_of(now, needs, &asked)
+        }
+        _ => None,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(4_000))]
+
+    #[test]
+    fn no_send_leaves_the_regions_that_route_and_account_allow(
+        regions in prop::collection::vec(0..4u8, 0..12),
+        route in 0..16u8,
+        account in 0..16u8,
+        happenings in prop::collection::vec(happening(), 1..24),
+    ) {
+        let mut targets = Targets::default();
+        targets.set(heard(&regions));
+        let (mut route, mut account) = (set_of(route), set_of(account));
+        let mut tried: Vec<TargetId> = Vec::new();
+        for (step, happening) in happenings.iter().enumerate() {
+            let now = Millis(step as u64 * 10);
+            match happening {
+                Happening::Configure { route: by_route, account: by_account } => {
+                    (route, account) = (set_of(*by_route), set_of(*by_account));
+                }
+                Happening::Fail(number) => {
+                    let id = TargetId::new(format!("t{number}"));
+                    targets.started(now, &id, 0);
+                    targets.finished(now, &id, Outcome::Broken);
+                }
+                Happening::Hear(regions) => {
+                    tried.clear();
+                    targets.set(heard(regions));
+                }
+                Happening::Send { .. } | Happening::Ask { .. } => {
+                    let allowed = route.and(&account);
+                    let needs = Needs { tried: &tried, regions: Some(&allowed), ..Needs::default() };
+                    let could = targets.any_serves(needs);
+                    let sent = choose(&mut targets, now, needs, happening);
+                    if let Some(sent) = sent {
+                        prop_assert!(could);
+                        prop_assert!(route.contains(&sent.region));
+                        prop_assert!(account.contains(&sent.region));
+                        prop_assert!(!sent.evacuated && !tried.contains(&sent.id));
+                        targets.started(now, &sent.id, 10);
+                        tried.push(sent.id);
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/moleroad_gateway/src/acquire.rs
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -5,7 +5,7 @@
 use crate::probe;
 use crate::view::View;
 use moleroad_dispatch::prelude::*;
-use moleroad_types::prelude::Millis;
+use moleroad_types::prelude::{AllowedRegions, Millis};
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
@@ -27,9 +27,22 @@
     }
 }
 
+/// What stands in the way of a place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoPlaceCause {
+    /// Targets have no room that makes the wanted latency.
+    NoRoom,
+    /// The route and the account allow no common region.
+    NoCommonRegion,
+    /// No region that they allow has a target.
+    NoAllowedTarget(BarrierTally),
+}
+
 /// Why there is no place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoPlace {
+    /// What stands in the way.
+    pub cause: NoPlaceCause,
     /// When to come back, in milliseconds.
     pub retry_after_ms: u64,
     /// Requests that waited.
@@ -70,7 +83,7 @@
         if ask.line == Line::Overdue
             && let Some(places) = node.view().services.get_mut(&ask.service)
         {
-            places.overdue_share.started();
+            places.overdue_share.started(&candidate.region);
         }
         Self {
             belief,
@@ -111,7 +124,7 @@
                 .targets
                 .finished(now, &self.candidate.id, self.outcome);
             if self.line == Line::Overdue {
-                places.overdue_share.ended();
+                places.overdue_share.ended(&self.candidate.region);
             }
             places.serve_waiting(now, least);
         }
@@ -146,7 +159,8 @@
 /// Waits for a place.
 ///
 /// # Errors
-/// [`NoPlace`] when there is none until [`Ask::until`], or too many wait.
+/// [`NoPlace`] when there is none until [`Ask::until`], too many wait, or no
+/// target may get the request.
 pub async fn acquire(node: &Arc<Node>, ask: &Ask) -> Result<Place, NoPlace> {
     let now = node.clock.now();
     let place = |candidate| Place::new(node, ask, candidate);
@@ -155,7 +169,11 @@
         let Some(places) = view.services.get(&ask.service) else {
             return Err(no_place(now, None, Needs::default()));
         };
-        places.queue.len_of(ask.line) == 0 && places.admits(ask.line, view.entry_count(now))
+        if let Some(refused) = refused_at_once(node, &view, ask) {
+            return Err(refused);
+        }
+        let ahead = places.queue.len_ahead(ask.line, ask.residency.allowed());
+        ahead == 0 && places.admits(ask, view.entry_count(now))
     };
     if nobody_waits && let Some(candidate) = probe::find(node, ask).await {
         return Ok(place(candidate));
@@ -181,10 +199,18 @@
             return Ok(place(candidate));
         }
         let now = node.clock.now();
-        if now >= ask.until {
+        {
             let view = node.view();
-            return Err(no_place_for(node, &view, ask));
+            in_queue.ask.residency = view.residency(&in_queue.ask.residency);
+            let ask = &in_queue.ask;
+            if let Some(refused) = refused_at_once(node, &view, ask) {
+                return Err(refused);
+            }
+            if now >= ask.until {
+                return Err(no_place_for(node, &view, ask));
+            }
         }
+        let ask = &in_queue.ask;
         if is_next(node, ask, id)
             && let Some(candidate) = probe::find(node, ask).await
         {
@@ -208,7 +234,7 @@
             Line::Overdue => OVERDUE_LOOKING,
         };
         let now = node.clock.now();
-        let is_admitted = places.admits(ask.line, view.entry_count(now));
+        let is_admitted = places.admits(ask, view.entry_count(now));
         let asks = places.targets.have_agents() && is_admitted;
         asks && places.queue.is_among_first(count, id, now)
     })
@@ -236,12 +262,53 @@
 const RETRY_AFTER_LEAST_MS: u64 = 300;
 /// The same while no target can take requests and nothing tells when one will.
 const RETRY_AFTER_OUTAGE_MS: u64 = 1_800;
+/// The same while the configuration allows no region: an operator must change
+/// it first, in milliseconds.
+const RETRY_AFTER_CONFIGURATION_MS: u64 = 10_000;
 /// Time over which the returns of refused requests are spread, in milliseconds.
 const RETRY_AFTER_SPREAD_MS: u64 = 900;
 /// Who is refused because weights are still far from being served comes back
 /// this long before they are expected, in milliseconds, and is held from then on.
 const HELD_BEFORE_MS: u64 = 1_500;
 
+/// Why a request whose regions are restricted need not wait: no target of an
+/// allowed region may get it, nor will one that is known once it has newer
+/// weights. While no target of the service is known at all, and weights are on
+/// their way, it waits as any other.
+fn refused_at_once(node: &Node, view: &View, ask: &Ask) -> Option<NoPlace> {
+    let allowed = ask.residency.allowed();
+    if allowed.is_all() {
+        return None;
+    }
+    let now = node.clock.now();
+    let places = view.services.get(&ask.service)?;
+    let least = node.least_version(view, &ask.service);
+    let needs = ask.needs(now, least);
+    if places.targets.any_serves(needs) {
+        return None;
+    }
+    let kept_out = tally(places.targets.candidates(), needs);
+    let none_is_known = places.targets.candidates().is_empty();
+    let weights_come = none_is_known && places.expected_outage_ms(now).is_some();
+    let cause = if allowed.is_none() {
+        NoPlaceCause::NoCommonRegion
+    } else if kept_out.old_weights > 0 || weights_come {
+        return None;
+    } else {
+        NoPlaceCause::NoAllowedTarget(kept_out)
+    };
+    let refused = no_place(now, Some(places), needs);
+    let retry_after_ms = match cause {
+        NoPlaceCause::NoCommonRegion => RETRY_AFTER_CONFIGURATION_MS,
+        _ => refused.retry_after_ms,
+    };
+    Some(NoPlace {
+        cause,
+        retry_after_ms,
+        ..refused
+    })
+}
+
 fn no_place_for(node: &Node, view: &View, ask: &Ask) -> NoPlace {
     let least = node.least_version(view, &ask.service);
     let places = view.services.get(&ask.service);
@@ -259,10 +326,13 @@
         (true, None) => RETRY_AFTER_OUTAGE_MS,
         (false, _) => RETRY_AFTER_LEAST_MS,
     };
+    let all = AllowedRegions::all();
+    let regions = needs.regions.unwrap_or(&all);
     NoPlace {
+        cause: NoPlaceCause::NoRoom,
         retry_after_ms: least + spread,
         waiting: places.map_or(0, |places| places.waiting()),
         candidates,
-        free_places: places.map_or(0, |places| places.targets.free_places(now) as u64),
+        free_places: places.map_or(0, |places| places.targets.free_places(now, regions) as u64),
     }
 }
--- a/crates/moleroad_gateway/src/front/answer.rs
+++ b/crates/moleroad_gateway/src/front/answer.rs
@@ -73,6 +73,10 @@
     TurnedAway,
     /// Its time is over before it was sent; it did not run.
     TooLateNotRun,
+    /// No region that its route and account allow has a target; it did not run.
+    NoAllowedTarget,
+    /// Its route and account allow no common region; it did not run.
+    NoCommonRegion,
     /// It was sent and failed; it may have run.
     Broken,
     /// Its time is over; it may have run.
@@ -80,6 +84,17 @@
 }
 
 impl OwnAnswer {
+    /// What it counts as in metrics.
+    pub fn outcome(self) -> &'static str {
+        use OwnAnswer::*;
+        match self {
+            NoAllowedTarget => "no_allowed_target",
+            NoCommonRegion => "no_common_region",
+            Broken | TimedOut => "failed",
+            _ => "refused",
+        }
+    }
+
     /// Status, number and text.
     pub fn parts(self) -> (StatusCode, &'static str, &'static str) {
         use OwnAnswer::*;
@@ -130,6 +145,16 @@
                 "MR-6210",
                 "its time is over; not run",
             ),
+            NoAllowedTarget => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "MR-6213",
+                "no region where it may be served has a target; not run",
+            ),
+            NoCommonRegion => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "MR-6214",
+                "the configuration allows its route and its account no common region; not run",
+            ),
             Broken => (
                 StatusCode::BAD_GATEWAY,
                 "MR-6211",
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -1,7 +1,7 @@
 //! Sending a request until it has an answer, within its time, its number of
 //! targets and the budget of repeats.
 
-use crate::acquire::{Belief, NoPlace, Place};
+use crate::acquire::{Belief, NoPlace, NoPlaceCause, Place};
 use crate::front::answer::{Answer, AnswerBody, OwnAnswer};
 use crate::front::exchange::{self, Reply, SendError, Verdict, is_promise};
 use crate::front::patience;
@@ -62,7 +62,7 @@
 /// Why no further send is made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GiveUp {
-    /// No target has room.
+    /// No target has room, or none may get it.
     NoPlace(NoPlace),
     /// Its time is over.
     TimeOver,
@@ -108,7 +108,11 @@
     /// Sends the request to one more target, until one begins to answer.
     pub async fn next_run(&mut self, last_event: Option<&Bytes>) -> Result<Running, GiveUp> {
         loop {
-            let mut place = self.next_place().await?;
+            let next = self.next_place().await;
+            if let Err(GiveUp::NoPlace(no_place)) = &next {
+                self.log_no_place(no_place);
+            }
+            let mut place = next?;
             let least = {
                 let view = self.node.view();
                 self.node.least_version(&view, &self.request.service)
@@ -132,6 +136,7 @@
                         return Err(GiveUp::NotAgain);
                     }
                 }
+                Err(SendError::Barred) => self.node.metrics.count("place_barred"),
                 Err(_) => {
                     self.sends += 1;
                     self.may_have_run = true;
@@ -187,13 +192,14 @@
         let mut view = self.node.view();
         let least = self.node.least_version(&view, &self.request.service);
         let entries = view.entry_count(now);
+        let residency = view.residency(&self.request.residency);
         let needs = Needs {
             tried: &self.tried,
             least,
             prompt_tokens: self.request.prompt_tokens,
             within_ms: None,
             spare: 0,
-            regions: Some(&self.request.regions),
+            regions: Some(residency.allowed()),
         };
         view.services
             .get_mut(&self.request.service)
@@ -268,8 +274,12 @@
         }
         match reason {
             GiveUp::NoPlace(no_place) => {
-                self.log_no_place(&no_place);
-                OwnAnswer::NoPlace.response(Some(no_place.retry_after_ms))
+                let own = match no_place.cause {
+                    NoPlaceCause::NoRoom => OwnAnswer::NoPlace,
+                    NoPlaceCause::NoCommonRegion => OwnAnswer::NoCommonRegion,
+                    NoPlaceCause::NoAllowedTarget(_) => OwnAnswer::NoAllowedTarget,
+                };
+                own.response(Some(no_place.retry_after_ms))
             }
             GiveUp::TimeOver => OwnAnswer::TooLateNotRun.response(Some(0)),
             GiveUp::NotAgain => OwnAnswer::TurnedAway.response(Some(TURNED_AWAY_RETRY_MS)),
--- a/crates/moleroad_gateway/src/front/attempt_log.rs
+++ b/crates/moleroad_gateway/src/front/attempt_log.rs
@@ -1,13 +1,44 @@
 //! Lines of the log about the sends of a request.
 
-use crate::acquire::{NoPlace, Place};
+use crate::acquire::{NoPlace, NoPlaceCause, Place};
 use crate::front::attempt::Attempts;
 use crate::front::exchange::{Reply, SendError, Verdict};
+use moleroad_dispatch::prelude::BarrierTally;
 use moleroad_types::prelude::Millis;
 
 impl Attempts {
-    /// Says that no target has room, and what was known of them.
+    /// Says why there is no place, and what was known of the targets.
     pub(super) fn log_no_place(&self, no_place: &NoPlace) {
+        match no_place.cause {
+            NoPlaceCause::NoRoom => self.log_no_room(no_place),
+            NoPlaceCause::NoCommonRegion => {
+                self.log_no_allowed_target(no_place, BarrierTally::default());
+            }
+            NoPlaceCause::NoAllowedTarget(tally) => self.log_no_allowed_target(no_place, tally),
+        }
+    }
+
+    fn log_no_allowed_target(&self, no_place: &NoPlace, kept_out: BarrierTally) {
+        self.node.metrics.count("no_allowed_target");
+        let residency = self.node.view().residency(&self.request.residency);
+        log::info!(
+            event = "no_allowed_target",
+            request = self.request.id.to_str().unwrap_or("-"),
+            service = self.request.service.as_str(),
+            regions:% = residency.allowed(),
+            configuration = residency.version().0,
+            accepted_under = self.request.config_version,
+            candidates = no_place.candidates as u64,
+            in_other_regions = kept_out.region as u64,
+            evacuated = kept_out.evacuated as u64,
+            tried = kept_out.tried as u64,
+            sends = self.sends(),
+            retry_after_ms = no_place.retry_after_ms;
+            ""
+        );
+    }
+
+    fn log_no_room(&self, no_place: &NoPlace) {
         log::info!(
             event = "no_place",
             request = self.request.id.to_str().unwrap_or("-"),
@@ -45,6 +76,7 @@
                 Verdict::Final => "final",
             },
             Err(SendError::Unreachable) => "unreachable",
+            Err(SendError::Barred) => "barred",
             Err(SendError::Broken) => "broken",
             Err(SendError::Spoilt) => "spoilt",
             Err(SendError::TimedOut) => "timed_out",
--- a/crates/moleroad_gateway/src/front/exchange.rs
+++ b/crates/moleroad_gateway/src/front/exchange.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, StatusCode, http};
-use moleroad_dispatch::prelude::Candidate;
+use moleroad_dispatch::prelude::{Candidate, Needs, barrier};
 use moleroad_types::prelude::Millis;
 use std::time::Duration;
 
@@ -21,6 +21,9 @@
 pub enum SendError {
     /// No connection came up; nothing was sent.
     Unreachable,
+    /// The target may not get it any more, by what was learned since it was
+    /// chosen; nothing was sent.
+    Barred,
     /// It was sent, and the connection broke before an answer.
     Broken,
     /// The answer belongs to another request, or is not signed.
@@ -59,7 +62,8 @@
 /// Sends `request` to `candidate` and waits for the head of the answer.
 ///
 /// # Errors
-/// [`SendError`]; only after [`SendError::Unreachable`] nothing was sent.
+/// [`SendError`]; only after [`SendError::Unreachable`] and
+/// [`SendError::Barred`] nothing was sent.
 pub async fn send(
     node: &Node,
     request: &Accepted,
@@ -86,6 +90,9 @@
                 }
             }
         };
+        if is_barred(node, request, candidate) {
+            return Err(SendError::Barred);
+        }
         let sending = connection.sender.try_send_request(message);
         match tokio::time::timeout_at(limit, sending).await {
             Err(_) => return Err(SendError::TimedOut),
@@ -102,6 +109,20 @@
     }
 }
 
+/// Whether a target that was chosen may not get the request any more: while it
+/// waited or connected, a configuration may have taken the region away.
+fn is_barred(node: &Node, request: &Accepted, chosen: &Candidate) -> bool {
+    let view = node.view();
+    let residency = view.residency(&request.residency);
+    let needs = Needs {
+        regions: Some(residency.allowed()),
+        ..Needs::default()
+    };
+    let places = view.services.get(&request.service);
+    let known = places.and_then(|places| places.targets.candidate(&chosen.id));
+    barrier(known.unwrap_or(chosen), needs).is_some()
+}
+
 fn build(
     node: &Node,
     request: &Accepted,
--- a/crates/moleroad_gateway/src/front/request.rs
+++ b/crates/moleroad_gateway/src/front/request.rs
@@ -10,8 +10,8 @@
     TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{Method, Request};
-use moleroad_config::prelude::{ClientAccount, Route, RouteTable};
-use moleroad_types::prelude::{AllowedRegions, Millis};
+use moleroad_config::prelude::{ClientAccount, Residency, Route, RouteTable};
+use moleroad_types::prelude::Millis;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -47,9 +47,8 @@
     pub until: Millis,
     /// Tokens of its prompt; 0 when the caller does not say.
     pub prompt_tokens: u64,
-    /// Regions in which it may be served: those that its route and its account
-    /// both allow.
-    pub regions: AllowedRegions,
+    /// Where it may be served.
+    pub residency: Residency,
     /// Event after which a stream goes on.
     pub last_event: Option<Bytes>,
 }
@@ -88,11 +87,8 @@
     let last_event = last_event.map(|value| Bytes::copy_from_slice(value.as_bytes()));
     let target = head.uri.path_and_query().map_or("/", |both| both.as_str());
     let priority = account.as_ref().and_then(|account| account.priority);
-    let account_regions = account.as_ref().map(|account| &account.allowed_regions);
-    let regions = account_regions.map_or_else(
-        || route.allowed_regions.clone(),
-        |regions| route.allowed_regions.and(regions),
-    );
+    let key = key.and_then(|key| key.to_str().ok());
+    let residency = Residency::new(&table, &host, path, key);
     let mut accepted = Accepted {
         method: head.method.clone(),
         target: target.to_string(),
@@ -106,7 +102,7 @@
         arrived,
         caller_until: deadline_ms.map(|deadline| arrived + deadline),
         until,
-        regions,
+        residency,
         last_event,
         prompt_tokens: usage.prompt,
     };
--- a/crates/moleroad_gateway/src/front/serve.rs
+++ b/crates/moleroad_gateway/src/front/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::front::answer::{Answer, OwnAnswer, close_after};
 use crate::front::attempt::Sent;
+use crate::front::request::Accepted;
 use crate::front::{request, stream, whole};
 use crate::listening::serve_each;
 use crate::node::Node;
@@ -72,7 +73,7 @@
         Err(own) => own.response(own_retry_after(own)),
         Ok(_) if node.is_ending() => OwnAnswer::Leaving.response(Some(0)),
         Ok(accepted) => {
-            description = Some((accepted.route.name.clone(), accepted.config_version));
+            description = Some(Description::of(&accepted));
             if accepted.route.streaming {
                 stream::answer_stream(&node, accepted).await
             } else {
@@ -104,11 +105,40 @@
 
 const NO_CONFIGURATION_RETRY_MS: u64 = 300;
 
+/// What the log says of a request that could be read.
+struct Description {
+    route: String,
+    config_version: u64,
+    is_restricted: bool,
+}
+
+impl Description {
+    fn of(accepted: &Accepted) -> Self {
+        Self {
+            route: accepted.route.name.clone(),
+            config_version: accepted.config_version,
+            is_restricted: !accepted.residency.allowed().is_all(),
+        }
+    }
+}
+
+fn count_residency(node: &Node, answer: &Answer, description: &Description) {
+    let own = answer.extensions().get::<OwnAnswer>();
+    let outcome = own.map_or("from_target", |own| own.outcome());
+    let regions = if description.is_restricted {
+        "restricted"
+    } else {
+        "all"
+    };
+    let counter = &node.metrics.residency;
+    counter.with_label_values(&[regions, outcome]).inc();
+}
+
 fn note_answer(
     node: &Node,
     answer: &Answer,
     left: &Unanswered,
-    description: Option<(String, u64)>,
+    description: Option<Description>,
     arrived: moleroad_types::prelude::Millis,
 ) {
     let status = answer.status().as_u16();
@@ -122,11 +152,17 @@
         .observe(elapsed_ms as f64 / 1_000.0);
     let sent = answer.extensions().get::<Sent>();
     let belief = sent.map(|sent| sent.belief).unwrap_or_default();
-    let (route, config_version) = description.unwrap_or_else(|| ("-".into(), 0));
+    if let Some(description) = &description {
+        count_residency(node, answer, description);
+    }
+    let route = description
+        .as_ref()
+        .map_or("-", |known| known.route.as_str());
+    let config_version = description.as_ref().map_or(0, |known| known.config_version);
     log::info!(
         event = "answer",
         request = left.id(),
-        route = route.as_str(),
+        route = route,
         configuration = config_version,
         status = status,
         result = answer.extensions().get::<OwnAnswer>().map_or("-", |own| own.parts().1),
--- a/crates/moleroad_gateway/src/front/waiting.rs
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -1,7 +1,7 @@
 //! How long a request waits for a place at a target: in the hope of its wanted
 //! latency first, then to be served late.
 
-use crate::acquire::{NoPlace, Place, acquire};
+use crate::acquire::{NoPlace, NoPlaceCause, Place, acquire};
 use crate::experiments::Mechanism;
 use crate::front::attempt::{Attempts, GiveUp};
 use crate::front::patience;
@@ -40,12 +40,14 @@
         let ask = self.ask();
         let is_first = self.sends == 0;
         let in_time = acquire(&self.node, &ask).await;
-        if is_first {
+        let lacks_room = |no_place: &NoPlace| no_place.cause == NoPlaceCause::NoRoom;
+        let is_about_room = in_time.as_ref().err().is_none_or(lacks_room);
+        if is_first && is_about_room {
             self.note_in_time(in_time.is_ok());
         }
         let place = match in_time {
             Ok(place) => place,
-            Err(no_place) if is_first => self.overdue_place(ask, no_place).await?,
+            Err(no_place) if is_first && is_about_room => self.overdue_place(ask, no_place).await?,
             Err(no_place) => return Err(GiveUp::NoPlace(no_place)),
         };
         if self.sends == 0 && self.unreachable == 0 {
@@ -80,7 +82,7 @@
             wanted_by: is_first.then(|| request.arrived + latency_ms),
             until: until.min(Millis(request.until.0 - LEAST_USEFUL_MS)),
             line: Line::InTime,
-            regions: request.regions.clone(),
+            residency: self.node.view().residency(&request.residency),
         }
     }
 
--- a/crates/moleroad_gateway/src/interface.rs
+++ b/crates/moleroad_gateway/src/interface.rs
@@ -41,8 +41,10 @@
 /// A call to the system itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SystemCall {
-    /// Which entry should a caller in `hall` and `region` use?
+    /// Which entry should a caller in `hall` and `region` use for `host`?
     Addresses {
+        /// Host that its requests name; empty when it is not said.
+        host: String,
         /// Data hall of the caller.
         hall: String,
         /// Region of the caller.
--- a/crates/moleroad_gateway/src/metrics.rs
+++ b/crates/moleroad_gateway/src/metrics.rs
@@ -10,6 +10,8 @@
     registry: Registry,
     /// Requests by route name and outcome.
     pub requests: IntCounterVec,
+    /// Requests by whether regions are restricted for them and by outcome.
+    pub residency: IntCounterVec,
     /// Sends to targets by service and outcome.
     pub sends: IntCounterVec,
     /// Events by name: reconnects, resumptions, rejected bytes and the like.
@@ -32,6 +34,11 @@
         let metrics = Self {
             registry: Registry::new(),
             requests: counters("moleroad_requests_total", "Requests by status", &["status"]),
+            residency: counters(
+                "moleroad_residency_requests_total",
+                "Requests by restriction of their regions and outcome",
+                &["regions", "outcome"],
+            ),
             sends: counters(
                 "moleroad_sends_total",
                 "Sends to targets by outcome",
@@ -48,8 +55,9 @@
 
 impl Metrics {
     fn register(&self) {
-        let all: [Box<dyn prometheus::core::Collector>; 5] = [
+        let all: [Box<dyn prometheus::core::Collector>; 6] = [
             Box::new(self.requests.clone()),
+            Box::new(self.residency.clone()),
             Box::new(self.sends.clone()),
             Box::new(self.events.clone()),
             Box::new(self.first_byte_s.clone()),
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -2,6 +2,7 @@
 //! repeats.
 
 use crate::settings::Bounds;
+use moleroad_config::prelude::{Residency, RouteTable};
 use moleroad_directory::prelude::TargetId;
 use moleroad_dispatch::prelude::*;
 use moleroad_rollout::prelude::Arrival;
@@ -26,13 +27,16 @@
     pub until: Millis,
     /// What it still hopes for.
     pub line: Line,
-    /// Regions in which it may be served.
-    pub regions: AllowedRegions,
+    /// Where it may be served.
+    pub residency: Residency,
 }
 
 /// Places at an engine that requests without hope of their wanted latency leave
 /// free, so that those who come in time find one.
 const SPARE_FOR_IN_TIME: u32 = 1;
+/// Smallest part of all places that an expected wait is worked out by: below it
+/// the wait is longer than any caller's.
+const LEAST_PART_OF_PLACES: f64 = 0.01;
 
 impl Ask {
     /// What a choice at `now` must meet, with `least` as the lowest version of
@@ -47,7 +51,7 @@
                 Line::InTime => 0,
                 Line::Overdue => SPARE_FOR_IN_TIME,
             },
-            regions: Some(&self.regions),
+            regions: Some(self.residency.allowed()),
         }
     }
 }
@@ -112,14 +116,16 @@
         if self.targets.have_agents() {
             return;
         }
-        while let Some(id) = self.queue.next(now) {
+        let mut full: Vec<AllowedRegions> = Vec::new();
+        while let Some(id) = self.queue.next(now, &full) {
             let Some(waiting) = self.waiting.get(&id) else {
                 self.queue.leave(id);
                 continue;
             };
             let needs = waiting.ask.needs(now, least);
             let Choice::Send(candidate) = self.targets.choose(now, needs, id.0) else {
-                break;
+                full.push(waiting.ask.residency.allowed().clone());
+                continue;
             };
             self.queue.leave(id);
             let Some(waiting) = self.waiting.remove(&id) else {
@@ -141,7 +147,8 @@
         now: Millis,
         ask: &Ask,
     ) -> Option<(WaiterId, oneshot::Receiver<Candidate>)> {
-        let ahead = self.queue.len_of(ask.line);
+        let regions = ask.residency.allowed();
+        let ahead = self.queue.len_ahead(ask.line, regions);
         self.next_waiter += 1;
         let id = WaiterId(self.next_waiter);
         let entered = self.queue.enter(Waiter {
@@ -151,6 +158,7 @@
             since: now,
             wanted_by: ask.wanted_by.unwrap_or(ask.until),
             until: ask.until,
+            regions: regions.clone(),
         });
         if !entered {
             return None;
@@ -172,12 +180,22 @@
 
     /// Whether another request without hope of its wanted latency may be sent:
     /// all entries together leave most places to those that come in time.
-    pub(crate) fn admits(&self, line: Line, entries: usize) -> bool {
-        if line == Line::InTime {
+    pub(crate) fn admits(&self, ask: &Ask, entries: usize) -> bool {
+        if ask.line == Line::InTime {
             return true;
         }
-        let own_places = f64::from(self.targets.places()) / entries.max(1) as f64;
-        self.overdue_share.admits(own_places)
+        let regions = ask.residency.allowed();
+        let own_places = f64::from(self.targets.places(regions)) / entries.max(1) as f64;
+        self.overdue_share.admits(own_places, regions)
+    }
+
+    /// Brings those that wait under the configuration that is in force.
+    pub(crate) fn renew_residency(&mut self, table: &RouteTable) {
+        for (id, waiting) in &mut self.waiting {
+            let residency = waiting.ask.residency.under(table);
+            self.queue.set_regions(*id, residency.allowed());
+            waiting.ask.residency = residency;
+        }
     }
 
     /// Notes whether a request found a place in time.
@@ -196,8 +214,13 @@
         if !self.targets.any_serves(needs) {
             return self.expected_outage_ms(now);
         }
-        let ahead = self.queue.len_of(Line::Overdue);
-        Some(self.overdue_pace.expected_wait_ms(now, ahead) as u64)
+        let all = AllowedRegions::all();
+        let regions = needs.regions.unwrap_or(&all);
+        let ahead = self.queue.len_ahead(Line::Overdue, regions);
+        // Places of some regions come free as seldom as there are fewer of them.
+        let part = f64::from(self.targets.places(regions)) / f64::from(self.targets.places(&all));
+        let wait_ms = self.overdue_pace.expected_wait_ms(now, ahead);
+        Some((wait_ms / part.max(LEAST_PART_OF_PLACES)) as u64)
     }
 
     /// Time until weights that are on their way are served, in milliseconds.
--- a/crates/moleroad_gateway/src/system_calls.rs
+++ b/crates/moleroad_gateway/src/system_calls.rs
@@ -54,7 +54,9 @@
         .interface
         .system_call(request.method(), uri.path(), uri.query());
     let answer = match call {
-        Some(SystemCall::Addresses { hall, region }) => addresses(&node, &hall, &region),
+        Some(SystemCall::Addresses { host, hall, region }) => {
+            addresses(&node, &host, &hall, &region)
+        }
         Some(SystemCall::Ready) => ready(&node),
         Some(SystemCall::Metrics) => plain(StatusCode::OK, node.metrics.render()),
         Some(SystemCall::ReadConfiguration) => read_configuration(&node).await,
@@ -90,9 +92,15 @@
     }
 }
 
-fn addresses(node: &Node, hall: &str, region: &str) -> SystemAnswer {
+fn addresses(node: &Node, host: &str, hall: &str, region: &str) -> SystemAnswer {
     let now = node.clock.now();
-    let addresses = node.view().directory.addresses_for(now, hall, region);
+    let addresses = {
+        let view = node.view();
+        let table = view.table.as_ref();
+        let allowed = table.map(|table| table.regions_of_host(host));
+        let allowed = allowed.unwrap_or_default();
+        view.directory.addresses_for(now, hall, region, &allowed)
+    };
     if addresses.is_empty() {
         let reason = "MR-6303 no entry is known to be ready";
         return failure(node, StatusCode::SERVICE_UNAVAILABLE, reason);
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -5,7 +5,9 @@
 use crate::named_versions::NamedVersions;
 use crate::peer::{Catalog, CatalogModel, CatalogOrigin, LeaderHint, VersionAge};
 use crate::places::ServicePlaces;
-use moleroad_config::prelude::{Configuration, ConfigurationError, RouteTable, Service, check};
+use moleroad_config::prelude::{
+    Configuration, ConfigurationError, Residency, RouteTable, Service, check,
+};
 use moleroad_directory::prelude::*;
 use moleroad_rollout::prelude::OldWeights;
 use moleroad_types::prelude::Millis;
@@ -129,6 +131,22 @@
         }
     }
 
+    /// Brings requests that wait under the configuration that is in force.
+    pub fn renew_residency(&mut self) {
+        let Some(table) = &self.table else {
+            return;
+        };
+        for places in self.services.values_mut() {
+            places.renew_residency(table);
+        }
+    }
+
+    /// Where a request may be served by the configuration that is in force.
+    pub fn residency(&self, accepted: &Residency) -> Residency {
+        let table = self.table.as_ref();
+        table.map_or_else(|| accepted.clone(), |table| accepted.under(table))
+    }
+
     /// Learns that `version` of `model` was named `age_ms` ago; true if that
     /// is news.
     pub fn name_version(&mut self, now: Millis, model: &str, version: u64, age_ms: u64) -> bool {
--- a/crates/moleroad_types/src/regions.rs
+++ b/crates/moleroad_types/src/regions.rs
@@ -2,6 +2,7 @@
 
 use crate::id::Region;
 use std::collections::BTreeSet;
+use std::fmt;
 use std::sync::Arc;
 
 /// Regions in which a request may be served; without a restriction, all.
@@ -52,12 +53,45 @@
         self.0.as_deref()
     }
 
+    /// Whether all that `other` allows is allowed here.
+    pub fn covers(&self, other: &Self) -> bool {
+        match (&self.0, &other.0) {
+            (None, _) => true,
+            (Some(_), None) => false,
+            (Some(own), Some(other)) => other.is_subset(own),
+        }
+    }
+
+    /// The regions that either allows.
+    pub fn or(&self, other: &Self) -> Self {
+        match (&self.0, &other.0) {
+            (Some(left), Some(right)) => Self::only(left.union(right).cloned()),
+            _ => Self::all(),
+        }
+    }
+
     /// The regions that both allow.
     pub fn and(&self, other: &Self) -> Self {
         match (&self.0, &other.0) {
             (None, _) => other.clone(),
             (_, None) => self.clone(),
+            (Some(left), Some(right)) if left == right => self.clone(),
             (Some(left), Some(right)) => Self::only(left.intersection(right).cloned()),
         }
     }
 }
+
+impl fmt::Display for AllowedRegions {
+    /// The names, parted by commas; `all` without a restriction, `none` when
+    /// no region is allowed.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(regions) = self.named() else {
+            return f.write_str("all");
+        };
+        if regions.is_empty() {
+            return f.write_str("none");
+        }
+        let names: Vec<&str> = regions.iter().map(Region::as_str).collect();
+        f.write_str(&names.join(","))
+    }
+}
