--- a/crates/moleroad_gateway/src/acquire.rs
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -31,11 +31,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoPlaceCause {
     /// Targets have no room that makes the wanted latency.
-    NoRoom,
+    Busy,
     /// The route and the account allow no common region.
-    NoCommonRegion,
+    DisjointRegions,
     /// No region that they allow has a target.
-    NoAllowedTarget(BarrierTally),
+    EmptyRegions(BarrierTally),
 }
 
 /// Why there is no place.
@@ -291,15 +291,15 @@
     let none_is_known = places.targets.candidates().is_empty();
     let weights_come = none_is_known && places.expected_outage_ms(now).is_some();
     let cause = if allowed.is_none() {
-        NoPlaceCause::NoCommonRegion
+        NoPlaceCause::DisjointRegions
     } else if kept_out.old_weights > 0 || weights_come {
         return None;
     } else {
-        NoPlaceCause::NoAllowedTarget(kept_out)
+        NoPlaceCause::EmptyRegions(kept_out)
     };
     let refused = no_place(now, Some(places), needs);
     let retry_after_ms = match cause {
-        NoPlaceCause::NoCommonRegion => RETRY_AFTER_CONFIGURATION_MS,
+        NoPlaceCause::DisjointRegions => RETRY_AFTER_CONFIGURATION_MS,
         _ => refused.retry_after_ms,
     };
     Some(NoPlace {
@@ -329,7 +329,7 @@
     let all = AllowedRegions::all();
     let regions = needs.regions.unwrap_or(&all);
     NoPlace {
-        cause: NoPlaceCause::NoRoom,
+        cause: NoPlaceCause::Busy,
         retry_after_ms: least + spread,
         waiting: places.map_or(0, |places| places.waiting()),
         candidates,
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -275,9 +275,9 @@
         match reason {
             GiveUp::NoPlace(no_place) => {
                 let own = match no_place.cause {
-                    NoPlaceCause::NoRoom => OwnAnswer::NoPlace,
-                    NoPlaceCause::NoCommonRegion => OwnAnswer::NoCommonRegion,
-                    NoPlaceCause::NoAllowedTarget(_) => OwnAnswer::NoAllowedTarget,
+                    NoPlaceCause::Busy => OwnAnswer::NoPlace,
+                    NoPlaceCause::DisjointRegions => OwnAnswer::NoCommonRegion,
+                    NoPlaceCause::EmptyRegions(_) => OwnAnswer::NoAllowedTarget,
                 };
                 own.response(Some(no_place.retry_after_ms))
             }
--- a/crates/moleroad_gateway/src/front/attempt_log.rs
+++ b/crates/moleroad_gateway/src/front/attempt_log.rs
@@ -10,11 +10,11 @@
     /// Says why there is no place, and what was known of the targets.
     pub(super) fn log_no_place(&self, no_place: &NoPlace) {
         match no_place.cause {
-            NoPlaceCause::NoRoom => self.log_no_room(no_place),
-            NoPlaceCause::NoCommonRegion => {
+            NoPlaceCause::Busy => self.log_no_room(no_place),
+            NoPlaceCause::DisjointRegions => {
                 self.log_no_allowed_target(no_place, BarrierTally::default());
             }
-            NoPlaceCause::NoAllowedTarget(tally) => self.log_no_allowed_target(no_place, tally),
+            NoPlaceCause::EmptyRegions(tally) => self.log_no_allowed_target(no_place, tally),
         }
     }
 
--- a/crates/moleroad_gateway/src/front/waiting.rs
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -40,7 +40,7 @@
         let ask = self.ask();
         let is_first = self.sends == 0;
         let in_time = acquire(&self.node, &ask).await;
-        let lacks_room = |no_place: &NoPlace| no_place.cause == NoPlaceCause::NoRoom;
+        let lacks_room = |no_place: &NoPlace| no_place.cause == NoPlaceCause::Busy;
         let is_about_room = in_time.as_ref().err().is_none_or(lacks_room);
         if is_first && is_about_room {
             self.note_in_time(in_time.is_ok());
