--- a/crates/moleroad_gateway/src/acquire.rs
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -3,6 +3,7 @@
 use crate::node::Node;
 use crate::places::{Ask, ServicePlaces};
 use crate::probe;
+use crate::refusal::{NoPlaceCause, refused_at_once};
 use crate::view::View;
 use moleroad_dispatch::prelude::*;
 use moleroad_types::prelude::{AllowedRegions, Millis};
@@ -27,17 +28,6 @@
     }
 }
 
-/// What stands in the way of a place.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NoPlaceCause {
-    /// Targets have no room that makes the wanted latency.
-    Busy,
-    /// The route and the account allow no common region.
-    DisjointRegions,
-    /// No region that they allow has a target.
-    EmptyRegions(BarrierTally),
-}
-
 /// Why there is no place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoPlace {
@@ -262,53 +252,12 @@
 const RETRY_AFTER_LEAST_MS: u64 = 300;
 /// The same while no target can take requests and nothing tells when one will.
 const RETRY_AFTER_OUTAGE_MS: u64 = 1_800;
-/// The same while the configuration allows no region: an operator must change
-/// it first, in milliseconds.
-const RETRY_AFTER_CONFIGURATION_MS: u64 = 10_000;
 /// Time over which the returns of refused requests are spread, in milliseconds.
 const RETRY_AFTER_SPREAD_MS: u64 = 900;
 /// Who is refused because weights are still far from being served comes back
 /// this long before they are expected, in milliseconds, and is held from then on.
 const HELD_BEFORE_MS: u64 = 1_500;
 
-/// Why a request whose regions are restricted need not wait: no target of an
-/// allowed region may get it, nor will one that is known once it has newer
-/// weights. While no target of the service is known at all, and weights are on
-/// their way, it waits as any other.
-fn refused_at_once(node: &Node, view: &View, ask: &Ask) -> Option<NoPlace> {
-    let allowed = ask.residency.allowed();
-    if allowed.is_all() {
-        return None;
-    }
-    let now = node.clock.now();
-    let places = view.services.get(&ask.service)?;
-    let least = node.least_version(view, &ask.service);
-    let needs = ask.needs(now, least);
-    if places.targets.any_serves(needs) {
-        return None;
-    }
-    let kept_out = tally(places.targets.candidates(), needs);
-    let none_is_known = places.targets.candidates().is_empty();
-    let weights_come = none_is_known && places.expected_outage_ms(now).is_some();
-    let cause = if allowed.is_none() {
-        NoPlaceCause::DisjointRegions
-    } else if kept_out.old_weights > 0 || weights_come {
-        return None;
-    } else {
-        NoPlaceCause::EmptyRegions(kept_out)
-    };
-    let refused = no_place(now, Some(places), needs);
-    let retry_after_ms = match cause {
-        NoPlaceCause::DisjointRegions => RETRY_AFTER_CONFIGURATION_MS,
-        _ => refused.retry_after_ms,
-    };
-    Some(NoPlace {
-        cause,
-        retry_after_ms,
-        ..refused
-    })
-}
-
 fn no_place_for(node: &Node, view: &View, ask: &Ask) -> NoPlace {
     let least = node.least_version(view, &ask.service);
     let places = view.services.get(&ask.service);
@@ -316,7 +265,7 @@
     no_place(now, places, ask.needs(now, least))
 }
 
-fn no_place(now: Millis, places: Option<&ServicePlaces>, needs: Needs<'_>) -> NoPlace {
+pub(crate) fn no_place(now: Millis, places: Option<&ServicePlaces>, needs: Needs<'_>) -> NoPlace {
     let candidates = places.map_or(0, |places| places.targets.candidates().len());
     let is_outage = !places.is_some_and(|places| places.targets.any_serves(needs));
     let spread = rand::random::<u64>() % RETRY_AFTER_SPREAD_MS;
--- a/crates/moleroad_gateway/src/front/attempt_log.rs
+++ b/crates/moleroad_gateway/src/front/attempt_log.rs
@@ -1,8 +1,9 @@
 //! Lines of the log about the sends of a request.
 
-use crate::acquire::{NoPlace, NoPlaceCause, Place};
+use crate::acquire::{NoPlace, Place};
 use crate::front::attempt::Attempts;
 use crate::front::exchange::{Reply, SendError, Verdict};
+use crate::refusal::NoPlaceCause;
 use moleroad_dispatch::prelude::BarrierTally;
 use moleroad_types::prelude::Millis;
 
--- a/crates/moleroad_gateway/src/lib.rs
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -31,6 +31,8 @@
 pub mod peers;
 pub mod places;
 pub mod probe;
+mod refusal;
+mod region_warnings;
 pub mod run;
 pub mod settings;
 pub mod system_calls;
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -11,13 +11,13 @@
 use crate::peer::LeaderHint;
 use crate::peers::Peers;
 use crate::places::Ask;
+use crate::region_warnings;
 use crate::settings::{RoleSetting, Settings};
 use crate::view::View;
-use moleroad_config::prelude::residency_warnings;
 use moleroad_consensus::prelude::MemberInfo;
 use moleroad_directory::prelude::*;
 use moleroad_rollout::prelude::OldWeights;
-use moleroad_types::prelude::{InstanceId, Millis, Region};
+use moleroad_types::prelude::{InstanceId, Millis};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -211,7 +211,7 @@
             let before = view.state.config_version();
             let changed = view.take_state(now, state, &*self.interface);
             if view.state.config_version() > before {
-                self.warn_of_regions(&view);
+                region_warnings::log(&self.settings, &view);
             }
             if changed {
                 view.refresh_candidates(now, &self.settings);
@@ -226,21 +226,6 @@
         changed
     }
 
-    /// Says once for each configuration which regions it names to no use.
-    fn warn_of_regions(&self, view: &View) {
-        let Some(table) = &view.table else {
-            return;
-        };
-        let halls = self.settings.regions.values();
-        let regions = halls.chain([&self.settings.region]);
-        let known = regions.map(|region| Region::new(region.as_str())).collect();
-        let warnings = residency_warnings(table, &known);
-        let version = table.version().0;
-        for warning in warnings.iter().take(MOST_REGION_WARNINGS) {
-            log::warn!(event = "regions_doubtful", configuration = version, of = warnings.len() as u64; "{warning}");
-        }
-    }
-
     /// Lets agents prepare for a state that is not known to be in force.
     pub fn prepare_for(&self, state: &ControlState) {
         let now = self.clock.now();
@@ -319,8 +304,6 @@
 /// milliseconds: after a loss of power everywhere, control daemons elect, and
 /// daemons find each other, within two seconds.
 const YOUNG_MS: u64 = 3_000;
-/// Doubtful regions that are logged for one configuration.
-const MOST_REGION_WARNINGS: usize = 8;
 /// Versions whose digests are remembered.
 const MOST_DIGESTS: usize = 3;
 /// Part by which demand must change for others to be told.
--- /dev/null
+++ b/crates/moleroad_gateway/src/refusal.rs
@@ -0,0 +1,60 @@
+//! Refusing a request at once where no target may ever get it.
+
+use crate::acquire::{NoPlace, no_place};
+use crate::node::Node;
+use crate::places::Ask;
+use crate::view::View;
+use moleroad_dispatch::prelude::*;
+
+/// What stands in the way of a place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoPlaceCause {
+    /// Targets have no room that makes the wanted latency.
+    Busy,
+    /// The route and the account allow no common region.
+    DisjointRegions,
+    /// No region that they allow has a target.
+    EmptyRegions(BarrierTally),
+}
+
+/// When to come back while the configuration allows no region, in milliseconds:
+/// an operator must change it first.
+const RETRY_AFTER_CONFIGURATION_MS: u64 = 10_000;
+
+/// Why a request whose regions are restricted need not wait: no target of an
+/// allowed region may get it, nor will one that is known once it has newer
+/// weights. While no target of the service is known at all, and weights are on
+/// their way, it waits as any other.
+pub(crate) fn refused_at_once(node: &Node, view: &View, ask: &Ask) -> Option<NoPlace> {
+    let allowed = ask.residency.allowed();
+    if allowed.is_all() {
+        return None;
+    }
+    let now = node.clock.now();
+    let places = view.services.get(&ask.service)?;
+    let least = node.least_version(view, &ask.service);
+    let needs = ask.needs(now, least);
+    if places.targets.any_serves(needs) {
+        return None;
+    }
+    let kept_out = tally(places.targets.candidates(), needs);
+    let none_is_known = places.targets.candidates().is_empty();
+    let weights_come = none_is_known && places.expected_outage_ms(now).is_some();
+    let cause = if allowed.is_none() {
+        NoPlaceCause::DisjointRegions
+    } else if kept_out.old_weights > 0 || weights_come {
+        return None;
+    } else {
+        NoPlaceCause::EmptyRegions(kept_out)
+    };
+    let refused = no_place(now, Some(places), needs);
+    let retry_after_ms = match cause {
+        NoPlaceCause::DisjointRegions => RETRY_AFTER_CONFIGURATION_MS,
+        _ => refused.retry_after_ms,
+    };
+    Some(NoPlace {
+        cause,
+        retry_after_ms,
+        ..refused
+    })
+}
