--- a/crates/moleroad_config/src/residency.rs
+++ b/crates/moleroad_config/src/residency.rs
@@ -121,8 +121,8 @@
 }
 
 /// What is doubtful about the regions of a configuration, where data halls
-/// stand in the `known` regions: at most one warning for each region, and one
-/// for each two sets without a common region.
+/// stand in the `known` regions, or anywhere while none is known: at most one
+/// warning for each region, and one for each two sets without a common region.
 pub fn residency_warnings(table: &RouteTable, known: &BTreeSet<Region>) -> Vec<ResidencyWarning> {
     let routes = first_of_each_set(table.routes().map(|route| of_route(route)));
     let accounts = first_of_each_set(table.accounts().map(|account| of_account(account)));
@@ -167,7 +167,7 @@
     let mut unknown: BTreeMap<&Region, &String> = BTreeMap::new();
     for (regions, name) in routes.iter().chain(accounts) {
         for region in regions.named().into_iter().flatten() {
-            if !known.contains(region) {
+            if !known.is_empty() && !known.contains(region) {
                 unknown.entry(region).or_insert(name);
             }
         }
--- a/crates/moleroad_gateway/src/region_warnings.rs
+++ b/crates/moleroad_gateway/src/region_warnings.rs
@@ -14,7 +14,7 @@
     let Some(table) = &view.table else {
         return;
     };
-    let regions = settings.regions.values().chain([&settings.region]);
+    let regions = settings.regions.values();
     let known = regions.map(|region| Region::new(region.as_str())).collect();
     let warnings = residency_warnings(table, &known);
     for warning in warnings.iter().take(MOST_LINES) {
