Refuse without a try where no target of an allowed region is in reach

Cause: a region that is cut off in silence stays in the directory for 45 s. Each request that only it may serve tried up to four targets for 0.4 s each and was then told to come back in 0.15 s. Change: a target counts as out of reach once connections failed over 0.4 s, and is tried again 0.8 s after the last one; a request whose regions are restricted and hold no other is refused at once. Requests without a restriction choose as before.

--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -193,6 +193,15 @@
         self.candidates.iter().any(serves)
     }
 
+    /// Whether some target may take a request with these needs and is in reach.
+    pub fn any_in_reach(&self, now: Millis, needs: Needs<'_>) -> bool {
+        let serves = |candidate: &Candidate| {
+            let is_open = barrier(candidate, needs).is_none();
+            is_open && !self.load(&candidate.id).health.is_out_of_reach(now)
+        };
+        self.candidates.iter().any(serves)
+    }
+
     /// The target as it is known now.
     pub fn candidate(&self, id: &TargetId) -> Option<&Candidate> {
         self.candidates.iter().find(|candidate| candidate.id == *id)
--- a/crates/moleroad_dispatch/src/health.rs
+++ b/crates/moleroad_dispatch/src/health.rs
@@ -30,6 +30,13 @@
 /// Broken answers in a row after which a target is avoided.
 const BROKEN_IN_A_ROW: u32 = 2;
 
+/// A target counts as out of reach once connections to it failed over this time,
+/// in milliseconds: one that was lost on the way says nothing yet.
+const OUT_OF_REACH_AFTER_MS: u64 = 400;
+/// ... and for this time after the last one, in milliseconds. Then a request
+/// tries again, so that callers are not refused for longer once it is back.
+const OUT_OF_REACH_MS: u64 = 800;
+
 /// The recent past of one target.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
@@ -38,11 +45,14 @@
     in_a_row: u32,
     avoid_until: Millis,
     avoided_ms: u64,
+    /// The first and the last connection that failed since one came up.
+    out_of_reach: Option<(Millis, Millis)>,
 }
 
 impl Health {
     /// Takes the end of a send.
     pub fn note(&mut self, now: Millis, outcome: Outcome) {
+        self.note_reach(now, outcome);
         match outcome {
             Outcome::Abandoned => {}
             Outcome::Answered => {
@@ -72,6 +82,24 @@
         now < self.avoid_until
     }
 
+    /// Whether no connection to the target comes up.
+    pub fn is_out_of_reach(&self, now: Millis) -> bool {
+        self.out_of_reach.is_some_and(|(first, last)| {
+            last.since(first) >= OUT_OF_REACH_AFTER_MS && now.since(last) < OUT_OF_REACH_MS
+        })
+    }
+
+    fn note_reach(&mut self, now: Millis, outcome: Outcome) {
+        match outcome {
+            Outcome::Abandoned => {}
+            Outcome::Unreachable => {
+                let first = self.out_of_reach.map_or(now, |(first, _)| first);
+                self.out_of_reach = Some((first, now));
+            }
+            _ => self.out_of_reach = None,
+        }
+    }
+
     /// Share of recent sends that failed, 0 to 1.
     pub fn failure_rate(&self, now: Millis) -> f64 {
         let halvings = now.since(self.rated_at) as f64 / HALF_LIFE_MS;
--- a/crates/moleroad_gateway/src/refusal.rs
+++ b/crates/moleroad_gateway/src/refusal.rs
@@ -22,8 +22,8 @@
 const RETRY_AFTER_CONFIGURATION_MS: u64 = 10_000;
 
 /// Why a request whose regions are restricted need not wait: no target of an
-/// allowed region may get it, nor will one that is known once it has newer
-/// weights. While no target of the service is known at all, and weights are on
+/// allowed region may get it and is in reach, nor will one that is known once it
+/// has newer weights. While no target of the service is known at all, and weights are on
 /// their way, it waits as any other.
 pub(crate) fn refused_at_once(node: &Node, view: &View, ask: &Ask) -> Option<NoPlace> {
     let allowed = ask.residency.allowed();
@@ -34,7 +34,7 @@
     let places = view.services.get(&ask.service)?;
     let least = node.least_version(view, &ask.service);
     let needs = ask.needs(now, least);
-    if places.targets.any_serves(needs) {
+    if places.targets.any_in_reach(now, needs) {
         return None;
     }
     let kept_out = tally(places.targets.candidates(), needs);
