--- a/crates/moleroad_gateway/src/refusal.rs
+++ b/crates/moleroad_gateway/src/refusal.rs
@@ -17,9 +17,9 @@
     EmptyRegions(BarrierTally),
 }
 
-/// When to come back while the configuration allows no region, in milliseconds:
-/// an operator must change it first.
-const RETRY_AFTER_CONFIGURATION_MS: u64 = 10_000;
+/// How much later than after an outage to come back while the configuration
+/// allows no region, in milliseconds: an operator must change it first.
+const CONFIGURATION_LATER_MS: u64 = 8_000;
 
 /// Why a request whose regions are restricted need not wait: no target of an
 /// allowed region may get it and is in reach, nor will one that is known once it
@@ -49,7 +49,7 @@
     };
     let refused = no_place(now, Some(places), needs);
     let retry_after_ms = match cause {
-        NoPlaceCause::DisjointRegions => RETRY_AFTER_CONFIGURATION_MS,
+        NoPlaceCause::DisjointRegions => refused.retry_after_ms + CONFIGURATION_LATER_MS,
         _ => refused.retry_after_ms,
     };
     Some(NoPlace {
