--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -193,11 +193,11 @@
         self.candidates.iter().any(serves)
     }
 
-    /// Whether some target may take a request with these needs and is in reach.
-    pub fn any_in_reach(&self, now: Millis, needs: Needs<'_>) -> bool {
+    /// Whether some target may take a request with these needs and is reachable.
+    pub fn any_reachable(&self, now: Millis, needs: Needs<'_>) -> bool {
         let serves = |candidate: &Candidate| {
             let is_open = barrier(candidate, needs).is_none();
-            is_open && !self.load(&candidate.id).health.is_out_of_reach(now)
+            is_open && !self.load(&candidate.id).health.is_unreachable(now)
         };
         self.candidates.iter().any(serves)
     }
--- a/crates/moleroad_dispatch/src/health.rs
+++ b/crates/moleroad_dispatch/src/health.rs
@@ -30,12 +30,12 @@
 /// Broken answers in a row after which a target is avoided.
 const BROKEN_IN_A_ROW: u32 = 2;
 
-/// A target counts as out of reach once connections to it failed over this time,
+/// A target counts as unreachable once connections to it failed over this time,
 /// in milliseconds: one that was lost on the way says nothing yet.
-const OUT_OF_REACH_AFTER_MS: u64 = 400;
+const UNREACHABLE_AFTER_MS: u64 = 400;
 /// ... and for this time after the last one, in milliseconds. Then a request
 /// tries again, so that callers are not refused for longer once it is back.
-const OUT_OF_REACH_MS: u64 = 800;
+const UNREACHABLE_MS: u64 = 800;
 
 /// The recent past of one target.
 #[derive(Clone, Copy, Debug, Default)]
@@ -46,7 +46,7 @@
     avoid_until: Millis,
     avoided_ms: u64,
     /// The first and the last connection that failed since one came up.
-    out_of_reach: Option<(Millis, Millis)>,
+    unreachable: Option<(Millis, Millis)>,
 }
 
 impl Health {
@@ -83,9 +83,9 @@
     }
 
     /// Whether no connection to the target comes up.
-    pub fn is_out_of_reach(&self, now: Millis) -> bool {
-        self.out_of_reach.is_some_and(|(first, last)| {
-            last.since(first) >= OUT_OF_REACH_AFTER_MS && now.since(last) < OUT_OF_REACH_MS
+    pub fn is_unreachable(&self, now: Millis) -> bool {
+        self.unreachable.is_some_and(|(first, last)| {
+            last.since(first) >= UNREACHABLE_AFTER_MS && now.since(last) < UNREACHABLE_MS
         })
     }
 
@@ -93,10 +93,10 @@
         match outcome {
             Outcome::Abandoned => {}
             Outcome::Unreachable => {
-                let first = self.out_of_reach.map_or(now, |(first, _)| first);
-                self.out_of_reach = Some((first, now));
+                let first = self.unreachable.map_or(now, |(first, _)| first);
+                self.unreachable = Some((first, now));
             }
-            _ => self.out_of_reach = None,
+            _ => self.unreachable = None,
         }
     }
 
--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -472,35 +472,35 @@
     assert!(!targets.load(&id).agent_rests(Millis(420)));
 }
 
-/// Whether the one target is in reach at `now`, after these ends of sends.
-fn is_in_reach(ends: &[(u64, Outcome)], now: u64) -> bool {
+/// Whether the one target is reachable at `now`, after these ends of sends.
+fn is_reachable(ends: &[(u64, Outcome)], now: u64) -> bool {
     let mut targets = Targets::default();
     targets.set(vec![candidate("a", Distance::SameHall)]);
     for (at, outcome) in ends {
         targets.started(Millis(*at), &TargetId::new("a"), 0);
         targets.finished(Millis(*at), &TargetId::new("a"), *outcome);
     }
-    targets.any_in_reach(Millis(now), Needs::default())
+    targets.any_reachable(Millis(now), Needs::default())
 }
 
 #[test]
-fn a_target_is_out_of_reach_while_connections_fail_and_is_tried_again_soon() {
+fn a_target_is_unreachable_while_connections_fail_and_is_tried_again_soon() {
     use Outcome::*;
     // Several connections that fail together are one sign.
-    assert!(is_in_reach(&[(0, Unreachable), (10, Unreachable)], 20));
+    assert!(is_reachable(&[(0, Unreachable), (10, Unreachable)], 20));
     let failing = [(0, Unreachable), (450, Unreachable)];
-    assert!(!is_in_reach(&failing, 460));
-    assert!(!is_in_reach(&failing, 1_249));
-    assert!(is_in_reach(&failing, 1_250));
-    assert!(!is_in_reach(
+    assert!(!is_reachable(&failing, 460));
+    assert!(!is_reachable(&failing, 1_249));
+    assert!(is_reachable(&failing, 1_250));
+    assert!(!is_reachable(
         &[failing[0], failing[1], (1_300, Unreachable)],
         1_310
     ));
-    // What answers, if only with a failure, is in reach.
+    // What answers, if only with a failure, is reachable.
     for outcome in [Answered, Failed, Broken, TurnedAway] {
-        assert!(is_in_reach(&[failing[0], failing[1], (455, outcome)], 460));
+        assert!(is_reachable(&[failing[0], failing[1], (455, outcome)], 460));
     }
-    assert!(!is_in_reach(
+    assert!(!is_reachable(
         &[failing[0], failing[1], (455, Abandoned)],
         460
     ));
--- a/crates/moleroad_gateway/src/acquire.rs
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -267,7 +267,7 @@
 
 pub(crate) fn no_place(now: Millis, places: Option<&ServicePlaces>, needs: Needs<'_>) -> NoPlace {
     let candidates = places.map_or(0, |places| places.targets.candidates().len());
-    let is_outage = !places.is_some_and(|places| places.targets.any_in_reach(now, needs));
+    let is_outage = !places.is_some_and(|places| places.targets.any_reachable(now, needs));
     let spread = rand::random::<u64>() % RETRY_AFTER_SPREAD_MS;
     let comes_in_ms = places.and_then(|places| places.expected_outage_ms(now));
     let least = match (is_outage, comes_in_ms) {
--- a/crates/moleroad_gateway/src/front/attempt_log.rs
+++ b/crates/moleroad_gateway/src/front/attempt_log.rs
@@ -33,7 +33,7 @@
             in_other_regions = kept_out.region as u64,
             evacuated = kept_out.evacuated as u64,
             tried = kept_out.tried as u64,
-            out_of_reach = kept_out.open as u64,
+            unreachable = kept_out.open as u64,
             sends = self.sends(),
             retry_after_ms = no_place.retry_after_ms;
             ""
--- a/crates/moleroad_gateway/src/refusal.rs
+++ b/crates/moleroad_gateway/src/refusal.rs
@@ -22,7 +22,7 @@
 const CONFIGURATION_LATER_MS: u64 = 8_000;
 
 /// Why a request whose regions are restricted need not wait: no target of an
-/// allowed region may get it and is in reach, nor will one that is known once it
+/// allowed region may get it and is reachable, nor will one that is known once it
 /// has newer weights. While no target of the service is known at all, and weights are on
 /// their way, it waits as any other.
 pub(crate) fn refused_at_once(node: &Node, view: &View, ask: &Ask) -> Option<NoPlace> {
@@ -34,7 +34,7 @@
     let places = view.services.get(&ask.service)?;
     let least = node.least_version(view, &ask.service);
     let needs = ask.needs(now, least);
-    if places.targets.any_in_reach(now, needs) {
+    if places.targets.any_reachable(now, needs) {
         return None;
     }
     let kept_out = tally(places.targets.candidates(), needs);
