--- a/crates/moleroad_dispatch/src/lib.rs
+++ b/crates/moleroad_dispatch/src/lib.rs
@@ -48,7 +48,7 @@
     pub use crate::choice::{Candidate, Choice, Distance, Needs, Reach, Targets};
     pub use crate::cold::{Admission, ColdNews, ColdSource, ColdTarget};
     pub use crate::division::{Division, SendTimes, may_send_from};
-    pub use crate::eligibility::{Barrier, barrier};
+    pub use crate::eligibility::{Barrier, BarrierTally, barrier, tally};
     pub use crate::health::{Health, Outcome};
     pub use crate::load::TargetLoad;
     pub use crate::overdue_share::OverdueShare;
--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -2,7 +2,7 @@
 
 use moleroad_directory::prelude::TargetId;
 use moleroad_dispatch::prelude::*;
-use moleroad_types::prelude::{Millis, Region};
+use moleroad_types::prelude::{AllowedRegions, Millis, Region};
 
 fn candidate(name: &str, distance: Distance) -> Candidate {
     Candidate {
@@ -54,7 +54,7 @@
         targets.reported(Millis(0), &TargetId::new(name), 4, 0);
     }
     assert_eq!(targets.choose(Millis(1), Needs::default(), 0), Choice::Full);
-    assert_eq!(targets.free_places(Millis(1)), 0.0);
+    assert_eq!(targets.free_places(Millis(1), &AllowedRegions::all()), 0.0);
     // A report that is old counts less and less.
     assert!(matches!(
         targets.choose(Millis(5_000), Needs::default(), 0),
@@ -153,6 +153,7 @@
         since: Millis(since),
         wanted_by: Millis(wanted_by),
         until: Millis(1_000),
+        regions: AllowedRegions::all(),
     }
 }
 
@@ -162,13 +163,13 @@
     assert!(queue.enter(waiter(1, 1, 0, 100)));
     assert!(queue.enter(waiter(2, 1, 10, 300)));
     assert!(queue.enter(waiter(3, 0, 20, 300)));
-    assert_eq!(queue.next(Millis(50)), Some(WaiterId(3)));
+    assert_eq!(queue.next(Millis(50), &[]), Some(WaiterId(3)));
     queue.leave(WaiterId(3));
-    assert_eq!(queue.next(Millis(50)), Some(WaiterId(1)));
-    assert_eq!(queue.next(Millis(200)), Some(WaiterId(2)));
+    assert_eq!(queue.next(Millis(50), &[]), Some(WaiterId(1)));
+    assert_eq!(queue.next(Millis(200), &[]), Some(WaiterId(2)));
     queue.leave(WaiterId(2));
-    assert_eq!(queue.next(Millis(200)), Some(WaiterId(1)));
-    assert_eq!(queue.next(Millis(1_000)), None);
+    assert_eq!(queue.next(Millis(200), &[]), Some(WaiterId(1)));
+    assert_eq!(queue.next(Millis(1_000), &[]), None);
     assert_eq!(queue.expired(Millis(1_000)), vec![WaiterId(1)]);
 }
 
@@ -472,3 +473,37 @@
     targets.reported(Millis(410), &id, 0, 0);
     assert!(!targets.load(&id).agent_rests(Millis(420)));
 }
+
+/// Whether the one target is reachable at `now`, after these ends of sends.
+fn is_reachable(ends: &[(u64, Outcome)], now: u64) -> bool {
+    let mut targets = Targets::default();
+    targets.set(vec![candidate("a", Distance::SameHall)]);
+    for (at, outcome) in ends {
+        targets.started(Millis(*at), &TargetId::new("a"), 0);
+        targets.finished(Millis(*at), &TargetId::new("a"), *outcome);
+    }
+    targets.any_reachable(Millis(now), Needs::default())
+}
+
+#[test]
+fn a_target_is_unreachable_while_connections_fail_and_is_tried_again_soon() {
+    use Outcome::*;
+    // Several connections that fail together are one sign.
+    assert!(is_reachable(&[(0, Unreachable), (10, Unreachable)], 20));
+    let failing = [(0, Unreachable), (450, Unreachable)];
+    assert!(!is_reachable(&failing, 460));
+    assert!(!is_reachable(&failing, 1_249));
+    assert!(is_reachable(&failing, 1_250));
+    assert!(!is_reachable(
+        &[failing[0], failing[1], (1_300, Unreachable)],
+        1_310
+    ));
+    // What answers, if only with a failure, is reachable.
+    for outcome in [Answered, Failed, Broken, TurnedAway] {
+        assert!(is_reachable(&[failing[0], failing[1], (455, outcome)], 460));
+    }
+    assert!(!is_reachable(
+        &[failing[0], failing[1], (455, Abandoned)],
+        460
+    ));
+}
--- a/crates/moleroad_gateway/src/acquire.rs
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -3,9 +3,10 @@
 use crate::node::Node;
 use crate::places::{Ask, ServicePlaces};
 use crate::probe;
+use crate::refusal::{NoPlaceCause, refused_at_once};
 use crate::view::View;
 use moleroad_dispatch::prelude::*;
-use moleroad_types::prelude::Millis;
+use moleroad_types::prelude::{AllowedRegions, Millis};
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
@@ -30,6 +31,8 @@
 /// Why there is no place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoPlace {
+    /// What stands in the way.
+    pub cause: NoPlaceCause,
     /// When to come back, in milliseconds.
     pub retry_after_ms: u64,
     /// Requests that waited.
@@ -70,7 +73,7 @@
         if ask.line == Line::Overdue
             && let Some(places) = node.view().services.get_mut(&ask.service)
         {
-            places.overdue_share.started();
+            places.overdue_share.started(&candidate.region);
         }
         Self {
             belief,
@@ -111,7 +114,7 @@
                 .targets
                 .finished(now, &self.candidate.id, self.outcome);
             if self.line == Line::Overdue {
-                places.overdue_share.ended();
+                places.overdue_share.ended(&self.candidate.region);
             }
             places.serve_waiting(now, least);
         }
@@ -146,7 +149,8 @@
 /// Waits for a place.
 ///
 /// # Errors
-/// [`NoPlace`] when there is none until [`Ask::until`], or too many wait.
+/// [`NoPlace`] when there is none until [`Ask::until`], too many wait, or no
+/// target may get the request.
 pub async fn acquire(node: &Arc<Node>, ask: &Ask) -> Result<Place, NoPlace> {
     let now = node.clock.now();
     let place = |candidate| Place::new(node, ask, candidate);
@@ -155,7 +159,11 @@
         let Some(places) = view.services.get(&ask.service) else {
             return Err(no_place(now, None, Needs::default(), 1));
         };
-        places.queue.len_of(ask.line) == 0 && places.admits(ask.line, view.entry_count(now))
+        if let Some(refused) = refused_at_once(node, &view, ask) {
+            return Err(refused);
+        }
+        let ahead = places.queue.len_ahead(ask.line, ask.residency.allowed());
+        ahead == 0 && places.admits(ask, view.entry_count(now))
     };
     if nobody_waits && let Some(candidate) = probe::find(node, ask).await {
         return Ok(place(candidate));
@@ -181,10 +189,18 @@
             return Ok(place(candidate));
         }
         let now = node.clock.now();
-        if now >= ask.until {
+        {
             let view = node.view();
-            return Err(no_place_for(node, &view, ask));
+            in_queue.ask.residency = view.residency(&in_queue.ask.residency);
+            let ask = &in_queue.ask;
+            if let Some(refused) = refused_at_once(node, &view, ask) {
+                return Err(refused);
+            }
+            if now >= ask.until {
+                return Err(no_place_for(node, &view, ask));
+            }
         }
+        let ask = &in_queue.ask;
         if is_next(node, ask, id)
             && let Some(candidate) = probe::find(node, ask).await
         {
@@ -208,7 +224,7 @@
             Line::Overdue => OVERDUE_LOOKING,
         };
         let now = node.clock.now();
-        let is_admitted = places.admits(ask.line, view.entry_count(now));
+        let is_admitted = places.admits(ask, view.entry_count(now));
         let asks = places.targets.have_agents() && is_admitted;
         asks && places.queue.is_among_first(count, id, now)
     })
@@ -264,14 +280,14 @@
     gap_ms.map_or(0, |gap_ms| (gap_ms * ahead as f64) as u64)
 }
 
-fn no_place(
+pub(crate) fn no_place(
     now: Millis,
     places: Option<&ServicePlaces>,
     needs: Needs<'_>,
     entries: usize,
 ) -> NoPlace {
     let candidates = places.map_or(0, |places| places.targets.candidates().len());
-    let is_outage = !places.is_some_and(|places| places.targets.any_serves(needs));
+    let is_outage = !places.is_some_and(|places| places.targets.any_reachable(now, needs));
     let spread = rand::random::<u64>() % RETRY_AFTER_SPREAD_MS;
     let comes_in_ms = places.and_then(|places| places.expected_outage_ms(now));
     let least = match (is_outage, comes_in_ms) {
@@ -280,10 +296,13 @@
         (false, _) => cold_wait_ms(now, places, needs, entries)
             .clamp(RETRY_AFTER_LEAST_MS, RETRY_AFTER_OUTAGE_MS),
     };
+    let all = AllowedRegions::all();
+    let regions = needs.regions.unwrap_or(&all);
     NoPlace {
+        cause: NoPlaceCause::Busy,
         retry_after_ms: least + spread,
         waiting: places.map_or(0, |places| places.waiting()),
         candidates,
-        free_places: places.map_or(0, |places| places.targets.free_places(now) as u64),
+        free_places: places.map_or(0, |places| places.targets.free_places(now, regions) as u64),
     }
 }
--- a/crates/moleroad_gateway/src/front/waiting.rs
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -6,6 +6,7 @@
 use crate::front::attempt::{Attempts, GiveUp};
 use crate::front::patience;
 use crate::places::Ask;
+use crate::refusal::NoPlaceCause;
 use moleroad_dispatch::prelude::Line;
 use moleroad_types::prelude::Millis;
 
@@ -40,12 +41,14 @@
         let ask = self.ask();
         let is_first = self.sends == 0;
         let in_time = acquire(&self.node, &ask).await;
-        if is_first {
+        let lacks_room = |no_place: &NoPlace| no_place.cause == NoPlaceCause::Busy;
+        let is_about_room = in_time.as_ref().err().is_none_or(lacks_room);
+        if is_first && is_about_room {
             self.note_in_time(in_time.is_ok());
         }
         let place = match in_time {
             Ok(place) => place,
-            Err(no_place) if is_first => self.overdue_place(ask, no_place).await?,
+            Err(no_place) if is_first && is_about_room => self.overdue_place(ask, no_place).await?,
             Err(no_place) => return Err(GiveUp::NoPlace(no_place)),
         };
         if self.sends == 0 && self.unreachable == 0 {
@@ -80,7 +83,7 @@
             wanted_by: is_first.then(|| request.arrived + latency_ms),
             until: until.min(Millis(request.until.0 - LEAST_USEFUL_MS)),
             line: Line::InTime,
-            regions: request.regions.clone(),
+            residency: self.node.view().residency(&request.residency),
         }
     }
 
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -12,6 +12,7 @@
 use crate::peer::LeaderHint;
 use crate::peers::Peers;
 use crate::places::Ask;
+use crate::region_warnings;
 use crate::settings::{RoleSetting, Settings};
 use crate::view::View;
 use moleroad_consensus::prelude::MemberInfo;
@@ -211,9 +212,14 @@
         let now = self.clock.now();
         let changed = {
             let mut view = self.view();
+            let before = view.state.config_version();
             let changed = view.take_state(now, state, &*self.interface);
+            if view.state.config_version() > before {
+                region_warnings::log(&self.settings, &view);
+            }
             if changed {
                 view.refresh_candidates(now, &self.settings);
+                view.renew_residency();
             }
             changed
         };
