Order evacuations of data halls through the log; keep requests away from them

Cause: operators ask that nothing more be sent to a hall and take that back; nothing of it existed. Ruled out: a flag that is merged, since begin and end alternate; an answer from a daemon's own view, which may be older than what another daemon was told. Change: each hall has a revision that the log raises; an order says on which one it is based and is changed, already so or overtaken. News goes with the push, the pull and both sides of a greeting, with its age. Targets of such halls are barred, refusals follow at once, their agents change weights without a turn once nothing runs there.

--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -1,6 +1,6 @@
 //! Choosing among the targets of a service.
 
-use crate::eligibility::barrier;
+use crate::eligibility::{Barrier, barrier};
 use crate::health::Outcome;
 use crate::load::TargetLoad;
 use crate::reading::ReadingSpeed;
@@ -190,6 +190,14 @@
         self.candidates.iter().any(serves)
     }
 
+    /// Whether all targets that stand where the request may be served are in
+    /// evacuated halls, so that waiting for a place is in vain.
+    pub fn is_evacuated(&self, needs: Needs<'_>) -> bool {
+        let barriers = self.candidates.iter().map(|c| barrier(c, needs));
+        let mut in_region = barriers.filter(|b| *b != Some(Barrier::Region)).peekable();
+        in_region.peek().is_some() && in_region.all(|b| b == Some(Barrier::Evacuated))
+    }
+
     fn candidate(&self, id: &TargetId) -> Option<&Candidate> {
         self.candidates.iter().find(|candidate| candidate.id == *id)
     }
--- a/crates/moleroad_gateway/src/acquire.rs
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -155,6 +155,9 @@
         let Some(places) = view.services.get(&ask.service) else {
             return Err(no_place(now, None, Needs::default()));
         };
+        if is_evacuated(node, &view, ask) {
+            return Err(no_place_for(node, &view, ask));
+        }
         places.queue.len_of(ask.line) == 0 && places.admits(ask.line, view.entry_count(now))
     };
     if nobody_waits && let Some(candidate) = probe::find(node, ask).await {
@@ -181,9 +184,11 @@
             return Ok(place(candidate));
         }
         let now = node.clock.now();
-        if now >= ask.until {
+        {
             let view = node.view();
-            return Err(no_place_for(node, &view, ask));
+            if now >= ask.until || is_evacuated(node, &view, ask) {
+                return Err(no_place_for(node, &view, ask));
+            }
         }
         if is_next(node, ask, id)
             && let Some(candidate) = probe::find(node, ask).await
@@ -197,6 +202,13 @@
     }
 }
 
+/// Whether all targets that might take the request are in evacuated halls.
+fn is_evacuated(node: &Node, view: &View, ask: &Ask) -> bool {
+    let needs = ask.needs(node.clock.now(), node.least_version(view, &ask.service));
+    let places = view.services.get(&ask.service);
+    places.is_some_and(|places| places.targets.is_evacuated(needs))
+}
+
 /// Whether the waiting request is among the next to be sent, and asks agents
 /// itself.
 fn is_next(node: &Node, ask: &Ask, id: WaiterId) -> bool {
--- a/crates/moleroad_gateway/src/agent/change.rs
+++ b/crates/moleroad_gateway/src/agent/change.rs
@@ -10,6 +10,7 @@
 use crate::experiments::Mechanism;
 use crate::interface::StartMode;
 use crate::node::Node;
+use crate::view::View;
 use moleroad_directory::prelude::*;
 use moleroad_directory::target::whole_version;
 use moleroad_rollout::prelude::*;
@@ -156,10 +157,13 @@
         // An engine that serves nothing has nothing to wait for.
         return true;
     };
+    if serves_nobody(&view) {
+        return true;
+    }
     let fellows = fellows(&view, now);
     let others: Vec<&InstanceId> = fellows
         .into_iter()
-        .filter(|other| serves(other, target))
+        .filter(|other| serves(other, target) && !view.is_evacuated(&other.hall))
         .map(|other| &other.instance)
         .collect();
     let plan = wave_plan(node, target, others.len() + 1);
@@ -167,6 +171,14 @@
     plan.may_begin(&own.instance, others, elapsed_ms, staged_ms)
 }
 
+/// Whether the engine's hall is evacuated and nothing runs there any more: its
+/// change takes no place from callers, so it needs no turn.
+fn serves_nobody(view: &View) -> bool {
+    let report = view.own.report.as_ref();
+    let is_idle = report.is_some_and(|report| report.running + report.queued == 0);
+    is_idle && view.is_evacuated(&view.own.hall)
+}
+
 /// Whether the engine beside another agent serves some version, or is changing
 /// it.
 fn serves(other: &DaemonRecord, target: &Wanted) -> bool {
--- a/crates/moleroad_gateway/src/candidates.rs
+++ b/crates/moleroad_gateway/src/candidates.rs
@@ -53,7 +53,9 @@
             }
             let agent = agents.get(&record.address).copied();
             let report = agent.and_then(|agent| current_report(now, agent));
-            if let Some(mut candidate) = candidate(settings, service, record, report, &entries) {
+            let evacuated = self.is_evacuated(&record.hall);
+            let candidate = candidate(settings, service, record, report, &entries, evacuated);
+            if let Some(mut candidate) = candidate {
                 candidate.agent = agent.map(|agent| agent.record.peer);
                 lists.entry(&service.name).or_default().push(candidate);
             }
@@ -102,10 +104,13 @@
         }
     }
 
-    /// The most pieces that an agent holds of a version from `least` on.
+    /// The most pieces that an agent whose engine gets requests holds of a version
+    /// from `least` on.
     fn most_held(&self, service: &str, model: &str, least: u64) -> u32 {
         let daemons = self.directory.daemons().map(|heard| &heard.record);
-        let agents = daemons.filter(|record| record.service.as_deref() == Some(service));
+        let agents = daemons.filter(|record| {
+            record.service.as_deref() == Some(service) && !self.is_evacuated(&record.hall)
+        });
         let maps = agents.flat_map(|agent| &agent.pieces);
         let fitting = maps.filter(|map| map.model == model && map.version >= least);
         fitting.map(PieceMap::count).max().unwrap_or(0)
@@ -118,6 +123,7 @@
     record: &TargetRecord,
     report: Option<&EngineReport>,
     entries: &[EntryDemand<'_>],
+    evacuated: bool,
 ) -> Option<Candidate> {
     let version = match service.models.first() {
         None => None,
@@ -159,7 +165,7 @@
         },
         distance,
         region: Region::new(settings.region_of(&record.hall)),
-        evacuated: false,
+        evacuated,
         version,
         switching: report.is_some_and(|report| report.switching),
         slowness: pace + cold,
--- a/crates/moleroad_gateway/src/control_state.rs
+++ b/crates/moleroad_gateway/src/control_state.rs
@@ -1,5 +1,6 @@
 //! The state that the control group agrees on.
 
+use crate::evacuations::{Evacuations, HallOrder};
 use flate2::Compression;
 use flate2::read::{ZlibDecoder, ZlibEncoder};
 use moleroad_config::prelude::{ConfigVersion, ConfigurationError};
@@ -72,6 +73,8 @@
         /// Version of its weights.
         version: u64,
     },
+    /// Evacuate a data hall or take it back.
+    OrderHall(HallOrder),
 }
 
 /// What is in force.
@@ -81,6 +84,9 @@
     pub configuration: Option<ConfigDocument>,
     /// The highest version named of each model.
     pub versions: BTreeMap<String, u64>,
+    /// Which data halls are evacuated.
+    #[serde(default)]
+    pub evacuations: Evacuations,
 }
 
 impl ControlState {
@@ -94,11 +100,16 @@
             ControlCommand::NameVersion { model, version } => {
                 self.versions.insert(model.clone(), *version);
             }
+            ControlCommand::OrderHall(order) => {
+                let before = self.evacuations.of(&order.hall);
+                return self.evacuations.carry_out(order).state != before;
+            }
         }
         true
     }
 
-    /// Whether the change, or a later one of its kind, was applied.
+    /// Whether the change, or a later one of its kind, was applied. What an
+    /// order for a hall comes to, the log alone can tell.
     pub fn includes(&self, command: &ControlCommand) -> bool {
         match command {
             ControlCommand::Replace(document) => self
@@ -108,6 +119,7 @@
             ControlCommand::NameVersion { model, version } => {
                 self.versions.get(model).is_some_and(|held| held >= version)
             }
+            ControlCommand::OrderHall(_) => false,
         }
     }
 
@@ -123,7 +135,7 @@
                 version: *version,
             });
         }
-        changed
+        changed | self.evacuations.merge(&other.evacuations)
     }
 
     /// Version of the configuration; 0 without one.
--- a/crates/moleroad_gateway/src/core/member.rs
+++ b/crates/moleroad_gateway/src/core/member.rs
@@ -3,6 +3,7 @@
 use super::{Committed, CoreInput, CoreOutput, CoreSettings, TIMING};
 use crate::clock::Clock;
 use crate::control_state::{ControlCommand, ControlState};
+use crate::evacuations::HallOutcome;
 use moleroad_consensus::prelude::*;
 use moleroad_types::prelude::{Millis, Term};
 use std::collections::BTreeMap;
@@ -215,22 +216,22 @@
         let mut changed = false;
         let mut done = Vec::new();
         for entry in entries {
+            let mut committed = Committed::Yes;
             if let Payload::Command(data) = &entry.payload {
                 match rmp_serde::from_slice::<ControlCommand>(data) {
-                    Ok(command) => changed |= Arc::make_mut(&mut self.state).apply(&command),
+                    Ok(command) => {
+                        let (is_change, applied) = self.apply_command(&command);
+                        changed |= is_change;
+                        committed = applied;
+                    }
                     Err(error) => log::error!(event = "command_unreadable"; "{error}"),
                 }
             }
             if let Some((term, ticket)) = self.placed.remove(&entry.index) {
-                let same = term == entry.term;
-                done.push((
-                    ticket,
-                    if same {
-                        Committed::Yes
-                    } else {
-                        Committed::Unknown
-                    },
-                ));
+                if term != entry.term {
+                    committed = Committed::Unknown;
+                }
+                done.push((ticket, committed));
             }
         }
         if changed {
@@ -241,6 +242,18 @@
         }
     }
 
+    /// Applies a change; whether it changed anything, and what its proposer is
+    /// told.
+    fn apply_command(&mut self, command: &ControlCommand) -> (bool, Committed) {
+        let state = Arc::make_mut(&mut self.state);
+        let ControlCommand::OrderHall(order) = command else {
+            return (state.apply(command), Committed::Yes);
+        };
+        let verdict = state.evacuations.carry_out(order);
+        let is_change = verdict.outcome == HallOutcome::Changed;
+        (is_change, Committed::Hall(verdict))
+    }
+
     fn reply(&mut self, ticket: ProposalTicket, committed: Committed) {
         if let Some(reply) = self.replies.remove(&ticket) {
             let _ = reply.send(committed);
--- a/crates/moleroad_gateway/src/core/mod.rs
+++ b/crates/moleroad_gateway/src/core/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Clock;
 use crate::control_state::{ControlCommand, ControlState};
+use crate::evacuations::HallVerdict;
 use member::{Member, open};
 use moleroad_consensus::prelude::*;
 use moleroad_types::prelude::Term;
@@ -28,6 +29,8 @@
 pub enum Committed {
     /// It is durable on a majority and applied.
     Yes,
+    /// An order for a hall is; this is what it came to.
+    Hall(HallVerdict),
     /// This member does not lead; the leader, if it is known.
     NotLeader(Option<MemberInfo>),
     /// It may or may not come to be.
--- a/crates/moleroad_gateway/src/front/waiting.rs
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -39,6 +39,9 @@
         }
         let ask = self.ask();
         let is_first = self.sends == 0;
+        if is_first && self.unreachable == 0 {
+            self.node.note_kept_away(&ask);
+        }
         let in_time = acquire(&self.node, &ask).await;
         if is_first {
             self.note_in_time(in_time.is_ok());
--- a/crates/moleroad_gateway/src/greeting/answer.rs
+++ b/crates/moleroad_gateway/src/greeting/answer.rs
@@ -2,6 +2,7 @@
 
 use crate::core::CoreInput;
 use crate::greeting::take;
+use crate::halls::{HallsNews, Source};
 use crate::node::Node;
 use crate::peer::{Hello, HelloAnswer, Speaker};
 use crate::view::View;
@@ -21,6 +22,7 @@
 /// Takes what the caller says and answers what it asks.
 pub fn answer(node: &Arc<Node>, hello: Hello) -> HelloAnswer {
     let now = node.clock.now();
+    node.take_halls(&hello.halls, Source::Greeting);
     if let (Some(core), Some(member)) = (&node.core, hello.member) {
         core.tell(CoreInput::Spare(member));
     }
@@ -60,6 +62,11 @@
         },
         leader: view.leader,
         catalog: tells_catalog.then(|| view.catalog.clone()),
+        halls: if view.knows_no_more_of_halls(&hello.halls) {
+            HallsNews::new()
+        } else {
+            view.halls_news(now)
+        },
     };
     let is_behind = !is_agent && hello.config_version > view.state.config_version();
     drop(view);
--- a/crates/moleroad_gateway/src/greeting/mod.rs
+++ b/crates/moleroad_gateway/src/greeting/mod.rs
@@ -10,6 +10,7 @@
 pub mod contacts;
 pub mod take;
 
+use crate::halls::Source;
 use crate::node::Node;
 use crate::peer::{Hello, HelloAnswer, Speaker};
 use contacts::{Contact, LONG_SILENT_MS, Standing};
@@ -213,6 +214,7 @@
             pieces: contact.pieces,
         },
         catalog_digest: view.catalog.digest(),
+        halls: view.halls_news(now),
     };
     let next = Told {
         at: now.0,
@@ -244,6 +246,7 @@
 /// known here, so that all must be asked for again.
 async fn take_answer(node: &Arc<Node>, address: SocketAddr, answer: HelloAnswer) -> bool {
     let now = node.clock.now();
+    node.take_halls(&answer.halls, Source::Greeting);
     let (taken, behind) = {
         let mut view = node.view();
         let taken = take::take_news(&mut view, now, answer.news);
@@ -286,6 +289,6 @@
         })
         .await;
     if let Ok(state) = pulled {
-        node.take_state(&state);
+        node.take_state(&state, Source::Pull);
     }
 }
--- a/crates/moleroad_gateway/src/interface.rs
+++ b/crates/moleroad_gateway/src/interface.rs
@@ -60,6 +60,12 @@
     ReadConfiguration,
     /// An operator names a version of weights.
     NameVersion,
+    /// An operator wants a data hall evacuated.
+    EvacuateHall(String),
+    /// An operator takes a data hall back.
+    RestoreHall(String),
+    /// An operator asks which data halls are evacuated.
+    ListHalls,
     /// Figures of this process.
     Metrics,
 }
--- a/crates/moleroad_gateway/src/metrics.rs
+++ b/crates/moleroad_gateway/src/metrics.rs
@@ -1,6 +1,10 @@
 //! Counters and latencies of one process.
 
-use prometheus::{Encoder, Histogram, HistogramOpts, IntCounterVec, Opts, Registry, TextEncoder};
+use crate::evacuations::Evacuations;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
 
 /// Bounds of the latency histograms, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.03, 0.1, 0.2, 0.3, 0.4, 0.8, 1.5, 3.0, 6.0];
@@ -18,6 +22,14 @@
     pub first_byte_s: Histogram,
     /// Time that requests waited for a place, in seconds.
     pub wait_s: Histogram,
+    /// Data halls that are evacuated.
+    pub halls_evacuated: IntGauge,
+    /// Revision of each data hall that was ever evacuated.
+    pub hall_revision: IntGaugeVec,
+    /// Age of news of a data hall when it came here, in seconds.
+    pub hall_news_s: Histogram,
+    /// Requests kept away from targets of evacuated data halls, by hall.
+    pub kept_away: IntCounterVec,
 }
 
 impl Default for Metrics {
@@ -40,6 +52,19 @@
             events: counters("moleroad_events_total", "Events by name", &["event"]),
             first_byte_s: latency("moleroad_first_byte_seconds", "Time to the first byte"),
             wait_s: latency("moleroad_wait_seconds", "Time waited for a place"),
+            halls_evacuated: IntGauge::new("moleroad_halls_evacuated", "Data halls evacuated")
+                .expect("a sound metric"),
+            hall_revision: IntGaugeVec::new(
+                Opts::new("moleroad_hall_revision", "Changes of a data hall"),
+                &["hall"],
+            )
+            .expect("a sound metric"),
+            hall_news_s: latency("moleroad_hall_news_seconds", "Age of news of a data hall"),
+            kept_away: counters(
+                "moleroad_kept_away_total",
+                "Requests kept away from evacuated data halls",
+                &["hall"],
+            ),
         };
         metrics.register();
         metrics
@@ -48,12 +73,16 @@
 
 impl Metrics {
     fn register(&self) {
-        let all: [Box<dyn prometheus::core::Collector>; 5] = [
+        let all: [Box<dyn prometheus::core::Collector>; 9] = [
             Box::new(self.requests.clone()),
             Box::new(self.sends.clone()),
             Box::new(self.events.clone()),
             Box::new(self.first_byte_s.clone()),
             Box::new(self.wait_s.clone()),
+            Box::new(self.halls_evacuated.clone()),
+            Box::new(self.hall_revision.clone()),
+            Box::new(self.hall_news_s.clone()),
+            Box::new(self.kept_away.clone()),
         ];
         for collector in all {
             self.registry.register(collector).expect("a new name");
@@ -65,6 +94,16 @@
         self.events.with_label_values(&[event]).inc();
     }
 
+    /// Shows which data halls are evacuated.
+    pub fn note_halls(&self, evacuations: &Evacuations) {
+        let evacuated = evacuations.iter().filter(|(_, state)| state.evacuated);
+        self.halls_evacuated.set(evacuated.count() as i64);
+        for (hall, state) in evacuations.iter() {
+            let revision = self.hall_revision.with_label_values(&[hall]);
+            revision.set(state.revision.0 as i64);
+        }
+    }
+
     /// All figures as text.
     pub fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/moleroad_gateway/src/operator.rs
+++ b/crates/moleroad_gateway/src/operator.rs
@@ -3,6 +3,8 @@
 
 use crate::control_state::{ControlCommand, ControlState};
 use crate::core::Committed;
+use crate::evacuations::{HallOrder, HallVerdict};
+use crate::halls::{HallNews, HallsNews, Source};
 use crate::node::Node;
 use crate::peer::{CommitAnswer, LeaderHint};
 use moleroad_types::prelude::Millis;
@@ -19,36 +21,66 @@
 
 /// Brings a change to the leader; true once it is durable and applied.
 pub async fn commit(node: &Arc<Node>, command: ControlCommand) -> bool {
+    if node.has_in_force(&command) {
+        return true;
+    }
+    match order(node, &command).await {
+        CommitAnswer::Committed => {
+            // What is durable is in force here before it is acknowledged.
+            let mut state = ControlState::default();
+            state.apply(&command);
+            node.take_state(&state, Source::Answer);
+            true
+        }
+        _ => node.has_in_force(&command),
+    }
+}
+
+/// Brings an order for a hall to the leader, and puts what it came to in force
+/// here; `None` when that is not known in time.
+pub async fn order_hall(node: &Arc<Node>, wanted: HallOrder) -> Option<HallVerdict> {
+    let hall = wanted.hall.clone();
+    let command = ControlCommand::OrderHall(wanted);
+    let CommitAnswer::Hall(verdict) = order(node, &command).await else {
+        return None;
+    };
+    let news = HallNews {
+        state: verdict.state,
+        age_ms: 0,
+    };
+    node.take_halls(&HallsNews::from([(hall, news)]), Source::Answer);
+    Some(verdict)
+}
+
+/// Proposes a change at whoever leads, until it is decided or time is over.
+async fn order(node: &Arc<Node>, command: &ControlCommand) -> CommitAnswer {
     let until = node.clock.now() + ANSWER_MS;
     let mut next = None;
     loop {
-        if node.has_in_force(&command) {
-            return true;
+        if node.has_in_force(command) {
+            return CommitAnswer::Committed;
         }
         let left = until.since(node.clock.now());
         if left == 0 {
-            return false;
+            return CommitAnswer::Unknown;
         }
         let leader = next.take().or_else(|| node.leader_hint());
         let answer = match leader {
-            Some(hint) => propose_at(node, hint.address, &command, left.min(CALL_MS)).await,
+            Some(hint) => propose_at(node, hint.address, command, left.min(CALL_MS)).await,
             None => CommitAnswer::NotLeader(None),
         };
         match answer {
-            CommitAnswer::Committed => {
-                // What is durable is in force here before it is acknowledged.
-                let mut state = ControlState::default();
-                state.apply(&command);
-                node.take_state(&state);
-                return true;
-            }
-            CommitAnswer::Unknown => return node.has_in_force(&command),
             CommitAnswer::NotLeader(hint) => {
                 next = hint.filter(|hint| Some(hint.address) != leader.map(|l| l.address));
                 if next.is_none() {
                     pause(left).await;
                 }
             }
+            // It changes nothing a second time, and only the log tells.
+            CommitAnswer::Unknown if matches!(command, ControlCommand::OrderHall(_)) => {
+                pause(left).await;
+            }
+            decided => return decided,
         }
     }
 }
@@ -84,6 +116,7 @@
     };
     match core.propose(command).await {
         Committed::Yes => CommitAnswer::Committed,
+        Committed::Hall(verdict) => CommitAnswer::Hall(verdict),
         Committed::NotLeader(leader) => CommitAnswer::NotLeader(node.hint_of(leader)),
         Committed::Unknown => CommitAnswer::Unknown,
     }
@@ -105,7 +138,7 @@
         };
         match answer {
             Ok(state) => {
-                node.take_state(&state);
+                node.take_state(&state, Source::Answer);
                 return Some(state);
             }
             Err(hint) => {
--- a/crates/moleroad_gateway/src/peer.rs
+++ b/crates/moleroad_gateway/src/peer.rs
@@ -1,6 +1,8 @@
 //! Calls between the daemons, over tarpc.
 
 use crate::control_state::{ControlCommand, ControlState};
+use crate::evacuations::HallVerdict;
+use crate::halls::HallsNews;
 use moleroad_config::prelude::ConfigVersion;
 use moleroad_consensus::prelude::{MemberInfo, Message};
 use moleroad_directory::prelude::*;
@@ -50,6 +52,9 @@
     pub question: Question,
     /// Digest of the [`Catalog`] that it knows; agents only.
     pub catalog_digest: u64,
+    /// Halls that were ever evacuated, as it knows them.
+    #[serde(default)]
+    pub halls: HallsNews,
 }
 
 /// A version of a model and how long ago it was named.
@@ -152,6 +157,10 @@
     pub leader: Option<LeaderHint>,
     /// What agents need of the configuration, when it changed.
     pub catalog: Option<Catalog>,
+    /// Halls that were ever evacuated, where the caller does not know all that
+    /// the callee knows of them.
+    #[serde(default)]
+    pub halls: HallsNews,
 }
 
 /// What became of a change that another daemon passed on.
@@ -163,6 +172,8 @@
     NotLeader(Option<LeaderHint>),
     /// It may or may not come to be.
     Unknown,
+    /// An order for a hall is durable and applied; this is what it came to.
+    Hall(HallVerdict),
 }
 
 /// News of targets that entries must have at once.
--- a/crates/moleroad_gateway/src/peer_server.rs
+++ b/crates/moleroad_gateway/src/peer_server.rs
@@ -2,6 +2,7 @@
 
 use crate::control_state::{ControlCommand, ControlState};
 use crate::core::CoreInput;
+use crate::halls::Source;
 use crate::listening::serve_each;
 use crate::node::Node;
 use crate::operator;
@@ -70,7 +71,7 @@
     }
 
     async fn push(self, _: Context, state: ControlState) {
-        self.node.take_state(&state);
+        self.node.take_state(&state, Source::Push);
     }
 
     async fn pull(self, _: Context) -> ControlState {
--- a/crates/moleroad_gateway/src/run.rs
+++ b/crates/moleroad_gateway/src/run.rs
@@ -2,9 +2,11 @@
 
 use crate::agent;
 use crate::clock::Clock;
+use crate::control_state::ControlState;
 use crate::core::{Core, CoreInput, CoreOutput, CoreSettings};
 use crate::front;
 use crate::greeting;
+use crate::halls::Source;
 use crate::interface::Interface;
 use crate::listening::listen;
 use crate::node::Node;
@@ -13,7 +15,6 @@
 use crate::settings::{RoleSetting, Settings};
 use crate::system_calls;
 use crate::view::View;
-use moleroad_config::prelude::ConfigVersion;
 use moleroad_consensus::prelude::{Configuration, MemberId, MemberInfo, Message};
 use moleroad_types::prelude::Millis;
 use std::collections::hash_map::DefaultHasher;
@@ -165,16 +166,15 @@
 
 /// Carries out what the member of the control group asks for.
 async fn carry_out(node: Arc<Node>, mut outputs: mpsc::UnboundedReceiver<CoreOutput>) {
-    let mut pushed = ConfigVersion::default();
+    let mut pushed = ControlState::default();
     while let Some(output) = outputs.recv().await {
         match output {
             CoreOutput::Send(to, message) => {
                 tokio::spawn(send(node.clone(), to, message));
             }
             CoreOutput::State(state) => {
-                if node.take_state(&state) {
-                    push(&node, &mut pushed);
-                }
+                node.take_state(&state, Source::Log);
+                push(&node, &state, &mut pushed);
             }
             CoreOutput::Tentative(state) => node.prepare_for(&state),
             CoreOutput::Leader(term, leader) => {
@@ -206,9 +206,13 @@
     let _ = node.peers.call(to.address, MESSAGE_TIMEOUT, call).await;
 }
 
-/// Brings what is in force to the relays of all data halls at once; the other
-/// entries learn of it when they ask their relays.
-fn push(node: &Arc<Node>, pushed: &mut ConfigVersion) {
+/// Brings what is in force to the relays of all data halls at once, if it is
+/// not what was brought last; the other entries learn of it when they ask their
+/// relays.
+fn push(node: &Arc<Node>, state: &ControlState, pushed: &mut ControlState) {
+    if state == pushed {
+        return;
+    }
     let (state, relays) = {
         let view = node.view();
         let is_leader = view
@@ -217,12 +221,12 @@
         if !is_leader {
             return;
         }
-        let mut state = view.state.clone();
-        if state.config_version() == *pushed {
-            state.configuration = None;
+        let mut news = state.clone();
+        if news.config_version() == pushed.config_version() {
+            news.configuration = None;
         }
-        *pushed = view.state.config_version();
-        (state, relays_of_all_halls(&view, node.clock.now()))
+        *pushed = state.clone();
+        (news, relays_of_all_halls(&view, node.clock.now()))
     };
     for address in relays {
         let (node, state) = (node.clone(), state.clone());
--- a/crates/moleroad_gateway/src/settings.rs
+++ b/crates/moleroad_gateway/src/settings.rs
@@ -97,6 +97,10 @@
     /// milliseconds.
     #[serde(rename = "catch_up_s", deserialize_with = "seconds")]
     pub catch_up_ms: u64,
+    /// Time after which an evacuated data hall gets nothing more from any entry,
+    /// in milliseconds.
+    #[serde(deserialize_with = "whole_ms")]
+    pub evacuate_ms: u64,
 }
 
 impl Default for Bounds {
@@ -112,6 +116,7 @@
             version_ms: 8_000,
             longest_ttl_ms: 5_000,
             catch_up_ms: 4_000,
+            evacuate_ms: 5_000,
         }
     }
 }
--- a/crates/moleroad_gateway/src/system_calls.rs
+++ b/crates/moleroad_gateway/src/system_calls.rs
@@ -6,7 +6,7 @@
 use crate::interface::SystemCall;
 use crate::listening::serve_each;
 use crate::node::Node;
-use crate::{operator, target_news};
+use crate::{hall_calls, operator, target_news};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -46,13 +46,15 @@
     let _ = served.await;
 }
 
-type SystemAnswer = Response<AnswerBody>;
+/// What a call to the system is answered.
+pub(crate) type SystemAnswer = Response<AnswerBody>;
 
 async fn handle(node: Arc<Node>, request: Request<Incoming>) -> Result<SystemAnswer, Infallible> {
     let uri = request.uri().clone();
     let call = node
         .interface
-        .system_call(request.method(), uri.path(), uri.query());
+        .system_call(request.method(), uri.path(), uri.query())
+        .or_else(|| hall_calls::read(request.method(), uri.path()));
     let answer = match call {
         Some(SystemCall::Addresses { hall, region }) => addresses(&node, &hall, &region),
         Some(SystemCall::Ready) => ready(&node),
@@ -62,6 +64,9 @@
             target_news::gone(&node, &id).await;
             document(&node, StatusCode::OK, b"{}".to_vec())
         }
+        Some(SystemCall::EvacuateHall(hall)) => hall_calls::order(&node, hall, true).await,
+        Some(SystemCall::RestoreHall(hall)) => hall_calls::order(&node, hall, false).await,
+        Some(SystemCall::ListHalls) => hall_calls::list(&node),
         Some(call) => match read(request).await {
             Some(body) => with_body(&node, call, &body).await,
             None => failure(
@@ -199,14 +204,16 @@
     }
 }
 
-fn document(node: &Node, status: StatusCode, body: Vec<u8>) -> SystemAnswer {
+/// A document of the platform.
+pub(crate) fn document(node: &Node, status: StatusCode, body: Vec<u8>) -> SystemAnswer {
     let mut answer = plain(status, body);
     let kind = HeaderValue::from_static(node.interface.document_type());
     answer.headers_mut().insert(CONTENT_TYPE, kind);
     answer
 }
 
-fn failure(node: &Node, status: StatusCode, reason: &str) -> SystemAnswer {
+/// An answer that says what is wrong.
+pub(crate) fn failure(node: &Node, status: StatusCode, reason: &str) -> SystemAnswer {
     document(node, status, node.interface.write_error(reason))
 }
 
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -1,6 +1,7 @@
 //! What one daemon believes: what is in force, who is there, who leads.
 
 use crate::control_state::{ConfigDocument, ControlState};
+use crate::halls::KnownHalls;
 use crate::interface::Interface;
 use crate::named_versions::NamedVersions;
 use crate::peer::{Catalog, CatalogModel, CatalogOrigin, LeaderHint, VersionAge};
@@ -30,6 +31,8 @@
     pub named: BTreeMap<String, NamedVersions>,
     /// Versions that agents prepare for, not known to be named.
     pub prepared: BTreeMap<String, NamedVersions>,
+    /// What is known of evacuated halls beside their states.
+    pub halls: KnownHalls,
     /// Targets and daemons.
     pub directory: Directory,
     /// Places at the targets of each service.
@@ -57,6 +60,7 @@
             catalog: Catalog::default(),
             named: BTreeMap::new(),
             prepared: BTreeMap::new(),
+            halls: KnownHalls::default(),
             directory: Directory::new(),
             services: HashMap::new(),
             own,
@@ -68,7 +72,8 @@
         }
     }
 
-    /// Takes what is newer in `state`; true if anything was.
+    /// Takes what is newer in `state`; true if anything was. When halls changed
+    /// is learned apart: see [`View::learn_halls`].
     pub fn take_state(
         &mut self,
         now: Millis,
