Hold requests and orders back after a process stood still; test evacuations under failure

Cause: a process that wakes reads what lies in its sockets before it hears what happened: requests would go to a hall that was emptied meanwhile, and an order that its operator gave up long ago could empty a hall again. Ruled out: the revision alone, since a push that lies in another socket may be read first. Change: a look at the clock twenty times a second notices a standstill of a second; requests then wait for one answered greeting, a second at most, and orders for halls are not taken for 300 ms. Conclusion: the order of the log and the wait together keep a late call harmless.

--- a/crates/moleroad_gateway/src/front/waiting.rs
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -26,6 +26,7 @@
     /// # Errors
     /// [`GiveUp`] says why none is made.
     pub(super) async fn next_place(&mut self) -> Result<Place, GiveUp> {
+        self.node.hear_after_standstill().await;
         let now = self.node.clock.now();
         if now + LEAST_USEFUL_MS > self.request.until {
             return Err(GiveUp::TimeOver);
--- a/crates/moleroad_gateway/src/greeting/mod.rs
+++ b/crates/moleroad_gateway/src/greeting/mod.rs
@@ -15,6 +15,7 @@
 use crate::peer::{Hello, HelloAnswer, Speaker};
 use contacts::{Contact, LONG_SILENT_MS, Standing};
 use moleroad_directory::prelude::*;
+use moleroad_types::prelude::Millis;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -71,6 +72,7 @@
 pub async fn greet(node: Arc<Node>) {
     let greeted: Arc<Mutex<Greeted>> = Arc::default();
     loop {
+        drop(node.standstill());
         for contact in due(&node, &greeted) {
             lock(&greeted).waiting.insert(contact.address);
             tokio::spawn(greet_one(node.clone(), contact, greeted.clone()));
@@ -157,6 +159,8 @@
             if contact.scope != Scope::Nothing {
                 next.cursor = answer.news.cursor;
             }
+            node.take_halls(&answer.halls, Source::Greeting);
+            node.standstill().heard(Millis(next.at));
             if answer.unknown_caller {
                 next.position = 0;
             }
@@ -246,7 +250,6 @@
 /// known here, so that all must be asked for again.
 async fn take_answer(node: &Arc<Node>, address: SocketAddr, answer: HelloAnswer) -> bool {
     let now = node.clock.now();
-    node.take_halls(&answer.halls, Source::Greeting);
     let (taken, behind) = {
         let mut view = node.view();
         let taken = take::take_news(&mut view, now, answer.news);
--- a/crates/moleroad_gateway/src/hall_calls.rs
+++ b/crates/moleroad_gateway/src/hall_calls.rs
@@ -53,6 +53,10 @@
         let reason = format!("MR-6308 no data hall {hall} is in the settings");
         return failure(node, StatusCode::NOT_FOUND, &reason);
     }
+    if node.standstill().reads_backlog(node.clock.now()) {
+        let reason = "MR-6310 the call may have come before this daemon stood still";
+        return failure(node, StatusCode::SERVICE_UNAVAILABLE, reason);
+    }
     let based_on = node.view().state.evacuations.of(&hall).revision;
     let order = HallOrder {
         hall: hall.clone(),
--- a/crates/moleroad_gateway/src/lib.rs
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod probe;
 pub mod run;
 pub mod settings;
+pub mod standstill;
 pub mod system_calls;
 pub mod target_news;
 pub mod view;
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -13,6 +13,7 @@
 use crate::peers::Peers;
 use crate::places::Ask;
 use crate::settings::{RoleSetting, Settings};
+use crate::standstill::Standstill;
 use crate::view::View;
 use moleroad_consensus::prelude::MemberInfo;
 use moleroad_directory::prelude::*;
@@ -21,6 +22,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 use tokio::sync::Notify;
 
 /// What all tasks of one process share.
@@ -58,6 +60,7 @@
     pulling: AtomicBool,
     leaving: AtomicBool,
     ending: AtomicBool,
+    standstill: Mutex<Standstill>,
     view: Mutex<View>,
 }
 
@@ -89,6 +92,7 @@
             pulling: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             ending: AtomicBool::new(false),
+            standstill: Mutex::new(Standstill::new(clock.now())),
             view: Mutex::new(View::new(own)),
             settings,
         }
@@ -99,6 +103,26 @@
         self.view.lock().unwrap_or_else(|error| error.into_inner())
     }
 
+    /// Whether this process stood still, looked at now. Never held across an
+    /// await.
+    pub fn standstill(&self) -> MutexGuard<'_, Standstill> {
+        let standstill = self.standstill.lock();
+        let mut standstill = standstill.unwrap_or_else(|error| error.into_inner());
+        if standstill.look(self.clock.now()) {
+            log::warn!(event = "stood_still"; "");
+            self.metrics.count("stood_still");
+        }
+        standstill
+    }
+
+    /// Waits until this process heard what happened while it stood still, if it
+    /// did.
+    pub async fn hear_after_standstill(&self) {
+        while self.standstill().waits_for_news(self.clock.now()) {
+            tokio::time::sleep(NEWS_LOOK).await;
+        }
+    }
+
     /// Digests of a version, if this agent knows them.
     pub fn known_digests(&self, model: &str, version: u64) -> Option<Vec<[u8; 32]>> {
         let known = self
@@ -361,6 +385,8 @@
 /// milliseconds: after a loss of power everywhere, control daemons elect, and
 /// daemons find each other, within two seconds.
 const YOUNG_MS: u64 = 3_000;
+/// Time between looks for news after the process stood still.
+const NEWS_LOOK: Duration = Duration::from_millis(10);
 /// Versions whose digests are remembered.
 const MOST_DIGESTS: usize = 3;
 /// Part by which demand must change for others to be told.
--- /dev/null
+++ b/crates/moleroad_gateway/tests/evacuations.rs
@@ -0,0 +1,178 @@
+//! Evacuations of data halls as state: what an order comes to, how news is
+//! merged, and what was written before there were any.
+
+use moleroad_gateway::control_state::{ConfigDocument, ControlCommand, ControlState};
+use moleroad_gateway::evacuations::*;
+use moleroad_gateway::halls::{HallNews, HallsNews};
+use moleroad_gateway::peer::{Hello, HelloAnswer};
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+
+const SEEDS: u64 = 4_000;
+
+fn order(hall: &str, evacuated: bool, based_on: u64) -> HallOrder {
+    HallOrder {
+        hall: hall.into(),
+        evacuated,
+        based_on: HallRevision(based_on),
+    }
+}
+
+fn state(evacuated: bool, revision: u64) -> HallState {
+    HallState {
+        revision: HallRevision(revision),
+        evacuated,
+    }
+}
+
+#[test]
+fn an_order_changes_a_hall_is_already_met_or_was_overtaken() {
+    use HallOutcome::*;
+    let mut halls = Evacuations::default();
+    // The order, what it comes to, and the state after it.
+    let steps = [
+        (order("a", false, 0), AlreadySo, state(false, 0)),
+        (order("a", true, 0), Changed, state(true, 1)),
+        // Its answer was lost: sent again, to a daemon that knows of it or not.
+        (order("a", true, 0), AlreadySo, state(true, 1)),
+        (order("a", true, 1), AlreadySo, state(true, 1)),
+        // A daemon that has not heard of the evacuation.
+        (order("a", false, 0), Overtaken, state(true, 1)),
+        (order("a", false, 1), Changed, state(false, 2)),
+        // One that lay in a frozen daemon since the first evacuation.
+        (order("a", true, 0), Overtaken, state(false, 2)),
+        (order("a", true, 1), Overtaken, state(false, 2)),
+        (order("a", true, 2), Changed, state(true, 3)),
+    ];
+    for (order, outcome, state) in steps {
+        let verdict = halls.carry_out(&order);
+        assert_eq!(verdict, HallVerdict { outcome, state }, "{order:?}");
+        assert_eq!(halls.of("a"), state);
+        assert_eq!(outcome.is_as_wanted(), state.evacuated == order.evacuated);
+    }
+    assert_eq!(halls.of("b"), HallState::default());
+}
+
+#[test]
+fn no_daemon_acknowledges_an_order_from_its_own_view() {
+    let mut held = ControlState::default();
+    let begin = ControlCommand::OrderHall(order("a", true, 0));
+    assert!(held.apply(&begin));
+    assert!(!held.includes(&begin));
+    assert!(!held.apply(&begin), "a repeated order changes nothing");
+}
+
+#[test]
+fn daemons_that_hear_of_halls_in_any_order_end_alike_and_never_go_back() {
+    for seed in 0..SEEDS {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let halls = ["a", "b", "c"];
+        // What the log came to after each order, stale ones among them.
+        let mut log = Evacuations::default();
+        let mut history = vec![log.clone()];
+        for _ in 0..random.random_range(1..14) {
+            let hall = halls[random.random_range(0..halls.len())];
+            let before = log.of(hall);
+            let stale_by = random.random_range(0..3);
+            let based_on = before.revision.0.saturating_sub(stale_by);
+            let verdict = log.carry_out(&order(hall, random.random(), based_on));
+            let step = u64::from(verdict.outcome == HallOutcome::Changed);
+            assert_eq!(verdict.state.revision.0, before.revision.0 + step);
+            history.push(log.clone());
+        }
+        let mut daemons = [Evacuations::default(), Evacuations::default()];
+        for daemon in &mut daemons {
+            history.shuffle(&mut random);
+            for news in &history {
+                let before = daemon.clone();
+                let changed = daemon.merge(news);
+                assert_eq!(changed, *daemon != before);
+                for (hall, held) in before.iter() {
+                    let after = daemon.of(hall);
+                    assert!(after.revision >= held.revision, "seed {seed}");
+                    assert!(after.revision > held.revision || after == held);
+                }
+                assert!(!daemon.merge(news), "news that was heard is none");
+            }
+        }
+        assert_eq!(daemons[0], log, "seed {seed}");
+        assert_eq!(daemons[1], log, "seed {seed}");
+    }
+}
+
+/// The state as it was written before there were evacuations.
+type FormerState = (Option<ConfigDocument>, BTreeMap<String, u64>);
+
+#[test]
+fn a_snapshot_and_a_log_from_before_evacuations_are_read() {
+    let document = ConfigDocument::new(moleroad_config::prelude::ConfigVersion(7), b"text");
+    let former: FormerState = (
+        Some(document.clone()),
+        BTreeMap::from([("m".to_string(), 4)]),
+    );
+    let bytes = rmp_serde::to_vec(&former).unwrap();
+    let mut read: ControlState = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!(read.configuration, Some(document));
+    assert_eq!(read.versions["m"], 4);
+    assert_eq!(read.evacuations, Evacuations::default());
+    assert!(read.apply(&ControlCommand::OrderHall(order("a", true, 0))));
+
+    // Commands of a log, as the earlier program wrote them byte for byte.
+    let named = b"\x81\xabNameVersion\x92\xa1m\x05";
+    let command: ControlCommand = rmp_serde::from_slice(named).unwrap();
+    assert!(read.apply(&command));
+    assert_eq!(read.versions["m"], 5);
+    assert_eq!(rmp_serde::to_vec(&command).unwrap(), named);
+
+    // And back: what is written now is read with nothing lost.
+    let bytes = rmp_serde::to_vec(&read).unwrap();
+    let again: ControlState = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!(again, read);
+    assert_eq!(again.evacuations.of("a"), state(true, 1));
+}
+
+#[test]
+fn greetings_of_daemons_that_know_nothing_of_evacuations_are_read() {
+    let without_last = |bytes: Vec<u8>, fields: u8| {
+        // An array with one field less, whose last one was an empty map.
+        assert_eq!((bytes[0], bytes.last()), (0x90 + fields, Some(&0x80)));
+        let mut former = bytes[..bytes.len() - 1].to_vec();
+        former[0] -= 1;
+        former
+    };
+    let answer = rmp_serde::to_vec(&HelloAnswer::default()).unwrap();
+    let read: HelloAnswer = rmp_serde::from_slice(&without_last(answer, 7)).unwrap();
+    assert!(read.halls.is_empty());
+    let hello = Hello {
+        from: moleroad_gateway::peer::Speaker::Same(moleroad_directory::prelude::Life {
+            instance: moleroad_types::prelude::InstanceId::new("a"),
+            incarnation: 1,
+            sequence: 1,
+        }),
+        member: None,
+        config_version: Default::default(),
+        versions: BTreeMap::new(),
+        leader: None,
+        targets: Vec::new(),
+        question: Default::default(),
+        catalog_digest: 1,
+        halls: HallsNews::new(),
+    };
+    let bytes = rmp_serde::to_vec(&hello).unwrap();
+    let read: Hello = rmp_serde::from_slice(&without_last(bytes, 9)).unwrap();
+    assert!(read.halls.is_empty());
+}
+
+#[test]
+fn a_daemon_without_evacuations_spends_one_byte_on_them() {
+    let none = rmp_serde::to_vec(&HallsNews::new()).unwrap();
+    assert_eq!(none.len(), 1);
+    let news = HallNews {
+        state: state(true, 1),
+        age_ms: 900,
+    };
+    let one = rmp_serde::to_vec(&HallsNews::from([("hall-a".to_string(), news)])).unwrap();
+    assert!(one.len() < 24, "{}", one.len());
+}
--- /dev/null
+++ b/crates/moleroad_gateway/tests/hall_orders.rs
@@ -0,0 +1,290 @@
+//! Orders for a data hall over the replicated log: random schedules of kills,
+//! cuts, lost answers, repeats at other daemons and orders that were held up.
+
+#[path = "../../moleroad_consensus/tests/support/mod.rs"]
+mod support;
+
+use moleroad_consensus::prelude::*;
+use moleroad_gateway::control_state::{ControlCommand, ControlState};
+use moleroad_gateway::evacuations::*;
+use rand::Rng;
+use std::collections::BTreeSet;
+use support::Group;
+
+const HALL: &str = "hall-a";
+/// Schedules that run in CI; the seeds are fixed.
+const SCHEDULES: u64 = 1_500;
+/// Position of the founding members; commands come after it.
+const FOUNDED: LogIndex = LogIndex(1);
+/// Daemons that operators call.
+const DAEMONS: usize = 4;
+
+fn bytes(order: &HallOrder) -> Vec<u8> {
+    rmp_serde::to_vec(&ControlCommand::OrderHall(order.clone())).unwrap()
+}
+
+/// What the commands of a log come to.
+fn replay(commands: &[Vec<u8>]) -> ControlState {
+    let mut state = ControlState::default();
+    for command in commands {
+        if let Ok(command) = rmp_serde::from_slice::<ControlCommand>(command) {
+            state.apply(&command);
+        }
+    }
+    state
+}
+
+/// What the order at `index` came to.
+fn verdict(commands: &[Vec<u8>], index: LogIndex, order: &HallOrder) -> HallVerdict {
+    let before = (index.0 - FOUNDED.0) as usize - 1;
+    assert_eq!(commands[before], bytes(order));
+    replay(&commands[..before]).evacuations.carry_out(order)
+}
+
+/// The group and the daemons that operators call, each with its own view.
+struct Play {
+    group: Group,
+    views: [Evacuations; DAEMONS],
+    /// Accepted entries whose proposers were answered.
+    answered: BTreeSet<LogIndex>,
+    /// Orders that lie in frozen daemons.
+    held_up: Vec<HallOrder>,
+    next_member: u64,
+}
+
+impl Play {
+    fn new(seed: u64) -> Self {
+        let mut group = Group::new(seed, 3, 9);
+        group.wanted_voters = 3;
+        Self {
+            group,
+            views: Default::default(),
+            answered: BTreeSet::new(),
+            held_up: Vec::new(),
+            next_member: 100,
+        }
+    }
+
+    fn order(&self, daemon: usize, evacuated: bool) -> HallOrder {
+        HallOrder {
+            hall: HALL.into(),
+            evacuated,
+            based_on: self.views[daemon].of(HALL).revision,
+        }
+    }
+
+    /// The commands that the member which is furthest has applied.
+    fn applied(&self) -> &[Vec<u8>] {
+        let members = self.group.members.values();
+        let running = members.filter_map(|member| member.running.as_ref());
+        let furthest = running.max_by_key(|running| running.state.len());
+        furthest.map_or(&[], |running| &running.state)
+    }
+
+    /// Proposes where some member leads; the last position before the order.
+    fn propose(&mut self, order: &HallOrder) -> Option<LogIndex> {
+        let leader = self.group.leader()?;
+        let after = LogIndex(FOUNDED.0 + self.applied().len() as u64);
+        self.group.propose(leader, &bytes(order));
+        Some(after)
+    }
+
+    /// The verdict on `order` once it is accepted; the daemon then knows it.
+    fn answer(
+        &mut self,
+        daemon: usize,
+        order: &HallOrder,
+        after: LogIndex,
+    ) -> Option<HallVerdict> {
+        let mut accepted = self.group.accepted.iter();
+        let is_own = |index: &LogIndex, data: &[u8]| {
+            *index > after && !self.answered.contains(index) && data == bytes(order)
+        };
+        let index = *accepted.find(|(index, data)| is_own(index, data))?.0;
+        let applied = self.applied();
+        if applied.len() < (index.0 - FOUNDED.0) as usize {
+            return None;
+        }
+        let verdict = verdict(applied, index, order);
+        self.answered.insert(index);
+        self.views[daemon].take(HALL, verdict.state);
+        Some(verdict)
+    }
+
+    fn disturb(&mut self) {
+        let group = &mut self.group;
+        let ids: Vec<MemberId> = group.members.keys().copied().collect();
+        let id = ids[group.random.random_range(0..ids.len())];
+        match group.random.random_range(0..7) {
+            0 => {
+                if let Some(leader) = group.leader() {
+                    let kept = group.random.random_range(0..200);
+                    group.kill(leader, kept);
+                }
+            }
+            1 => {
+                let other = ids[group.random.random_range(0..ids.len())];
+                group.cut.insert((id, other));
+            }
+            2 => group.loss_percent = group.random.random_range(0..25),
+            3 => group.members.get_mut(&id).unwrap().frozen ^= true,
+            _ => {}
+        }
+    }
+
+    fn mend(&mut self) {
+        let group = &mut self.group;
+        group.cut.clear();
+        group.loss_percent = 0;
+        let ids: Vec<MemberId> = group.members.keys().copied().collect();
+        for id in ids {
+            group.members.get_mut(&id).unwrap().frozen = false;
+            if group.members[&id].running.is_none() {
+                group.start(id);
+            }
+        }
+    }
+
+    /// An operator's order, sent to one daemon after the other until one
+    /// acknowledges it.
+    fn until_acknowledged(&mut self, evacuated: bool) -> HallState {
+        for attempt in 0..60 {
+            let daemon = self.group.random.random_range(0..DAEMONS);
+            let order = self.order(daemon, evacuated);
+            if attempt > 4 {
+                self.mend();
+            } else {
+                self.disturb();
+            }
+            let proposed = self.propose(&order);
+            if self.group.random.random_range(0..3) == 0 {
+                self.disturb();
+            }
+            let span = self.group.random.random_range(20..900);
+            self.group.run(span);
+            if self.group.random.random_range(0..6) == 0 {
+                self.held_up.push(order.clone());
+            }
+            let verdict = proposed.and_then(|after| self.answer(daemon, &order, after));
+            // The answer may be lost on its way to the operator.
+            let is_lost = self.group.random.random_range(0..4) == 0;
+            if let Some(verdict) = verdict.filter(|v| v.outcome.is_as_wanted() && !is_lost) {
+                assert_eq!(verdict.state.evacuated, evacuated);
+                return verdict.state;
+            }
+            self.spread();
+        }
+        panic!("never acknowledged");
+    }
+
+    /// Some daemons hear of what others know.
+    fn spread(&mut self) {
+        let from = self.group.random.random_range(0..DAEMONS);
+        let to = self.group.random.random_range(0..DAEMONS);
+        let news = self.views[from].clone();
+        self.views[to].merge(&news);
+    }
+
+    /// A member comes back without its disk, right after an acknowledgement.
+    fn wipe_one(&mut self) {
+        self.mend();
+        let ids: Vec<MemberId> = self.group.members.keys().copied().collect();
+        let id = ids[self.group.random.random_range(0..ids.len())];
+        let instance = self.group.members[&id].info.instance.to_string();
+        self.group.lose_disk(id);
+        self.next_member += 1;
+        let fresh = self.group.add_member(self.next_member, &instance);
+        for _ in 0..200 {
+            let leader = self.group.await_leader();
+            self.group.event(leader, Event::SpareSeen(fresh.clone()));
+            self.group.run(100);
+            let leader = self.group.await_leader();
+            let replica = &self.group.members[&leader].running.as_ref().unwrap().replica;
+            let members = replica.configuration();
+            if members.voters.contains(&fresh.id) && !members.is_joint() {
+                return;
+            }
+        }
+        panic!("the group never takes in the member without a disk");
+    }
+
+    /// What the group holds in the end, on each of its members alike.
+    fn end(&mut self) -> HallState {
+        self.mend();
+        self.group.accept(b"the last one");
+        self.group.check_nothing_lost();
+        let leader = self.group.await_leader();
+        let state = &self.group.members[&leader].running.as_ref().unwrap().state;
+        replay(state).evacuations.of(HALL)
+    }
+}
+
+fn in_threads(schedules: u64, play: impl Fn(u64) + Sync + std::panic::RefUnwindSafe) {
+    let threads = 4;
+    std::thread::scope(|scope| {
+        for thread in 0..threads {
+            let play = &play;
+            scope.spawn(move || {
+                for seed in (thread..schedules).step_by(threads as usize) {
+                    let outcome = std::panic::catch_unwind(|| play(seed));
+                    assert!(outcome.is_ok(), "schedule {seed} failed");
+                }
+            });
+        }
+    });
+}
+
+#[test]
+fn what_was_acknowledged_last_holds_whatever_is_repeated_or_comes_late() {
+    in_threads(SCHEDULES, |seed| {
+        let mut play = Play::new(seed);
+        let mut evacuated = true;
+        let mut last = HallState::default();
+        for _ in 0..play.group.random.random_range(1..5) {
+            let state = play.until_acknowledged(evacuated);
+            assert!(state.revision > last.revision, "{state:?} after {last:?}");
+            last = state;
+            evacuated = !evacuated;
+            if play.group.random.random_range(0..8) == 0 {
+                play.wipe_one();
+            }
+        }
+        // What lay in frozen daemons comes to the leader at last.
+        play.mend();
+        for order in std::mem::take(&mut play.held_up) {
+            play.group.await_leader();
+            play.propose(&order);
+            play.group.run(60);
+        }
+        assert_eq!(play.end(), last);
+    });
+}
+
+#[test]
+fn orders_that_race_have_one_outcome_that_all_members_share() {
+    in_threads(SCHEDULES, |seed| {
+        let mut play = Play::new(seed + 1_000_000);
+        let mut changes = 0;
+        for _ in 0..6 {
+            let orders = [(0, true), (1, false), (2, play.group.random.random())]
+                .map(|(daemon, evacuated)| (daemon, play.order(daemon, evacuated)));
+            play.disturb();
+            let after: Vec<_> = orders.iter().map(|(_, order)| play.propose(order)).collect();
+            let span = play.group.random.random_range(20..1_500);
+            play.group.run(span);
+            for ((daemon, order), after) in orders.iter().zip(after) {
+                let verdict = after.and_then(|after| play.answer(*daemon, order, after));
+                let changed = verdict.filter(|v| v.outcome == HallOutcome::Changed);
+                changes += u64::from(changed.is_some());
+            }
+            play.spread();
+        }
+        let state = play.end();
+        // Changes whose proposers were not answered may have come to be too.
+        assert!(state.revision.0 >= changes);
+        assert_eq!(state.evacuated, state.revision.0 % 2 == 1);
+        for view in &play.views {
+            assert!(view.of(HALL).revision <= state.revision);
+        }
+    });
+}
