--- a/crates/moleroad_gateway/src/hall_calls.rs
+++ b/crates/moleroad_gateway/src/hall_calls.rs
@@ -1,11 +1,12 @@
-//! Operators' calls about data halls: evacuate one, take it back, list them.
+//! The product's own HTTP calls about data halls: list them, evacuate one, take
+//! it back.
 
-use crate::evacuations::{HallOrder, HallOutcome};
-use crate::interface::SystemCall;
+use crate::evacuations::HallState;
+use crate::hall_orders::{self, HallError};
 use crate::node::Node;
-use crate::operator;
-use crate::system_calls::{SystemAnswer, document, failure};
+use crate::system_calls::{SystemAnswer, plain};
 use crate::view::View;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, StatusCode};
 use serde::Serialize;
 use std::collections::BTreeSet;
@@ -18,6 +19,34 @@
 /// Ends the path that takes a hall back.
 const RESTORE: &str = "restore";
 
+/// A call about halls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HallCall {
+    /// Which halls are there, and which are evacuated?
+    List,
+    /// Evacuate this hall.
+    Evacuate(String),
+    /// Take this hall back.
+    Restore(String),
+}
+
+impl HallCall {
+    /// Reads a call.
+    pub fn read(method: &Method, path: &str) -> Option<Self> {
+        let rest = path.strip_prefix(HALLS)?;
+        if rest.is_empty() {
+            return (method == Method::GET).then_some(HallCall::List);
+        }
+        let (hall, verb) = rest.strip_prefix('/')?.rsplit_once('/')?;
+        match verb {
+            _ if method != Method::POST || hall.is_empty() => None,
+            EVACUATE => Some(HallCall::Evacuate(hall.to_string())),
+            RESTORE => Some(HallCall::Restore(hall.to_string())),
+            _ => None,
+        }
+    }
+}
+
 /// A data hall as operators are shown it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 struct ListedHall {
@@ -31,91 +60,73 @@
     in_flight: u32,
 }
 
-/// Reads one of the product's own calls about halls.
-pub fn read(method: &Method, path: &str) -> Option<SystemCall> {
-    let rest = path.strip_prefix(HALLS)?;
-    if rest.is_empty() {
-        return (method == Method::GET).then_some(SystemCall::ListHalls);
-    }
-    let (hall, verb) = rest.strip_prefix('/')?.rsplit_once('/')?;
-    match verb {
-        _ if method != Method::POST || hall.is_empty() => None,
-        EVACUATE => Some(SystemCall::EvacuateHall(hall.to_string())),
-        RESTORE => Some(SystemCall::RestoreHall(hall.to_string())),
-        _ => None,
-    }
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorFields<'a>,
 }
 
-/// Carries an operator's order for `hall` to the control group.
-pub async fn order(node: &Arc<Node>, hall: String, evacuated: bool) -> SystemAnswer {
-    let regions = &node.settings.regions;
-    if !regions.is_empty() && !regions.contains_key(&hall) {
-        let reason = format!("MR-6308 no data hall {hall} is in the settings");
-        return failure(node, StatusCode::NOT_FOUND, &reason);
-    }
-    if node.standstill().reads_backlog(node.clock.now()) {
-        let reason = "MR-6310 the call may have come before this daemon stood still";
-        return failure(node, StatusCode::SERVICE_UNAVAILABLE, reason);
-    }
-    let based_on = node.view().state.evacuations.of(&hall).revision;
-    let order = HallOrder {
-        hall: hall.clone(),
-        evacuated,
-        based_on,
-    };
-    let called_at = node.clock.now();
-    let verdict = operator::order_hall(node, order).await;
-    log::info!(
-        event = "hall_ordered",
-        hall = hall.as_str(),
-        evacuated = evacuated,
-        based_on = based_on.0,
-        outcome:? = verdict.map(|verdict| verdict.outcome),
-        revision = verdict.map_or(0, |verdict| verdict.state.revision.0),
-        took_ms = node.clock.now().since(called_at);
-        ""
-    );
-    match verdict.map(|verdict| verdict.outcome) {
-        Some(HallOutcome::Changed | HallOutcome::AlreadySo) => {
-            document(node, StatusCode::OK, b"{}".to_vec())
-        }
-        Some(HallOutcome::Overtaken) => {
-            let reason = "MR-6309 the data hall was changed meanwhile";
-            failure(node, StatusCode::SERVICE_UNAVAILABLE, reason)
+#[derive(Serialize)]
+struct ErrorFields<'a> {
+    code: &'a str,
+    message: &'a str,
+}
+
+/// Answers a call.
+pub async fn answer(node: &Arc<Node>, call: HallCall) -> SystemAnswer {
+    let (hall, ordered) = match call {
+        HallCall::List => return json(StatusCode::OK, &list(node)),
+        HallCall::Evacuate(hall) => {
+            let ordered = hall_orders::order(node, &hall, true).await;
+            (hall, ordered)
         }
-        None => {
-            let reason = "MR-6306 the control group cannot be reached in time";
-            failure(node, StatusCode::SERVICE_UNAVAILABLE, reason)
+        HallCall::Restore(hall) => {
+            let ordered = hall_orders::order(node, &hall, false).await;
+            (hall, ordered)
         }
+    };
+    match ordered {
+        Ok(state) => json(StatusCode::OK, &listed(&node.view(), &hall, state)),
+        Err(error) => failed(&error),
     }
 }
 
-/// Lists the halls that this daemon knows.
-pub fn list(node: &Node) -> SystemAnswer {
-    let halls = listed(&node.view(), node.settings.regions.keys());
-    let body = serde_json::to_vec(&halls).unwrap_or_default();
-    document(node, StatusCode::OK, body)
+fn failed(error: &HallError) -> SystemAnswer {
+    let text = error.to_string();
+    let (code, message) = text.split_once(' ').unwrap_or(("", &text));
+    let error_body = ErrorBody {
+        error: ErrorFields { code, message },
+    };
+    json(error.status(), &error_body)
+}
+
+fn json(status: StatusCode, value: &impl Serialize) -> SystemAnswer {
+    let mut answer = plain(status, serde_json::to_vec(value).unwrap_or_default());
+    let kind = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, kind);
+    answer
 }
 
-fn listed<'a>(view: &'a View, named: impl Iterator<Item = &'a String>) -> Vec<ListedHall> {
+/// The halls of the settings, of the targets, and those ever evacuated.
+fn list(node: &Node) -> Vec<ListedHall> {
+    let view = node.view();
+    let named = node.settings.regions.keys().map(String::as_str);
     let changed = view.state.evacuations.iter().map(|(hall, _)| hall);
     let targets = view.directory.targets();
     let of_targets = targets.map(|heard| heard.record.hall.as_str());
-    let halls: BTreeSet<&str> = named
-        .map(String::as_str)
-        .chain(changed)
-        .chain(of_targets)
-        .collect();
-    let listed = halls.into_iter().map(|hall| {
-        let state = view.state.evacuations.of(hall);
-        ListedHall {
-            hall: hall.to_string(),
-            evacuated: state.evacuated,
-            revision: state.revision.0,
-            in_flight: in_flight(view, hall),
-        }
-    });
-    listed.collect()
+    let halls: BTreeSet<&str> = named.chain(changed).chain(of_targets).collect();
+    let halls = halls.into_iter();
+    halls
+        .map(|hall| listed(&view, hall, view.state.evacuations.of(hall)))
+        .collect()
+}
+
+fn listed(view: &View, hall: &str, state: HallState) -> ListedHall {
+    ListedHall {
+        hall: hall.to_string(),
+        evacuated: state.evacuated,
+        revision: state.revision.0,
+        in_flight: in_flight(view, hall),
+    }
 }
 
 /// Requests of this daemon at the targets of `hall`.
--- /dev/null
+++ b/crates/moleroad_gateway/src/hall_orders.rs
@@ -0,0 +1,85 @@
+//! An operator's order to evacuate a data hall or to take it back, from the
+//! call to what the control group made of it.
+
+use crate::evacuations::{HallOrder, HallOutcome, HallState};
+use crate::node::Node;
+use crate::operator;
+use hyper::StatusCode;
+use quick_error::quick_error;
+use std::sync::Arc;
+
+quick_error! {
+    /// Why an order is not acknowledged.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum HallError {
+        /// No answer of the control group came in time.
+        Unreachable {
+            display("MR-6306 the control group cannot be reached in time")
+        }
+        /// The settings list halls, and not this one.
+        Unknown(hall: String) {
+            display("MR-6308 no data hall {} is in the settings", hall)
+        }
+        /// The hall was changed by an order that this one did not know of.
+        Overtaken {
+            display("MR-6309 the data hall was changed meanwhile")
+        }
+        /// The call may be older than the last change of the hall.
+        MayBeOld {
+            display("MR-6310 the call may have come before this daemon stood still")
+        }
+    }
+}
+
+impl HallError {
+    /// The status of an answer that says so. A hall that is not in these
+    /// settings may be in newer ones of another daemon.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            HallError::Unknown(_) => StatusCode::NOT_FOUND,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+/// Carries an operator's order for `hall` to the control group; the state of
+/// the hall once it is as wanted, durable and in force here.
+///
+/// # Errors
+/// [`HallError`]; after [`HallError::Unreachable`] the order may still come to
+/// be, and can be given again.
+pub async fn order(node: &Arc<Node>, hall: &str, evacuated: bool) -> Result<HallState, HallError> {
+    let called_at = node.clock.now();
+    let result = carry(node, hall, evacuated).await;
+    let state = result.as_ref().ok().copied().unwrap_or_default();
+    log::info!(
+        event = "hall_ordered",
+        hall = hall,
+        evacuated = evacuated,
+        revision = state.revision.0,
+        reason:? = result.as_ref().err(),
+        took_ms = node.clock.now().since(called_at);
+        ""
+    );
+    result
+}
+
+async fn carry(node: &Arc<Node>, hall: &str, evacuated: bool) -> Result<HallState, HallError> {
+    let regions = &node.settings.regions;
+    if !regions.is_empty() && !regions.contains_key(hall) {
+        return Err(HallError::Unknown(hall.to_string()));
+    }
+    if node.standstill().reads_backlog(node.clock.now()) {
+        return Err(HallError::MayBeOld);
+    }
+    let order = HallOrder {
+        hall: hall.to_string(),
+        evacuated,
+        based_on: node.view().state.evacuations.of(hall).revision,
+    };
+    match operator::order_hall(node, order).await {
+        None => Err(HallError::Unreachable),
+        Some(verdict) if verdict.outcome == HallOutcome::Overtaken => Err(HallError::Overtaken),
+        Some(verdict) => Ok(verdict.state),
+    }
+}
--- a/crates/moleroad_gateway/src/halls.rs
+++ b/crates/moleroad_gateway/src/halls.rs
@@ -22,7 +22,8 @@
 
 /// What is in force, as news of this moment.
 pub fn news_of(evacuations: &Evacuations) -> HallsNews {
-    let fresh = |(hall, state): (&str, HallState)| (hall.to_string(), HallNews { state, age_ms: 0 });
+    let fresh =
+        |(hall, state): (&str, HallState)| (hall.to_string(), HallNews { state, age_ms: 0 });
     evacuations.iter().map(fresh).collect()
 }
 
@@ -126,7 +127,11 @@
     /// away from.
     pub fn note_kept_away(&mut self, service: &str, needs: Needs<'_>) -> KeptAway {
         let mut kept_away = KeptAway::default();
-        let any = self.state.evacuations.iter().any(|(_, state)| state.evacuated);
+        let any = self
+            .state
+            .evacuations
+            .iter()
+            .any(|(_, state)| state.evacuated);
         let Some(places) = self.services.get(service).filter(|_| any) else {
             return kept_away;
         };
--- a/crates/moleroad_gateway/src/interface.rs
+++ b/crates/moleroad_gateway/src/interface.rs
@@ -64,8 +64,6 @@
     EvacuateHall(String),
     /// An operator takes a data hall back.
     RestoreHall(String),
-    /// An operator asks which data halls are evacuated.
-    ListHalls,
     /// Figures of this process.
     Metrics,
 }
--- a/crates/moleroad_gateway/src/system_calls.rs
+++ b/crates/moleroad_gateway/src/system_calls.rs
@@ -3,10 +3,11 @@
 
 use crate::control_state::{ConfigDocument, ControlCommand, MAX_DOCUMENT_BYTES};
 use crate::front::answer::AnswerBody;
+use crate::hall_calls::HallCall;
 use crate::interface::SystemCall;
 use crate::listening::serve_each;
 use crate::node::Node;
-use crate::{hall_calls, operator, target_news};
+use crate::{hall_calls, hall_orders, operator, target_news};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -51,10 +52,12 @@
 
 async fn handle(node: Arc<Node>, request: Request<Incoming>) -> Result<SystemAnswer, Infallible> {
     let uri = request.uri().clone();
+    if let Some(call) = HallCall::read(request.method(), uri.path()) {
+        return Ok(hall_calls::answer(&node, call).await);
+    }
     let call = node
         .interface
-        .system_call(request.method(), uri.path(), uri.query())
-        .or_else(|| hall_calls::read(request.method(), uri.path()));
+        .system_call(request.method(), uri.path(), uri.query());
     let answer = match call {
         Some(SystemCall::Addresses { hall, region }) => addresses(&node, &hall, &region),
         Some(SystemCall::Ready) => ready(&node),
@@ -64,9 +67,8 @@
             target_news::gone(&node, &id).await;
             document(&node, StatusCode::OK, b"{}".to_vec())
         }
-        Some(SystemCall::EvacuateHall(hall)) => hall_calls::order(&node, hall, true).await,
-        Some(SystemCall::RestoreHall(hall)) => hall_calls::order(&node, hall, false).await,
-        Some(SystemCall::ListHalls) => hall_calls::list(&node),
+        Some(SystemCall::EvacuateHall(hall)) => order_hall(&node, &hall, true).await,
+        Some(SystemCall::RestoreHall(hall)) => order_hall(&node, &hall, false).await,
         Some(call) => match read(request).await {
             Some(body) => with_body(&node, call, &body).await,
             None => failure(
@@ -178,6 +180,13 @@
     acknowledge(node, committed)
 }
 
+async fn order_hall(node: &Arc<Node>, hall: &str, evacuated: bool) -> SystemAnswer {
+    match hall_orders::order(node, hall, evacuated).await {
+        Ok(_) => acknowledge(node, true),
+        Err(error) => failure(node, error.status(), &error.to_string()),
+    }
+}
+
 fn acknowledge(node: &Node, committed: bool) -> SystemAnswer {
     if committed {
         document(node, StatusCode::OK, b"{}".to_vec())
@@ -204,20 +213,19 @@
     }
 }
 
-/// A document of the platform.
-pub(crate) fn document(node: &Node, status: StatusCode, body: Vec<u8>) -> SystemAnswer {
+fn document(node: &Node, status: StatusCode, body: Vec<u8>) -> SystemAnswer {
     let mut answer = plain(status, body);
     let kind = HeaderValue::from_static(node.interface.document_type());
     answer.headers_mut().insert(CONTENT_TYPE, kind);
     answer
 }
 
-/// An answer that says what is wrong.
-pub(crate) fn failure(node: &Node, status: StatusCode, reason: &str) -> SystemAnswer {
+fn failure(node: &Node, status: StatusCode, reason: &str) -> SystemAnswer {
     document(node, status, node.interface.write_error(reason))
 }
 
-fn plain(status: StatusCode, body: Vec<u8>) -> SystemAnswer {
+/// An answer without a type.
+pub(crate) fn plain(status: StatusCode, body: Vec<u8>) -> SystemAnswer {
     let mut answer = Response::new(AnswerBody::Whole(Some(Bytes::from(body))));
     *answer.status_mut() = status;
     answer
--- a/crates/moleroad_gateway/tests/hall_orders.rs
+++ b/crates/moleroad_gateway/tests/hall_orders.rs
@@ -90,12 +90,7 @@
     }
 
     /// The verdict on `order` once it is accepted; the daemon then knows it.
-    fn answer(
-        &mut self,
-        daemon: usize,
-        order: &HallOrder,
-        after: LogIndex,
-    ) -> Option<HallVerdict> {
+    fn answer(&mut self, daemon: usize, order: &HallOrder, after: LogIndex) -> Option<HallVerdict> {
         let mut accepted = self.group.accepted.iter();
         let is_own = |index: &LogIndex, data: &[u8]| {
             *index > after && !self.answered.contains(index) && data == bytes(order)
@@ -199,7 +194,11 @@
             self.group.event(leader, Event::SpareSeen(fresh.clone()));
             self.group.run(100);
             let leader = self.group.await_leader();
-            let replica = &self.group.members[&leader].running.as_ref().unwrap().replica;
+            let replica = &self.group.members[&leader]
+                .running
+                .as_ref()
+                .unwrap()
+                .replica;
             let members = replica.configuration();
             if members.voters.contains(&fresh.id) && !members.is_joint() {
                 return;
@@ -269,7 +268,10 @@
             let orders = [(0, true), (1, false), (2, play.group.random.random())]
                 .map(|(daemon, evacuated)| (daemon, play.order(daemon, evacuated)));
             play.disturb();
-            let after: Vec<_> = orders.iter().map(|(_, order)| play.propose(order)).collect();
+            let after: Vec<_> = orders
+                .iter()
+                .map(|(_, order)| play.propose(order))
+                .collect();
             let span = play.group.random.random_range(20..1_500);
             play.group.run(span);
             for ((daemon, order), after) in orders.iter().zip(after) {
