Test what a daemon knows of halls; name the new settings and results

Change: tests of news with and without age, of places, choices, refusals and counts of an evacuated hall, and of the wait after a standstill; the template of the settings is filled with and without the new bound.

--- a/crates/moleroad_gateway/tests/evacuations.rs
+++ b/crates/moleroad_gateway/tests/evacuations.rs
@@ -5,6 +5,8 @@
 use moleroad_gateway::evacuations::*;
 use moleroad_gateway::halls::{HallNews, HallsNews};
 use moleroad_gateway::peer::{Hello, HelloAnswer};
+use moleroad_gateway::standstill::Standstill;
+use moleroad_types::prelude::Millis;
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -176,3 +178,29 @@
     let one = rmp_serde::to_vec(&HallsNews::from([("hall-a".to_string(), news)])).unwrap();
     assert!(one.len() < 24, "{}", one.len());
 }
+
+#[test]
+fn a_process_that_stood_still_waits_for_news_that_it_asked_for_afterwards() {
+    let mut process = Standstill::new(Millis(0));
+    for now in (50..2_000).step_by(50) {
+        assert!(!process.look(Millis(now)));
+    }
+    // Late by less than the time in which operators give a call up.
+    assert!(!process.look(Millis(2_900)));
+    assert!(!process.waits_for_news(Millis(2_900)) && !process.reads_backlog(Millis(2_900)));
+
+    assert!(process.look(Millis(9_000)));
+    assert!(process.waits_for_news(Millis(9_000)) && process.reads_backlog(Millis(9_000)));
+    // An answer that lay in its sockets tells nothing of what came later.
+    process.heard(Millis(2_900));
+    assert!(process.waits_for_news(Millis(9_010)));
+    process.heard(Millis(9_005));
+    assert!(!process.waits_for_news(Millis(9_020)));
+    assert!(process.reads_backlog(Millis(9_299)));
+    assert!(!process.reads_backlog(Millis(9_300)));
+
+    // Without anybody to ask it goes on with what it knows.
+    assert!(process.look(Millis(20_000)));
+    assert!(process.waits_for_news(Millis(20_999)));
+    assert!(!process.waits_for_news(Millis(21_000)));
+}
--- /dev/null
+++ b/crates/moleroad_gateway/tests/halls.rs
@@ -0,0 +1,186 @@
+//! What one daemon knows of halls, and which targets get requests by it.
+
+use moleroad_config::prelude::*;
+use moleroad_directory::prelude::*;
+use moleroad_dispatch::prelude::*;
+use moleroad_gateway::evacuations::*;
+use moleroad_gateway::halls::{HallNews, HallsNews};
+use moleroad_gateway::settings::Settings;
+use moleroad_gateway::view::View;
+use moleroad_types::prelude::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+fn settings() -> Settings {
+    let text = "instance: e\nrole: entry\nip: 127.0.0.1\nhall: hall-a\nregion: r\nregions: {hall-a: r, hall-b: r}\npeer_ports: [1,2]\nlisten: {frontend: \"127.0.0.1:9\"}\n";
+    Settings::parse(text).unwrap()
+}
+
+fn entry() -> DaemonRecord {
+    DaemonRecord {
+        instance: InstanceId::new("e"),
+        incarnation: 1,
+        sequence: 1,
+        role: DaemonRole::Entry,
+        state: DaemonState::Ready,
+        peer: SocketAddr::from(([127, 0, 0, 1], 1)),
+        frontend: Some(SocketAddr::from(([127, 0, 0, 1], 9))),
+        control: None,
+        has_log: false,
+        requests_per_s: 0.0,
+        hall: "hall-a".into(),
+        region: "r".into(),
+        engine: None,
+        service: None,
+        pieces: Vec::new(),
+        report: None,
+    }
+}
+
+fn target(id: &str, hall: &str) -> TargetRecord {
+    TargetRecord {
+        id: TargetId::new(id),
+        service: "plain".into(),
+        address: SocketAddr::from(([127, 0, 0, 2], id.len() as u16)),
+        hall: hall.into(),
+        slots: 4,
+        life: TargetLife::Ready,
+        cold_left_ms: 0,
+        sequence: 1,
+        holdings: None,
+    }
+}
+
+/// An entry that knows a target in each of two halls.
+fn view() -> View {
+    let mut view = View::new(entry());
+    let service = Service {
+        name: "plain".into(),
+        max_connections: 0,
+        models: Vec::new(),
+        slots: 0,
+        steps: None,
+        origin: None,
+        hall: None,
+        cold_start: None,
+    };
+    let configuration = Configuration {
+        services: vec![service],
+        ..Configuration::default()
+    };
+    view.table = Some(Arc::new(RouteTable::compile(&configuration)));
+    let now = Millis(1_000);
+    let own = view.own.clone();
+    view.directory.hear_daemon(now, own, 0);
+    view.directory.hear_target(now, target("i-a", "hall-a"), 0);
+    view.directory.hear_target(now, target("i-bb", "hall-b"), 0);
+    view.refresh_candidates(now, &settings());
+    view
+}
+
+fn news(hall: &str, revision: u64, evacuated: bool, age_ms: u64) -> HallsNews {
+    let state = HallState {
+        revision: HallRevision(revision),
+        evacuated,
+    };
+    HallsNews::from([(hall.to_string(), HallNews { state, age_ms })])
+}
+
+fn learn(view: &mut View, now: u64, news: &HallsNews) -> usize {
+    let changes = view.learn_halls(Millis(now), news);
+    view.refresh_candidates(Millis(now), &settings());
+    changes.len()
+}
+
+#[test]
+fn when_a_hall_was_taken_back_is_known_as_exactly_as_any_news_tells() {
+    let mut view = view();
+    assert_eq!(view.restored_at("hall-a"), None);
+    assert_eq!(learn(&mut view, 5_000, &news("hall-a", 1, true, 100)), 1);
+    assert!(view.is_evacuated("hall-a") && !view.is_evacuated("hall-b"));
+    assert_eq!(view.restored_at("hall-a"), None);
+    // The push has no age; a greeting that tells the same has one.
+    assert_eq!(learn(&mut view, 9_000, &news("hall-a", 2, false, 0)), 1);
+    assert_eq!(view.restored_at("hall-a"), Some(Millis(9_000)));
+    assert_eq!(learn(&mut view, 9_100, &news("hall-a", 2, false, 250)), 0);
+    assert_eq!(view.restored_at("hall-a"), Some(Millis(8_850)));
+    // Older news, told late, changes nothing.
+    assert_eq!(learn(&mut view, 9_200, &news("hall-a", 1, true, 0)), 0);
+    assert_eq!(view.restored_at("hall-a"), Some(Millis(8_850)));
+    let told = view.halls_news(Millis(9_350));
+    assert_eq!(told, news("hall-a", 2, false, 500));
+    assert!(view.knows_no_more_of_halls(&told));
+    assert!(!view.knows_no_more_of_halls(&news("hall-a", 1, true, 0)));
+    assert!(!view.knows_no_more_of_halls(&HallsNews::new()));
+}
+
+#[test]
+fn places_of_an_evacuated_hall_count_for_nobody() {
+    let mut view = view();
+    let needs = Needs::default();
+    let targets = |view: &View| view.services["plain"].targets.places();
+    assert_eq!(targets(&view), 8);
+    learn(&mut view, 2_000, &news("hall-a", 1, true, 0));
+    let places = &view.services["plain"];
+    assert_eq!(places.targets.places(), 4);
+    assert_eq!(places.targets.free_places(Millis(2_000)), 4.0);
+    assert!(places.targets.any_serves(needs) && !places.targets.is_evacuated(needs));
+    for draw in 0..50 {
+        match places.targets.choose(Millis(2_000), needs, draw) {
+            Choice::Send(candidate) => assert_eq!(candidate.id.as_str(), "i-bb"),
+            other => panic!("{other:?}"),
+        }
+    }
+    // One that was looked at before the news came is not taken either.
+    let looked_at: Vec<Candidate> = places.targets.candidates().to_vec();
+    let best = places.targets.best_of(Millis(2_000), needs, &looked_at);
+    assert_eq!(best.unwrap().id.as_str(), "i-bb");
+
+    learn(&mut view, 3_000, &news("hall-b", 1, true, 0));
+    let places = &view.services["plain"];
+    assert!(places.targets.is_evacuated(needs) && !places.targets.any_serves(needs));
+    assert_eq!(
+        places.targets.choose(Millis(3_000), needs, 1),
+        Choice::Nobody
+    );
+    learn(&mut view, 4_000, &news("hall-a", 2, false, 0));
+    assert_eq!(targets(&view), 4);
+}
+
+#[test]
+fn a_service_whose_hall_in_the_allowed_region_is_evacuated_is_refused_at_once() {
+    let mut view = view();
+    learn(&mut view, 2_000, &news("hall-a", 1, true, 0));
+    let targets = &view.services["plain"].targets;
+    let elsewhere = AllowedRegions::only([Region::new("other")]);
+    let needs = Needs {
+        regions: Some(&elsewhere),
+        ..Needs::default()
+    };
+    // No target at all there: that is not an evacuation.
+    assert!(!targets.is_evacuated(needs));
+    let here = AllowedRegions::only([Region::new("r")]);
+    let needs = Needs {
+        regions: Some(&here),
+        ..Needs::default()
+    };
+    assert!(!targets.is_evacuated(needs), "the other hall serves");
+}
+
+#[test]
+fn requests_kept_away_are_counted_by_hall_until_it_is_taken_back() {
+    let mut view = view();
+    let needs = Needs::default();
+    assert!(view.note_kept_away("plain", needs).halls.is_empty());
+    learn(&mut view, 2_000, &news("hall-a", 1, true, 0));
+    assert_eq!(view.note_kept_away("plain", needs).first.len(), 1);
+    for _ in 0..4 {
+        let kept_away = view.note_kept_away("plain", needs);
+        assert!(kept_away.first.is_empty() && kept_away.halls.contains("hall-a"));
+    }
+    let changes = view.learn_halls(Millis(3_000), &news("hall-a", 2, false, 0));
+    assert_eq!(changes[0].kept_away, 5);
+    view.refresh_candidates(Millis(3_000), &settings());
+    assert!(view.note_kept_away("plain", needs).halls.is_empty());
+    assert!(view.note_kept_away("unknown", needs).halls.is_empty());
+}
--- a/crates/moleroad_gateway/tests/parts.rs
+++ b/crates/moleroad_gateway/tests/parts.rs
@@ -159,10 +159,15 @@
 
 #[test]
 fn the_settings_that_are_deployed_can_be_read() {
-    // The gaps of the template as the platform fills them.
+    // The gaps of the template as the platform fills them; sections stand where
+    // the deployment has the bound.
     let fill = |template: &str| {
         let mut text = String::new();
         for line in template.lines() {
+            if line.starts_with("{{#") || line.starts_with("{{/") {
+                text.push('\n');
+                continue;
+            }
             let value = match line.split_once("{{") {
                 None => line.to_string(),
                 Some((before, gap)) => {
@@ -196,6 +201,11 @@
     assert_eq!(entry.bounds.grace_ms, 2_500);
     assert_eq!(entry.seed_peers(), vec!["10.0.0.1:7700".parse().unwrap()]);
     assert_eq!(entry.region_of("hall-a"), "region-a");
+    assert_eq!(entry.bounds.evacuate_ms, 3);
+    let section = "{{#Bounds.EvacuateMs}}\n  evacuate_ms: {{Bounds.EvacuateMs|json}}\n{{/Bounds.EvacuateMs}}\n";
+    let without = include_str!("../../../deploy/entry.yaml").replace(section, "");
+    let without = Settings::parse(&fill(&without)).unwrap();
+    assert_eq!(without.bounds.evacuate_ms, 5_000);
     let agent = Settings::parse(&fill(include_str!("../../../deploy/agent.yaml"))).unwrap();
     assert_eq!(agent.engine, Some("10.0.0.1:81".parse().unwrap()));
     // Only a machine with a disk runs a control daemon.
@@ -306,6 +316,7 @@
     let sources = concat!(
         include_str!("../src/settings.rs"),
         include_str!("../src/system_calls.rs"),
+        include_str!("../src/hall_orders.rs"),
         include_str!("../src/front/answer.rs"),
         include_str!("../../moleroad_config/src/check.rs"),
         include_str!("../../../platform/src/main.rs"),
