--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -177,7 +177,13 @@
         &self.candidates
     }
 
-    /// Places over all targets.
+    /// Targets outside evacuated halls.
+    pub fn count_open(&self) -> usize {
+        let open = self.candidates.iter().filter(|c| !c.evacuated);
+        open.count()
+    }
+
+    /// Places over all targets outside evacuated halls.
     pub fn places(&self) -> u32 {
         let open = self.candidates.iter().filter(|c| !c.evacuated);
         open.map(|candidate| candidate.slots).sum()
@@ -190,6 +196,12 @@
         self.candidates.iter().any(serves)
     }
 
+    /// Whether a request with these needs may go to this target.
+    pub fn is_open(&self, id: &TargetId, needs: Needs<'_>) -> bool {
+        let candidate = self.candidate(id);
+        candidate.is_some_and(|candidate| barrier(candidate, needs).is_none())
+    }
+
     /// Whether all targets that stand where the request may be served are in
     /// evacuated halls, so that waiting for a place is in vain.
     pub fn is_evacuated(&self, needs: Needs<'_>) -> bool {
--- a/crates/moleroad_gateway/src/acquire.rs
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -180,8 +180,15 @@
     loop {
         let look = (node.clock.now() + look_again_ms(ask.line)).min(ask.until);
         let granted = tokio::time::timeout_at(node.clock.instant(look), &mut in_queue.grant).await;
+        node.hear_after_standstill().await;
         if let Ok(Ok(candidate)) = granted {
-            return Ok(place(candidate));
+            let place = place(candidate);
+            if is_open(node, ask, &place.candidate) {
+                return Ok(place);
+            }
+            // Its hall was evacuated after the place was granted.
+            drop((place, in_queue));
+            return Box::pin(acquire(node, ask)).await;
         }
         let now = node.clock.now();
         {
@@ -202,6 +209,14 @@
     }
 }
 
+/// Whether the request may still go to this target.
+fn is_open(node: &Node, ask: &Ask, candidate: &Candidate) -> bool {
+    let view = node.view();
+    let needs = ask.needs(node.clock.now(), node.least_version(&view, &ask.service));
+    let places = view.services.get(&ask.service);
+    places.is_some_and(|places| places.targets.is_open(&candidate.id, needs))
+}
+
 /// Whether all targets that might take the request are in evacuated halls.
 fn is_evacuated(node: &Node, view: &View, ask: &Ask) -> bool {
     let needs = ask.needs(node.clock.now(), node.least_version(view, &ask.service));
@@ -262,7 +277,7 @@
 }
 
 fn no_place(now: Millis, places: Option<&ServicePlaces>, needs: Needs<'_>) -> NoPlace {
-    let candidates = places.map_or(0, |places| places.targets.candidates().len());
+    let candidates = places.map_or(0, |places| places.targets.count_open());
     let is_outage = !places.is_some_and(|places| places.targets.any_serves(needs));
     let spread = rand::random::<u64>() % RETRY_AFTER_SPREAD_MS;
     let comes_in_ms = places.and_then(|places| places.expected_outage_ms(now));
--- a/crates/moleroad_gateway/src/evacuations.rs
+++ b/crates/moleroad_gateway/src/evacuations.rs
@@ -80,7 +80,9 @@
     /// Carries out an order.
     pub fn carry_out(&mut self, order: &HallOrder) -> HallVerdict {
         let held = self.of(&order.hall);
-        let outcome = if held.evacuated == order.evacuated {
+        // Daemons may know more than a group that lost more disks than it bears.
+        let is_forgotten = order.based_on > held.revision;
+        let outcome = if held.evacuated == order.evacuated && !is_forgotten {
             HallOutcome::AlreadySo
         } else if held.revision > order.based_on {
             HallOutcome::Overtaken
--- a/crates/moleroad_gateway/tests/evacuations.rs
+++ b/crates/moleroad_gateway/tests/evacuations.rs
@@ -47,6 +47,10 @@
         (order("a", true, 0), Overtaken, state(false, 2)),
         (order("a", true, 1), Overtaken, state(false, 2)),
         (order("a", true, 2), Changed, state(true, 3)),
+        // The group lost its disks, and daemons know of later changes: these
+        // would outlast an order that seems to be met.
+        (order("a", true, 6), Changed, state(true, 7)),
+        (order("a", false, 7), Changed, state(false, 8)),
     ];
     for (order, outcome, state) in steps {
         let verdict = halls.carry_out(&order);
