Put news of halls to use in a module of its own; let requests wait for the configuration too

Cause: after a standstill requests waited for news of halls, and went on before a configuration that came with the same answer was fetched; node.rs had grown. Change: the wait ends when the answer is put to use, with what it made the process fetch; only answers of daemons that were asked for news count. The support of the schedules mends a group in one place.

--- a/crates/moleroad_consensus/tests/support/mod.rs
+++ b/crates/moleroad_consensus/tests/support/mod.rs
@@ -473,6 +473,19 @@
         panic!("no leader after a long time");
     }
 
+    /// Ends all cuts, losses and freezes, and starts members that do not run.
+    pub fn mend(&mut self) {
+        self.cut.clear();
+        self.loss_percent = 0;
+        let ids: Vec<MemberId> = self.members.keys().copied().collect();
+        for id in ids {
+            self.members.get_mut(&id).unwrap().frozen = false;
+            if self.members[&id].running.is_none() {
+                self.start(id);
+            }
+        }
+    }
+
     /// Proposes a command at `id`.
     pub fn propose(&mut self, id: MemberId, data: &[u8]) {
         self.next_ticket += 1;
--- a/crates/moleroad_gateway/src/greeting/mod.rs
+++ b/crates/moleroad_gateway/src/greeting/mod.rs
@@ -159,8 +159,6 @@
             if contact.scope != Scope::Nothing {
                 next.cursor = answer.news.cursor;
             }
-            node.take_halls(&answer.halls, Source::Greeting);
-            node.standstill().heard(Millis(next.at));
             if answer.unknown_caller {
                 next.position = 0;
             }
@@ -185,6 +183,9 @@
     }
     if let Ok(answer) = answer {
         let is_complete = take_answer(&node, address, answer).await;
+        if contact.scope != Scope::Nothing {
+            node.standstill().heard(Millis(next.at));
+        }
         if !is_complete && let Some(told) = lock(&greeted).told.get_mut(&address) {
             told.cursor = Cursor::default();
         }
@@ -250,6 +251,7 @@
 /// known here, so that all must be asked for again.
 async fn take_answer(node: &Arc<Node>, address: SocketAddr, answer: HelloAnswer) -> bool {
     let now = node.clock.now();
+    node.take_halls(&answer.halls, Source::Greeting);
     let (taken, behind) = {
         let mut view = node.view();
         let taken = take::take_news(&mut view, now, answer.news);
--- a/crates/moleroad_gateway/src/lib.rs
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod front;
 pub mod greeting;
 mod hall_calls;
+mod hall_news;
 pub mod hall_orders;
 pub mod halls;
 pub mod interface;
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -6,7 +6,7 @@
 use crate::control_state::{ControlCommand, ControlState};
 use crate::core::Core;
 use crate::front::pool::Pool;
-use crate::halls::{HallChange, HallNews, HallsNews, Source, news_of};
+use crate::halls::{Source, news_of};
 use crate::interface::{Interface, PieceDigests};
 use crate::metrics::Metrics;
 use crate::peer::LeaderHint;
@@ -246,67 +246,6 @@
         changed | halls_changed
     }
 
-    /// Learns of evacuated halls; true if anything was news. Requests go by it
-    /// from then on.
-    pub fn take_halls(&self, news: &HallsNews, source: Source) -> bool {
-        let now = self.clock.now();
-        let changes = {
-            let mut view = self.view();
-            let changes = view.learn_halls(now, news);
-            if changes.is_empty() {
-                return false;
-            }
-            view.refresh_candidates(now, &self.settings);
-            self.metrics.note_halls(&view.state.evacuations);
-            changes
-        };
-        self.note_hall_changes(&changes, source);
-        self.serve_waiting();
-        true
-    }
-
-    /// Counts a request that may not go to targets of evacuated halls; the first
-    /// of each hall is logged, and how many there were when it is taken back.
-    pub fn note_kept_away(&self, ask: &Ask) {
-        let now = self.clock.now();
-        let kept_away = {
-            let mut view = self.view();
-            let least = self.least_version(&view, &ask.service);
-            view.note_kept_away(&ask.service, ask.needs(now, least))
-        };
-        for hall in &kept_away.halls {
-            self.metrics.kept_away.with_label_values(&[hall]).inc();
-        }
-        for hall in &kept_away.first {
-            let service = ask.service.as_str();
-            log::info!(event = "hall_keeps_requests_away", hall = hall.as_str(), service = service; "");
-        }
-    }
-
-    fn note_hall_changes(&self, changes: &[HallChange], source: Source) {
-        let lived_ms = self.clock.now().since(self.began_at);
-        for change in changes {
-            let HallNews { state, age_ms } = change.news;
-            let hall = change.hall.as_str();
-            log::info!(
-                event = "hall_in_force",
-                hall = hall,
-                evacuated = state.evacuated,
-                revision = state.revision.0,
-                source:? = source,
-                age_ms = age_ms,
-                kept_away = change.kept_away;
-                ""
-            );
-            // Before its start a process could not know.
-            let late_ms = age_ms.min(lived_ms);
-            self.metrics.hall_news_s.observe(late_ms as f64 / 1_000.0);
-            if late_ms > self.settings.bounds.evacuate_ms {
-                log::warn!(event = "hall_news_late", hall = hall, late_ms = late_ms; "");
-            }
-        }
-    }
-
     /// Lets agents prepare for a state that is not known to be in force.
     pub fn prepare_for(&self, state: &ControlState) {
         let now = self.clock.now();
--- a/crates/moleroad_gateway/src/operator.rs
+++ b/crates/moleroad_gateway/src/operator.rs
@@ -21,9 +21,6 @@
 
 /// Brings a change to the leader; true once it is durable and applied.
 pub async fn commit(node: &Arc<Node>, command: ControlCommand) -> bool {
-    if node.has_in_force(&command) {
-        return true;
-    }
     match order(node, &command).await {
         CommitAnswer::Committed => {
             // What is durable is in force here before it is acknowledged.
--- a/crates/moleroad_gateway/tests/hall_orders.rs
+++ b/crates/moleroad_gateway/tests/hall_orders.rs
@@ -127,19 +127,6 @@
         }
     }
 
-    fn mend(&mut self) {
-        let group = &mut self.group;
-        group.cut.clear();
-        group.loss_percent = 0;
-        let ids: Vec<MemberId> = group.members.keys().copied().collect();
-        for id in ids {
-            group.members.get_mut(&id).unwrap().frozen = false;
-            if group.members[&id].running.is_none() {
-                group.start(id);
-            }
-        }
-    }
-
     /// An operator's order, sent to one daemon after the other until one
     /// acknowledges it.
     fn until_acknowledged(&mut self, evacuated: bool) -> HallState {
@@ -147,7 +134,7 @@
             let daemon = self.group.random.random_range(0..DAEMONS);
             let order = self.order(daemon, evacuated);
             if attempt > 4 {
-                self.mend();
+                self.group.mend();
             } else {
                 self.disturb();
             }
@@ -182,7 +169,7 @@
 
     /// A member comes back without its disk, right after an acknowledgement.
     fn wipe_one(&mut self) {
-        self.mend();
+        self.group.mend();
         let ids: Vec<MemberId> = self.group.members.keys().copied().collect();
         let id = ids[self.group.random.random_range(0..ids.len())];
         let instance = self.group.members[&id].info.instance.to_string();
@@ -209,7 +196,7 @@
 
     /// What the group holds in the end, on each of its members alike.
     fn end(&mut self) -> HallState {
-        self.mend();
+        self.group.mend();
         self.group.accept(b"the last one");
         self.group.check_nothing_lost();
         let leader = self.group.await_leader();
@@ -249,7 +236,7 @@
             }
         }
         // What lay in frozen daemons comes to the leader at last.
-        play.mend();
+        play.group.mend();
         for order in std::mem::take(&mut play.held_up) {
             play.group.await_leader();
             play.propose(&order);
