--- a/crates/moleroad_gateway/tests/halls.rs
+++ b/crates/moleroad_gateway/tests/halls.rs
@@ -135,6 +135,10 @@
     let looked_at: Vec<Candidate> = places.targets.candidates().to_vec();
     let best = places.targets.best_of(Millis(2_000), needs, &looked_at);
     assert_eq!(best.unwrap().id.as_str(), "i-bb");
+    // Nor is a place that was granted there before.
+    assert!(!places.targets.is_open(&TargetId::new("i-a"), needs));
+    assert!(places.targets.is_open(&TargetId::new("i-bb"), needs));
+    assert_eq!(places.targets.count_open(), 1);
 
     learn(&mut view, 3_000, &news("hall-b", 1, true, 0));
     let places = &view.services["plain"];
