--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -2,7 +2,7 @@
 
 use crate::cold::{Admission, ColdTarget};
 use crate::division::SendTimes;
-use crate::eligibility::barrier;
+use crate::eligibility::{Barrier, barrier};
 use crate::health::Outcome;
 use crate::load::TargetLoad;
 use crate::reading::ReadingSpeed;
@@ -188,7 +188,13 @@
         &self.candidates
     }
 
-    /// Places over all targets of these regions.
+    /// Targets outside evacuated halls.
+    pub fn count_open(&self) -> usize {
+        let open = self.candidates.iter().filter(|c| !c.evacuated);
+        open.count()
+    }
+
+    /// Places over all targets of these regions outside evacuated halls.
     pub fn places(&self, regions: &AllowedRegions) -> u32 {
         let open = self
             .candidates
@@ -213,6 +219,20 @@
         self.candidates.iter().any(serves)
     }
 
+    /// Whether a request with these needs may go to this target.
+    pub fn is_open(&self, id: &TargetId, needs: Needs<'_>) -> bool {
+        let candidate = self.candidate(id);
+        candidate.is_some_and(|candidate| barrier(candidate, needs).is_none())
+    }
+
+    /// Whether all targets that stand where the request may be served are in
+    /// evacuated halls, so that waiting for a place is in vain.
+    pub fn is_evacuated(&self, needs: Needs<'_>) -> bool {
+        let barriers = self.candidates.iter().map(|c| barrier(c, needs));
+        let mut in_region = barriers.filter(|b| *b != Some(Barrier::Region)).peekable();
+        in_region.peek().is_some() && in_region.all(|b| b == Some(Barrier::Evacuated))
+    }
+
     /// The target as it is known now.
     pub fn candidate(&self, id: &TargetId) -> Option<&Candidate> {
         self.candidates.iter().find(|candidate| candidate.id == *id)
--- a/crates/moleroad_gateway/src/acquire.rs
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -162,6 +162,9 @@
         if let Some(refused) = refused_at_once(node, &view, ask) {
             return Err(refused);
         }
+        if is_evacuated(node, &view, ask) {
+            return Err(no_place_for(node, &view, ask));
+        }
         let ahead = places.queue.len_ahead(ask.line, ask.residency.allowed());
         ahead == 0 && places.admits(ask, view.entry_count(now))
     };
@@ -185,8 +188,15 @@
     loop {
         let look = (node.clock.now() + look_again_ms(ask.line)).min(ask.until);
         let granted = tokio::time::timeout_at(node.clock.instant(look), &mut in_queue.grant).await;
+        node.hear_after_standstill().await;
         if let Ok(Ok(candidate)) = granted {
-            return Ok(place(candidate));
+            let place = place(candidate);
+            if is_open(node, ask, &place.candidate) {
+                return Ok(place);
+            }
+            // Its hall was evacuated after the place was granted.
+            drop((place, in_queue));
+            return Box::pin(acquire(node, ask)).await;
         }
         let now = node.clock.now();
         {
@@ -196,7 +206,7 @@
             if let Some(refused) = refused_at_once(node, &view, ask) {
                 return Err(refused);
             }
-            if now >= ask.until {
+            if now >= ask.until || is_evacuated(node, &view, ask) {
                 return Err(no_place_for(node, &view, ask));
             }
         }
@@ -213,6 +223,21 @@
     }
 }
 
+/// Whether the request may still go to this target.
+fn is_open(node: &Node, ask: &Ask, candidate: &Candidate) -> bool {
+    let view = node.view();
+    let needs = ask.needs(node.clock.now(), node.least_version(&view, &ask.service));
+    let places = view.services.get(&ask.service);
+    places.is_some_and(|places| places.targets.is_open(&candidate.id, needs))
+}
+
+/// Whether all targets that might take the request are in evacuated halls.
+fn is_evacuated(node: &Node, view: &View, ask: &Ask) -> bool {
+    let needs = ask.needs(node.clock.now(), node.least_version(view, &ask.service));
+    let places = view.services.get(&ask.service);
+    places.is_some_and(|places| places.targets.is_evacuated(needs))
+}
+
 /// Whether the waiting request is among the next to be sent, and asks agents
 /// itself.
 fn is_next(node: &Node, ask: &Ask, id: WaiterId) -> bool {
@@ -286,7 +311,7 @@
     needs: Needs<'_>,
     entries: usize,
 ) -> NoPlace {
-    let candidates = places.map_or(0, |places| places.targets.candidates().len());
+    let candidates = places.map_or(0, |places| places.targets.count_open());
     let is_outage = !places.is_some_and(|places| places.targets.any_reachable(now, needs));
     let spread = rand::random::<u64>() % RETRY_AFTER_SPREAD_MS;
     let comes_in_ms = places.and_then(|places| places.expected_outage_ms(now));
--- a/crates/moleroad_gateway/src/front/waiting.rs
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -27,6 +27,7 @@
     /// # Errors
     /// [`GiveUp`] says why none is made.
     pub(super) async fn next_place(&mut self) -> Result<Place, GiveUp> {
+        self.node.hear_after_standstill().await;
         let now = self.node.clock.now();
         if now + LEAST_USEFUL_MS > self.request.until {
             return Err(GiveUp::TimeOver);
@@ -40,6 +41,9 @@
         }
         let ask = self.ask();
         let is_first = self.sends == 0;
+        if is_first && self.unreachable == 0 {
+            self.node.note_kept_away(&ask);
+        }
         let in_time = acquire(&self.node, &ask).await;
         let lacks_room = |no_place: &NoPlace| no_place.cause == NoPlaceCause::Busy;
         let is_about_room = in_time.as_ref().err().is_none_or(lacks_room);
--- a/crates/moleroad_gateway/src/greeting/mod.rs
+++ b/crates/moleroad_gateway/src/greeting/mod.rs
@@ -10,10 +10,12 @@
 pub mod contacts;
 pub mod take;
 
+use crate::halls::Source;
 use crate::node::Node;
 use crate::peer::{Hello, HelloAnswer, Speaker};
 use contacts::{Contact, LONG_SILENT_MS, Standing};
 use moleroad_directory::prelude::*;
+use moleroad_types::prelude::Millis;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -70,6 +72,7 @@
 pub async fn greet(node: Arc<Node>) {
     let greeted: Arc<Mutex<Greeted>> = Arc::default();
     loop {
+        drop(node.standstill());
         for contact in due(&node, &greeted) {
             lock(&greeted).waiting.insert(contact.address);
             tokio::spawn(greet_one(node.clone(), contact, greeted.clone()));
@@ -180,6 +183,9 @@
     }
     if let Ok(answer) = answer {
         let is_complete = take_answer(&node, address, answer).await;
+        if contact.scope != Scope::Nothing {
+            node.standstill().heard(Millis(next.at));
+        }
         if !is_complete && let Some(told) = lock(&greeted).told.get_mut(&address) {
             told.cursor = Cursor::default();
         }
@@ -213,6 +219,7 @@
             pieces: contact.pieces,
         },
         catalog_digest: view.catalog.digest(),
+        halls: view.halls_news(now),
     };
     let next = Told {
         at: now.0,
@@ -244,6 +251,7 @@
 /// known here, so that all must be asked for again.
 async fn take_answer(node: &Arc<Node>, address: SocketAddr, answer: HelloAnswer) -> bool {
     let now = node.clock.now();
+    node.take_halls(&answer.halls, Source::Greeting);
     let (taken, behind) = {
         let mut view = node.view();
         let taken = take::take_news(&mut view, now, answer.news);
@@ -286,6 +294,6 @@
         })
         .await;
     if let Ok(state) = pulled {
-        node.take_state(&state);
+        node.take_state(&state, Source::Pull);
     }
 }
--- a/crates/moleroad_gateway/src/interface.rs
+++ b/crates/moleroad_gateway/src/interface.rs
@@ -62,6 +62,10 @@
     ReadConfiguration,
     /// An operator names a version of weights.
     NameVersion,
+    /// An operator wants a data hall evacuated.
+    EvacuateHall(String),
+    /// An operator takes a data hall back.
+    RestoreHall(String),
     /// Figures of this process.
     Metrics,
 }
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -7,6 +7,7 @@
 use crate::control_state::{ControlCommand, ControlState};
 use crate::core::Core;
 use crate::front::pool::Pool;
+use crate::halls::{Source, news_of};
 use crate::interface::{Interface, PieceDigests};
 use crate::metrics::Metrics;
 use crate::peer::LeaderHint;
@@ -14,6 +15,7 @@
 use crate::places::Ask;
 use crate::region_warnings;
 use crate::settings::{RoleSetting, Settings};
+use crate::standstill::Standstill;
 use crate::view::View;
 use moleroad_consensus::prelude::MemberInfo;
 use moleroad_directory::prelude::*;
@@ -22,6 +24,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 use tokio::sync::Notify;
 
 /// What all tasks of one process share.
@@ -61,6 +64,7 @@
     pulling: AtomicBool,
     leaving: AtomicBool,
     ending: AtomicBool,
+    standstill: Mutex<Standstill>,
     view: Mutex<View>,
 }
 
@@ -93,6 +97,7 @@
             pulling: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             ending: AtomicBool::new(false),
+            standstill: Mutex::new(Standstill::new(clock.now())),
             view: Mutex::new(View::new(own)),
             settings,
         }
@@ -103,6 +108,26 @@
         self.view.lock().unwrap_or_else(|error| error.into_inner())
     }
 
+    /// Whether this process stood still, looked at now. Never held across an
+    /// await.
+    pub fn standstill(&self) -> MutexGuard<'_, Standstill> {
+        let standstill = self.standstill.lock();
+        let mut standstill = standstill.unwrap_or_else(|error| error.into_inner());
+        if standstill.look(self.clock.now()) {
+            log::warn!(event = "stood_still"; "");
+            self.metrics.count("stood_still");
+        }
+        standstill
+    }
+
+    /// Waits until this process heard what happened while it stood still, if it
+    /// did.
+    pub async fn hear_after_standstill(&self) {
+        while self.standstill().waits_for_news(self.clock.now()) {
+            tokio::time::sleep(NEWS_LOOK).await;
+        }
+    }
+
     /// Digests of a version, if this agent knows them.
     pub fn known_digests(&self, model: &str, version: u64) -> Option<Vec<[u8; 32]>> {
         let known = self
@@ -208,7 +233,8 @@
     }
 
     /// Takes what is newer in `state`; true if anything was.
-    pub fn take_state(&self, state: &ControlState) -> bool {
+    pub fn take_state(&self, state: &ControlState, source: Source) -> bool {
+        let halls_changed = self.take_halls(&news_of(&state.evacuations), source);
         let now = self.clock.now();
         let changed = {
             let mut view = self.view();
@@ -227,7 +253,7 @@
             self.set_own_state();
             self.serve_waiting();
         }
-        changed
+        changed | halls_changed
     }
 
     /// Lets agents prepare for a state that is not known to be in force.
@@ -308,6 +334,8 @@
 /// milliseconds: after a loss of power everywhere, control daemons elect, and
 /// daemons find each other, within two seconds.
 const YOUNG_MS: u64 = 3_000;
+/// Time between looks for news after the process stood still.
+const NEWS_LOOK: Duration = Duration::from_millis(10);
 /// Versions whose digests are remembered.
 const MOST_DIGESTS: usize = 3;
 /// Part by which demand must change for others to be told.
--- a/crates/moleroad_gateway/src/settings.rs
+++ b/crates/moleroad_gateway/src/settings.rs
@@ -101,6 +101,10 @@
     pub cold_overshoot: f64,
     /// Requests beyond that, in one second.
     pub cold_slack: f64,
+    /// Time after which an evacuated data hall gets nothing more from any entry,
+    /// in milliseconds.
+    #[serde(deserialize_with = "whole_ms")]
+    pub evacuate_ms: u64,
 }
 
 impl Default for Bounds {
@@ -118,6 +122,7 @@
             catch_up_ms: 4_000,
             cold_overshoot: 1.5,
             cold_slack: 5.0,
+            evacuate_ms: 5_000,
         }
     }
 }
--- a/crates/moleroad_gateway/src/system_calls.rs
+++ b/crates/moleroad_gateway/src/system_calls.rs
@@ -3,10 +3,11 @@
 
 use crate::control_state::{ConfigDocument, ControlCommand, MAX_DOCUMENT_BYTES};
 use crate::front::answer::AnswerBody;
+use crate::hall_calls::HallCall;
 use crate::interface::SystemCall;
 use crate::listening::serve_each;
 use crate::node::Node;
-use crate::{operator, target_news};
+use crate::{hall_calls, hall_orders, operator, target_news};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -46,10 +47,14 @@
     let _ = served.await;
 }
 
-type SystemAnswer = Response<AnswerBody>;
+/// What a call to the system is answered.
+pub(crate) type SystemAnswer = Response<AnswerBody>;
 
 async fn handle(node: Arc<Node>, request: Request<Incoming>) -> Result<SystemAnswer, Infallible> {
     let uri = request.uri().clone();
+    if let Some(call) = HallCall::read(request.method(), uri.path()) {
+        return Ok(hall_calls::answer(&node, call).await);
+    }
     let call = node
         .interface
         .system_call(request.method(), uri.path(), uri.query());
@@ -64,6 +69,8 @@
             target_news::gone(&node, &id).await;
             document(&node, StatusCode::OK, b"{}".to_vec())
         }
+        Some(SystemCall::EvacuateHall(hall)) => order_hall(&node, &hall, true).await,
+        Some(SystemCall::RestoreHall(hall)) => order_hall(&node, &hall, false).await,
         Some(call) => match read(request).await {
             Some(body) => with_body(&node, call, &body).await,
             None => failure(
@@ -181,6 +188,13 @@
     acknowledge(node, committed)
 }
 
+async fn order_hall(node: &Arc<Node>, hall: &str, evacuated: bool) -> SystemAnswer {
+    match hall_orders::order(node, hall, evacuated).await {
+        Ok(_) => acknowledge(node, true),
+        Err(error) => failure(node, error.status(), &error.to_string()),
+    }
+}
+
 fn acknowledge(node: &Node, committed: bool) -> SystemAnswer {
     if committed {
         document(node, StatusCode::OK, b"{}".to_vec())
@@ -218,7 +232,8 @@
     document(node, status, node.interface.write_error(reason))
 }
 
-fn plain(status: StatusCode, body: Vec<u8>) -> SystemAnswer {
+/// An answer without a type.
+pub(crate) fn plain(status: StatusCode, body: Vec<u8>) -> SystemAnswer {
     let mut answer = Response::new(AnswerBody::Whole(Some(Bytes::from(body))));
     *answer.status_mut() = status;
     answer
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -2,6 +2,7 @@
 
 use crate::cold_news::ColdMemory;
 use crate::control_state::{ConfigDocument, ControlState};
+use crate::halls::KnownHalls;
 use crate::interface::Interface;
 use crate::named_versions::NamedVersions;
 use crate::peer::{Catalog, CatalogModel, CatalogOrigin, LeaderHint, VersionAge};
@@ -39,6 +40,8 @@
     pub named: BTreeMap<String, NamedVersions>,
     /// Versions that agents prepare for, not known to be named.
     pub prepared: BTreeMap<String, NamedVersions>,
+    /// What is known of evacuated halls beside their states.
+    pub halls: KnownHalls,
     /// Targets and daemons.
     pub directory: Directory,
     /// Places at the targets of each service.
@@ -68,6 +71,7 @@
             catalog: Catalog::default(),
             named: BTreeMap::new(),
             prepared: BTreeMap::new(),
+            halls: KnownHalls::default(),
             directory: Directory::new(),
             services: HashMap::new(),
             own,
@@ -80,7 +84,8 @@
         }
     }
 
-    /// Takes what is newer in `state`; true if anything was.
+    /// Takes what is newer in `state`; true if anything was. When halls changed
+    /// is learned apart: see [`View::learn_halls`].
     pub fn take_state(
         &mut self,
         now: Millis,
@@ -221,11 +226,6 @@
         Some(OldWeights::new(newer_named_at, version_ms))
     }
 
-    /// When the data hall was taken back after an evacuation, if it was.
-    pub fn restored_at(&self, _hall: &str) -> Option<Millis> {
-        None
-    }
-
     /// Number of entries that share the targets.
     pub fn entry_count(&self, now: Millis) -> usize {
         self.directory.ready_entries(now).count().max(1)
