--- a/crates/moleroad_gateway/tests/halls.rs
+++ b/crates/moleroad_gateway/tests/halls.rs
@@ -118,12 +118,21 @@
 fn places_of_an_evacuated_hall_count_for_nobody() {
     let mut view = view();
     let needs = Needs::default();
-    let targets = |view: &View| view.services["plain"].targets.places();
+    let targets = |view: &View| {
+        view.services["plain"]
+            .targets
+            .places(&AllowedRegions::all())
+    };
     assert_eq!(targets(&view), 8);
     learn(&mut view, 2_000, &news("hall-a", 1, true, 0));
     let places = &view.services["plain"];
-    assert_eq!(places.targets.places(), 4);
-    assert_eq!(places.targets.free_places(Millis(2_000)), 4.0);
+    assert_eq!(places.targets.places(&AllowedRegions::all()), 4);
+    assert_eq!(
+        places
+            .targets
+            .free_places(Millis(2_000), &AllowedRegions::all()),
+        4.0
+    );
     assert!(places.targets.any_serves(needs) && !places.targets.is_evacuated(needs));
     for draw in 0..50 {
         match places.targets.choose(Millis(2_000), needs, draw) {
