Choose anew for a request whose granted place is barred by what came into force

Change: the configuration in force is looked up before a granted place is used; one function says what is refused at once.

--- a/crates/moleroad_gateway/src/acquire.rs
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -162,9 +162,6 @@
         if let Some(refused) = refused_at_once(node, &view, ask) {
             return Err(refused);
         }
-        if is_evacuated(node, &view, ask) {
-            return Err(no_place_for(node, &view, ask));
-        }
         let ahead = places.queue.len_ahead(ask.line, ask.residency.allowed());
         ahead == 0 && places.admits(ask, view.entry_count(now))
     };
@@ -189,28 +186,28 @@
         let look = (node.clock.now() + look_again_ms(ask.line)).min(ask.until);
         let granted = tokio::time::timeout_at(node.clock.instant(look), &mut in_queue.grant).await;
         node.hear_after_standstill().await;
+        let residency = node.view().residency(&in_queue.ask.residency);
+        in_queue.ask.residency = residency;
         if let Ok(Ok(candidate)) = granted {
             let place = place(candidate);
-            if is_open(node, ask, &place.candidate) {
+            if is_open(node, &in_queue.ask, &place.candidate) {
                 return Ok(place);
             }
-            // Its hall was evacuated after the place was granted.
+            // What was learned after the place was granted bars the request.
+            let ask = in_queue.ask.clone();
             drop((place, in_queue));
-            return Box::pin(acquire(node, ask)).await;
+            return Box::pin(acquire(node, &ask)).await;
         }
-        let now = node.clock.now();
+        let ask = &in_queue.ask;
         {
             let view = node.view();
-            in_queue.ask.residency = view.residency(&in_queue.ask.residency);
-            let ask = &in_queue.ask;
             if let Some(refused) = refused_at_once(node, &view, ask) {
                 return Err(refused);
             }
-            if now >= ask.until || is_evacuated(node, &view, ask) {
+            if node.clock.now() >= ask.until {
                 return Err(no_place_for(node, &view, ask));
             }
         }
-        let ask = &in_queue.ask;
         if is_next(node, ask, id)
             && let Some(candidate) = probe::find(node, ask).await
         {
@@ -231,13 +228,6 @@
     places.is_some_and(|places| places.targets.is_open(&candidate.id, needs))
 }
 
-/// Whether all targets that might take the request are in evacuated halls.
-fn is_evacuated(node: &Node, view: &View, ask: &Ask) -> bool {
-    let needs = ask.needs(node.clock.now(), node.least_version(view, &ask.service));
-    let places = view.services.get(&ask.service);
-    places.is_some_and(|places| places.targets.is_evacuated(needs))
-}
-
 /// Whether the waiting request is among the next to be sent, and asks agents
 /// itself.
 fn is_next(node: &Node, ask: &Ask, id: WaiterId) -> bool {
--- a/crates/moleroad_gateway/src/refusal.rs
+++ b/crates/moleroad_gateway/src/refusal.rs
@@ -21,19 +21,21 @@
 /// allows no region, in milliseconds: an operator must change it first.
 const CONFIGURATION_LATER_MS: u64 = 8_000;
 
-/// Why a request whose regions are restricted need not wait: no target of an
+/// Why a request need not wait. All targets that might take it are in evacuated
+/// halls; or, where its regions are restricted, no target of an
 /// allowed region may get it and is reachable, nor will one that is known once it
 /// has newer weights. While no target of the service is known at all, and weights are on
 /// their way, it waits as any other.
 pub(crate) fn refused_at_once(node: &Node, view: &View, ask: &Ask) -> Option<NoPlace> {
     let allowed = ask.residency.allowed();
-    if allowed.is_all() {
-        return None;
-    }
     let now = node.clock.now();
     let places = view.services.get(&ask.service)?;
     let least = node.least_version(view, &ask.service);
     let needs = ask.needs(now, least);
+    if allowed.is_all() {
+        let is_evacuated = places.targets.is_evacuated(needs);
+        return is_evacuated.then(|| no_place(now, Some(places), needs, view.entry_count(now)));
+    }
     if places.targets.any_reachable(now, needs) {
         return None;
     }
