Keep idle connections nearly as long as the target keeps them

Ruled out: connections lost at the end of a stream (17,278 of 17,799 answers left theirs in the pool), 'Connection: close' (none), connections that engines had closed (none found on taking one). Change: the time that the target says, less 1.5 s; 4 s only when it says none. An entry holds no more connections to a target than it had requests there at once, which its share of the target's connections bounds.

--- a/crates/moleroad_gateway/src/front/pool.rs
+++ b/crates/moleroad_gateway/src/front/pool.rs
@@ -15,8 +15,9 @@
 /// Time for a connection to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long an idle connection is kept when the target does not say.
-const IDLE_LIMIT: Duration = Duration::from_secs(4);
-/// How much earlier than the target an idle connection is given up.
+const IDLE_UNSAID: Duration = Duration::from_secs(4);
+/// How much earlier than the target an idle connection is given up: its clock
+/// runs from the last byte that it sent, and a request may be on the way.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_500);
 /// Most idle connections kept to one address.
 const MOST_IDLE: usize = 32;
@@ -91,10 +92,7 @@
     /// Keeps a connection whose last answer was whole. `target_limit` is the
     /// time for which the target said it keeps it.
     pub fn give_back(&self, connection: Connection, target_limit: Option<Duration>) {
-        let limit = match target_limit {
-            Some(limit) => limit.saturating_sub(IDLE_MARGIN).min(IDLE_LIMIT),
-            None => IDLE_LIMIT,
-        };
+        let limit = idle_limit(target_limit);
         if limit.is_zero() || connection.sender.is_closed() {
             return;
         }
@@ -125,3 +123,9 @@
         self.idle.lock().unwrap_or_else(|error| error.into_inner())
     }
 }
+
+/// How long an idle connection is kept: nearly as long as the target keeps it,
+/// since each entry sends to each of many targets only every few seconds.
+pub fn idle_limit(target_limit: Option<Duration>) -> Duration {
+    target_limit.map_or(IDLE_UNSAID, |limit| limit.saturating_sub(IDLE_MARGIN))
+}
--- a/crates/moleroad_gateway/tests/parts.rs
+++ b/crates/moleroad_gateway/tests/parts.rs
@@ -9,6 +9,7 @@
 };
 use moleroad_gateway::experiments::Mechanism;
 use moleroad_gateway::front::events::{EventSplitter, MAX_EVENT_BYTES};
+use moleroad_gateway::front::pool::idle_limit;
 use moleroad_gateway::named_versions::NamedVersions;
 use moleroad_gateway::settings::{RoleSetting, Settings};
 use moleroad_types::prelude::Millis;
@@ -16,6 +17,7 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 #[test]
 fn events_come_out_whole_however_the_bytes_are_cut() {
@@ -367,3 +369,12 @@
     assert!(offers.of(2, 7).is_empty(), "versions are bounded");
     assert_eq!(offers.of(39, 0), [agent(9)]);
 }
+
+#[test]
+fn an_idle_connection_is_kept_nearly_as_long_as_its_target_keeps_it() {
+    let kept = |seconds| idle_limit(Some(Duration::from_secs(seconds)));
+    assert_eq!(kept(10), Duration::from_millis(8_500));
+    assert_eq!(kept(3), Duration::from_millis(1_500));
+    assert_eq!(kept(1), Duration::ZERO, "it may close at any moment");
+    assert_eq!(idle_limit(None), Duration::from_secs(4));
+}
