Let the silence of an agent cost its target

Change: each silence of an agent in a row adds 60 ms to its target's cost, up to eight; an answer, also a late one, takes it back.

--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -366,7 +366,8 @@
         let beyond = (requests + 1.0 - slots).max(0.0) * FULL_COST_MS / slots;
         let failing = load.health.failure_rate(now) * FAILURE_COST_MS;
         let slow = (candidate.slowness - 1.0).max(0.0) * SLOW_COST_MS;
-        candidate.distance.cost_ms() + busy + beyond + failing + slow
+        let silent = load.silence_cost_ms();
+        candidate.distance.cost_ms() + busy + beyond + failing + slow + silent
     }
 
     /// Places that are free, over all targets.
--- a/crates/moleroad_dispatch/src/load.rs
+++ b/crates/moleroad_dispatch/src/load.rs
@@ -15,6 +15,11 @@
 const REPORT_NEW_MS: u64 = 40;
 /// How long an agent that did not answer is not asked again, in milliseconds.
 const AGENT_RESTS_MS: u64 = 300;
+/// What each silence of an agent in a row costs its target, in milliseconds: an
+/// answer lost on its way makes another target of equal load the better one.
+const SILENCE_COST_MS: f64 = 60.0;
+/// Silences that count; so many cost as much as a send that fails.
+const MOST_SILENCES: u32 = 8;
 
 #[derive(Clone, Copy, Debug)]
 struct Report {
@@ -34,6 +39,8 @@
     sent_since: Millis,
     report: Option<Report>,
     agent_rests_until: Millis,
+    /// How often in a row the agent did not answer.
+    silences: u32,
     /// The recent past.
     pub health: Health,
 }
@@ -66,6 +73,7 @@
     /// those that run, and those whose prompt is not read yet.
     pub fn reported(&mut self, now: Millis, running: u32, unread: u32) {
         self.agent_rests_until = Millis(0);
+        self.silences = 0;
         self.sent = 0;
         self.sent_since = now;
         self.report = Some(Report {
@@ -78,6 +86,14 @@
     /// Takes that the agent beside the target did not answer.
     pub fn agent_was_silent(&mut self, now: Millis) {
         self.agent_rests_until = now + AGENT_RESTS_MS;
+        self.silences = (self.silences + 1).min(MOST_SILENCES);
+    }
+
+    /// What the silence of its agent costs the target, in milliseconds. A link
+    /// that holds up the agent's answers holds up the target's as well, and the
+    /// last report, as it fades, would make the target look idle.
+    pub fn silence_cost_ms(&self) -> f64 {
+        f64::from(self.silences) * SILENCE_COST_MS
     }
 
     /// Whether the agent beside the target did not answer lately.
--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -470,3 +470,29 @@
     targets.reported(Millis(410), &id, 0, 0);
     assert!(!targets.load(&id).agent_rests(Millis(420)));
 }
+
+#[test]
+fn a_target_whose_agent_is_silent_is_not_taken_for_an_idle_one() {
+    let mut targets = engines();
+    let looked_at = [0, 1].map(|index| engine(&format!("near-{index}"), Distance::SameHall));
+    let [silent, busy] = [&looked_at[0].id, &looked_at[1].id];
+    targets.reported(Millis(0), silent, 4, 0);
+    // Its report has faded; an engine with some work in hand answers.
+    for at in [5_000, 5_300, 5_600] {
+        targets.agent_was_silent(Millis(at), silent);
+    }
+    targets.reported(Millis(5_600), busy, 8, 1);
+    let best = |targets: &Targets| {
+        let best = targets.best_of(Millis(5_601), Needs::default(), &looked_at);
+        best.map(|candidate| candidate.id)
+    };
+    assert_eq!(best(&targets).as_ref(), Some(busy));
+    targets.reported(Millis(5_601), silent, 4, 0);
+    assert_eq!(best(&targets).as_ref(), Some(silent), "it is heard again");
+    assert!(
+        targets
+            .best_of(Millis(5_601), Needs::default(), &looked_at[..1])
+            .is_some(),
+        "better than none"
+    );
+}
