Pass over targets that are out of reach, also when others are full

Change: after two silences in a row, with no late answer between, a target is left out of the draw while its agent rests, and out of the choice while any other that was looked at is heard; the request waits for a place instead. An agent whose port refuses is being started, and its machine is reached: its target stays in. Ruled out: avoiding a target for longer after a connection that did not come up: each of 45 entries learns that by a request of its own.

--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -248,12 +248,15 @@
     }
 
     /// The sound targets that meet `needs`; when none is sound, all of them.
+    /// One that is out of reach comes back when its agent may be asked again.
     fn pool(&self, now: Millis, needs: Needs<'_>) -> Vec<&Candidate> {
         let fits = |candidate: &&Candidate| barrier(candidate, needs).is_none();
         let fitting: Vec<&Candidate> = self.candidates.iter().filter(fits).collect();
         let sound = |candidate: &&&Candidate| {
-            let is_avoided = self.load(&candidate.id).health.is_avoided(now);
-            !candidate.switching && (self.ignores_failures || !is_avoided)
+            let load = self.load(&candidate.id);
+            let is_avoided = load.health.is_avoided(now);
+            let is_silent = load.is_out_of_reach() && load.agent_rests(now);
+            !candidate.switching && !is_silent && (self.ignores_failures || !is_avoided)
         };
         let pool: Vec<&Candidate> = fitting.iter().filter(sound).copied().collect();
         if pool.is_empty() {
@@ -287,7 +290,8 @@
     }
 
     /// The cheapest of these targets that may still take the request, has a
-    /// place and can be in time.
+    /// place and can be in time. Those out of reach are passed over, also when
+    /// the others are full, unless all are.
     pub fn best_of(
         &self,
         now: Millis,
@@ -295,10 +299,15 @@
         looked_at: &[Candidate],
     ) -> Option<Candidate> {
         // What was learned while agents were asked counts.
-        let known = looked_at
+        let known: Vec<&Candidate> = looked_at
             .iter()
-            .filter_map(|looked_at| self.candidate(&looked_at.id));
+            .filter_map(|looked_at| self.candidate(&looked_at.id))
+            .collect();
+        let is_heard = |candidate: &&Candidate| !self.load(&candidate.id).is_out_of_reach();
+        let any_heard = known.iter().any(is_heard);
         let free = known
+            .into_iter()
+            .filter(|candidate| !any_heard || is_heard(candidate))
             .filter(|candidate| barrier(candidate, needs).is_none())
             .filter(|candidate| self.has_place(now, candidate, needs.spare))
             .filter(|candidate| self.is_in_time(now, candidate, needs));
@@ -316,6 +325,11 @@
         self.cost_ms(now, candidate) <= one_waits + BUSY_ENGINE_COST_MS
     }
 
+    /// Notes that no agent listens beside the target.
+    pub fn agent_refused(&mut self, now: Millis, id: &TargetId) {
+        self.loads.entry(id.clone()).or_default().agent_refused(now);
+    }
+
     /// Notes that the agent beside the target did not answer.
     pub fn agent_was_silent(&mut self, now: Millis, id: &TargetId) {
         self.loads
--- a/crates/moleroad_dispatch/src/load.rs
+++ b/crates/moleroad_dispatch/src/load.rs
@@ -20,6 +20,9 @@
 const SILENCE_COST_MS: f64 = 60.0;
 /// Silences that count; so many cost as much as a send that fails.
 const MOST_SILENCES: u32 = 8;
+/// Silences in a row after which a target counts as out of reach: one answer
+/// may be lost on its way, and one that is late is still counted.
+const OUT_OF_REACH_SILENCES: u32 = 2;
 
 #[derive(Clone, Copy, Debug)]
 struct Report {
@@ -83,12 +86,25 @@
         });
     }
 
+    /// Takes that no agent listens beside the target: its machine is reached,
+    /// and the agent is being started.
+    pub fn agent_refused(&mut self, now: Millis) {
+        self.agent_rests_until = now + AGENT_RESTS_MS;
+        self.silences = 0;
+    }
+
     /// Takes that the agent beside the target did not answer.
     pub fn agent_was_silent(&mut self, now: Millis) {
         self.agent_rests_until = now + AGENT_RESTS_MS;
         self.silences = (self.silences + 1).min(MOST_SILENCES);
     }
 
+    /// Whether the way to the target seems to be cut or held up: a send would
+    /// find that out only when its connection does not come up.
+    pub fn is_out_of_reach(&self) -> bool {
+        self.silences >= OUT_OF_REACH_SILENCES
+    }
+
     /// What the silence of its agent costs the target, in milliseconds. A link
     /// that holds up the agent's answers holds up the target's as well, and the
     /// last report, as it fades, would make the target look idle.
--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -496,3 +496,54 @@
         "better than none"
     );
 }
+
+#[test]
+fn a_target_out_of_reach_is_no_way_out_when_the_others_are_full() {
+    let mut targets = engines();
+    let looked_at = [0, 1].map(|index| engine(&format!("near-{index}"), Distance::SameHall));
+    let [silent, full] = [&looked_at[0].id, &looked_at[1].id];
+    targets.reported(Millis(0), full, 16, 4);
+    let sent = |targets: &Targets, looked_at: &[Candidate]| {
+        let best = targets.best_of(Millis(1), Needs::default(), looked_at);
+        best.map(|candidate| candidate.id)
+    };
+    targets.agent_was_silent(Millis(0), silent);
+    assert_eq!(
+        sent(&targets, &looked_at).as_ref(),
+        Some(silent),
+        "one may be lost"
+    );
+    targets.agent_was_silent(Millis(1), silent);
+    assert_eq!(sent(&targets, &looked_at), None);
+    assert_eq!(
+        sent(&targets, &looked_at[..1]).as_ref(),
+        Some(silent),
+        "no agent can be asked"
+    );
+    targets.reported(Millis(1), silent, 0, 0);
+    assert_eq!(
+        sent(&targets, &looked_at).as_ref(),
+        Some(silent),
+        "it is heard again"
+    );
+}
+
+#[test]
+fn a_target_out_of_reach_is_drawn_again_when_its_agent_may_be_asked() {
+    let mut targets = engines();
+    let id = TargetId::new("near-0");
+    let is_drawn = |targets: &Targets, now| {
+        (0..200).any(|draw| {
+            let drawn = targets.shortlist(Millis(now), Needs::default(), Reach::Near, draw);
+            drawn.iter().any(|candidate| candidate.id == id)
+        })
+    };
+    targets.agent_refused(Millis(0), &id);
+    targets.agent_refused(Millis(300), &id);
+    assert!(is_drawn(&targets, 301), "its agent is being started");
+    targets.agent_was_silent(Millis(600), &id);
+    assert!(is_drawn(&targets, 601));
+    targets.agent_was_silent(Millis(900), &id);
+    assert!(!is_drawn(&targets, 901));
+    assert!(is_drawn(&targets, 1_200));
+}
--- a/crates/moleroad_gateway/src/probe.rs
+++ b/crates/moleroad_gateway/src/probe.rs
@@ -127,11 +127,14 @@
         match answer {
             Ok(Ok(Some(load))) if !load.takes_new => {}
             Ok(Ok(Some(_))) => looked_at.push(candidate),
-            _ => {
+            failed => {
                 let is_in_time = is_reached_in_time(node, ask, &candidate);
                 let mut view = node.view();
                 if let Some(places) = view.services.get_mut(&ask.service) {
-                    places.targets.agent_was_silent(now, &candidate.id);
+                    match failed {
+                        Ok(_) => places.targets.agent_refused(now, &candidate.id),
+                        Err(_) => places.targets.agent_was_silent(now, &candidate.id),
+                    }
                 }
                 if is_in_time {
                     looked_at.push(candidate);
