Count silences of an agent that come side by side once

Cause: requests that ask an agent within the same 25 ms each noted its silence, so that one lost answer could count as two in a row. Change: while an agent rests after a silence, no further one is counted.

--- a/crates/moleroad_dispatch/src/load.rs
+++ b/crates/moleroad_dispatch/src/load.rs
@@ -93,8 +93,12 @@
         self.silences = 0;
     }
 
-    /// Takes that the agent beside the target did not answer.
+    /// Takes that the agent beside the target did not answer; requests that
+    /// asked it side by side count as one sign.
     pub fn agent_was_silent(&mut self, now: Millis) {
+        if self.agent_rests(now) {
+            return;
+        }
         self.agent_rests_until = now + AGENT_RESTS_MS;
         self.silences = (self.silences + 1).min(MOST_SILENCES);
     }
--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -502,9 +502,9 @@
     let mut targets = engines();
     let looked_at = [0, 1].map(|index| engine(&format!("near-{index}"), Distance::SameHall));
     let [silent, full] = [&looked_at[0].id, &looked_at[1].id];
-    targets.reported(Millis(0), full, 16, 4);
+    targets.reported(Millis(300), full, 16, 4);
     let sent = |targets: &Targets, looked_at: &[Candidate]| {
-        let best = targets.best_of(Millis(1), Needs::default(), looked_at);
+        let best = targets.best_of(Millis(301), Needs::default(), looked_at);
         best.map(|candidate| candidate.id)
     };
     targets.agent_was_silent(Millis(0), silent);
@@ -513,14 +513,20 @@
         Some(silent),
         "one may be lost"
     );
-    targets.agent_was_silent(Millis(1), silent);
+    targets.agent_was_silent(Millis(10), silent);
+    assert_eq!(
+        sent(&targets, &looked_at).as_ref(),
+        Some(silent),
+        "side by side"
+    );
+    targets.agent_was_silent(Millis(300), silent);
     assert_eq!(sent(&targets, &looked_at), None);
     assert_eq!(
         sent(&targets, &looked_at[..1]).as_ref(),
         Some(silent),
         "no agent can be asked"
     );
-    targets.reported(Millis(1), silent, 0, 0);
+    targets.reported(Millis(301), silent, 0, 0);
     assert_eq!(
         sent(&targets, &looked_at).as_ref(),
         Some(silent),
