Try a second connection beside one that takes long

Cause: a link that loses the first packet of a connection sends it again after a second; the connection to a target was given up after 400 ms, its target counted as unreachable, and the request began anew, too late. Change: after 100 ms a second connection is tried beside the first, and the first that comes up is used; the other is closed without a byte. Only the connection is tried twice, never the send. A refusal ends both. Ruled out: a shorter limit; on squeezed links connections come up late and serve.

--- a/crates/moleroad_gateway/src/front/mod.rs
+++ b/crates/moleroad_gateway/src/front/mod.rs
@@ -10,6 +10,7 @@
 pub mod answer;
 pub mod attempt;
 mod attempt_log;
+pub mod connect;
 pub mod events;
 pub mod exchange;
 mod patience;
--- a/crates/moleroad_gateway/src/front/pool.rs
+++ b/crates/moleroad_gateway/src/front/pool.rs
@@ -1,5 +1,6 @@
 //! Kept connections to targets.
 
+use crate::front::connect::first_up;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
@@ -71,7 +72,7 @@
     /// # Errors
     /// When it does not come up in time; nothing was sent.
     pub async fn connect(&self, address: SocketAddr) -> std::io::Result<Connection> {
-        let connecting = TcpStream::connect(address);
+        let connecting = first_up(|| TcpStream::connect(address));
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
         crate::peers::prepare(&stream);
         let builder = hyper::client::conn::http1::Builder::new();
