--- a/crates/moleroad_gateway/src/front/pool.rs
+++ b/crates/moleroad_gateway/src/front/pool.rs
@@ -1,5 +1,6 @@
 //! Kept connections to targets.
 
+use crate::front::connect::first_up;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
@@ -15,8 +16,9 @@
 /// Time for a connection to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long an idle connection is kept when the target does not say.
-const IDLE_LIMIT: Duration = Duration::from_secs(4);
-/// How much earlier than the target an idle connection is given up.
+const IDLE_UNSAID: Duration = Duration::from_secs(4);
+/// How much earlier than the target an idle connection is given up: its clock
+/// runs from the last byte that it sent, and a request may be on the way.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_500);
 /// Most idle connections kept to one address.
 const MOST_IDLE: usize = 32;
@@ -70,7 +72,7 @@
     /// # Errors
     /// When it does not come up in time; nothing was sent.
     pub async fn connect(&self, address: SocketAddr) -> std::io::Result<Connection> {
-        let connecting = TcpStream::connect(address);
+        let connecting = first_up(|| TcpStream::connect(address));
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
         crate::peers::prepare(&stream);
         let builder = hyper::client::conn::http1::Builder::new();
@@ -91,10 +93,7 @@
     /// Keeps a connection whose last answer was whole. `target_limit` is the
     /// time for which the target said it keeps it.
     pub fn give_back(&self, connection: Connection, target_limit: Option<Duration>) {
-        let limit = match target_limit {
-            Some(limit) => limit.saturating_sub(IDLE_MARGIN).min(IDLE_LIMIT),
-            None => IDLE_LIMIT,
-        };
+        let limit = idle_limit(target_limit);
         if limit.is_zero() || connection.sender.is_closed() {
             return;
         }
@@ -125,3 +124,9 @@
         self.idle.lock().unwrap_or_else(|error| error.into_inner())
     }
 }
+
+/// How long an idle connection is kept: nearly as long as the target keeps it,
+/// since each entry sends to each of many targets only every few seconds.
+pub fn idle_limit(target_limit: Option<Duration>) -> Duration {
+    target_limit.map_or(IDLE_UNSAID, |limit| limit.saturating_sub(IDLE_MARGIN))
+}
