--- a/crates/moleroad_consensus/src/view.rs
+++ b/crates/moleroad_consensus/src/view.rs
@@ -22,7 +22,8 @@
         self.commit
     }
 
-    /// Last position given out in [`Action::Apply`] or [`Action::Restore`].
+    /// Last position given out in [`Action::Apply`](crate::event::Action::Apply) or
+    /// [`Action::Restore`](crate::event::Action::Restore).
     pub fn applied_index(&self) -> LogIndex {
         self.applied
     }
