Split the choice among targets and the reasons for no place by their jobs

Change: candidate, targets, cost and choice; no_place beside acquire and refusal. Nothing decides otherwise.

--- a/crates/moleroad_dispatch/src/admission.rs
+++ b/crates/moleroad_dispatch/src/admission.rs
@@ -1,8 +1,9 @@
 //! How a request may go to a target that may be cold.
 
-use crate::choice::{Candidate, Needs, Targets};
+use crate::candidate::{Candidate, Needs};
 use crate::cold::Admission;
 use crate::eligibility::barrier;
+use crate::targets::Targets;
 use moleroad_directory::prelude::TargetId;
 use moleroad_types::prelude::Millis;
 
--- /dev/null
+++ b/crates/moleroad_dispatch/src/candidate.rs
@@ -0,0 +1,81 @@
+//! A target that may get requests, and what a request asks of it.
+
+use crate::cold::ColdTarget;
+use moleroad_directory::prelude::TargetId;
+use moleroad_types::prelude::{AllowedRegions, Millis, Region};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// How far a target is from this entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same data hall.
+    SameHall,
+    /// In another data hall of the region.
+    SameRegion,
+    /// In another region.
+    OtherRegion,
+}
+
+impl Distance {
+    /// What the way costs, as a time in milliseconds: its delay, and for
+    /// another region the bytes that cross, which operators pay for.
+    pub(crate) fn cost_ms(self) -> f64 {
+        match self {
+            Distance::SameHall => 0.0,
+            Distance::SameRegion => 4.0,
+            Distance::OtherRegion => 15.0,
+        }
+    }
+}
+
+/// A target that may get requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// Identity.
+    pub id: TargetId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Most requests this entry may have there at once.
+    pub most_own: u32,
+    /// Places there that belong to this entry when it is nearly full.
+    pub share: u32,
+    /// How far it is.
+    pub distance: Distance,
+    /// Region that it stands in.
+    pub region: Region,
+    /// Whether its data hall is evacuated, so that it gets no requests.
+    pub evacuated: bool,
+    /// Version of the weights that it holds whole; `None` for plain targets.
+    pub version: Option<u64>,
+    /// Whether it is about to change its weights.
+    pub switching: bool,
+    /// How much slower than usual it is; 1 is as usual.
+    pub slowness: f64,
+    /// Where the agent beside it answers; `None` without one.
+    pub agent: Option<SocketAddr>,
+    /// The bound on it while it is cold; `None` where its service has none.
+    pub cold: Option<Arc<ColdTarget>>,
+    /// Until when the grant holds on which the request is sent; `None` without.
+    pub granted_until: Option<Millis>,
+}
+
+/// What a request asks of a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Needs<'a> {
+    /// Targets that it was sent to before.
+    pub tried: &'a [TargetId],
+    /// The least version of weights.
+    pub least: Option<u64>,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u64,
+    /// Time that is left for a first event, in milliseconds; `None` when late
+    /// is better than never.
+    pub within_ms: Option<u64>,
+    /// Places that must stay free at the target for others.
+    pub spare: u32,
+    /// Regions in which it may be served; `None` allows all.
+    pub regions: Option<&'a AllowedRegions>,
+}
--- a/crates/moleroad_dispatch/src/eligibility.rs
+++ b/crates/moleroad_dispatch/src/eligibility.rs
@@ -4,7 +4,7 @@
 //! send, a repeat, a stream that is resumed, a request that waited for a place
 //! and a target whose agent was asked.
 
-use crate::choice::{Candidate, Needs};
+use crate::candidate::{Candidate, Needs};
 use moleroad_types::prelude::AllowedRegions;
 
 /// Why a target may not get a request.
--- a/crates/moleroad_dispatch/src/lib.rs
+++ b/crates/moleroad_dispatch/src/lib.rs
@@ -4,8 +4,9 @@
 //! Pure decisions of one entry; the shell reports what was sent and how it
 //! ended. Each entry shares the targets with others that it does not ask:
 //! [`load`] estimates what they have in flight from what agents report,
-//! [`reading`] predicts its first event, [`eligibility`] says which targets a
-//! request may go to, [`choice`] picks the cheapest of them, [`queue`] orders
+//! [`reading`] predicts its first event, [`targets`] keeps both for each
+//! [`candidate`], [`eligibility`] says which a request may go to, [`cost`] what
+//! that costs, [`choice`] picks the cheapest of them, [`queue`] orders
 //! those that wait for a place, [`pace`] tells how soon late ones get one and
 //! [`overdue_share`] how many they may take, [`share`] says whose the last
 //! places are, [`health`] remembers what failed, and [`budget`] holds the
@@ -28,8 +29,10 @@
 
 pub mod admission;
 pub mod budget;
+pub mod candidate;
 pub mod choice;
 pub mod cold;
+pub mod cost;
 pub mod division;
 pub mod eligibility;
 pub mod health;
@@ -40,12 +43,14 @@
 pub mod rate_bound;
 pub mod reading;
 pub mod share;
+pub mod targets;
 
 /// The types most users of the crate need.
 pub mod prelude {
     pub use crate::admission::COLD_SLOWNESS;
     pub use crate::budget::{BudgetTerms, RepeatBudget};
-    pub use crate::choice::{Candidate, Choice, Distance, Needs, Reach, Targets};
+    pub use crate::candidate::{Candidate, Distance, Needs};
+    pub use crate::choice::{Choice, Reach};
     pub use crate::cold::{Admission, ColdNews, ColdSource, ColdTarget};
     pub use crate::division::{Division, SendTimes, may_send_from};
     pub use crate::eligibility::{Barrier, BarrierTally, barrier, tally};
@@ -57,4 +62,5 @@
     pub use crate::rate_bound::{GRANT_LIFE_MS, GrantTerms, RateBound, TokenBucket};
     pub use crate::reading::ReadingSpeed;
     pub use crate::share::{EntryDemand, share};
+    pub use crate::targets::Targets;
 }
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -1,14 +1,14 @@
 //! Sending a request until it has an answer, within its time, its number of
 //! targets and the budget of repeats.
 
-use crate::acquire::{Belief, NoPlace, Place};
+use crate::acquire::{Belief, Place};
 use crate::front::answer::{Answer, AnswerBody, OwnAnswer};
 use crate::front::exchange::{self, Reply, SendError, Verdict, is_promise};
 use crate::front::patience;
 use crate::front::request::{Accepted, forwarded};
 use crate::front::waiting::LEAST_USEFUL_MS;
+use crate::no_place::{NoPlace, NoPlaceCause};
 use crate::node::Node;
-use crate::refusal::NoPlaceCause;
 use bytes::Bytes;
 use hyper::Response;
 use hyper::header::HeaderMap;
--- a/crates/moleroad_gateway/src/front/attempt_log.rs
+++ b/crates/moleroad_gateway/src/front/attempt_log.rs
@@ -1,9 +1,9 @@
 //! Lines of the log about the sends of a request.
 
-use crate::acquire::{NoPlace, Place};
+use crate::acquire::Place;
 use crate::front::attempt::Attempts;
 use crate::front::exchange::{Reply, SendError, Verdict};
-use crate::refusal::NoPlaceCause;
+use crate::no_place::{NoPlace, NoPlaceCause};
 use moleroad_dispatch::prelude::BarrierTally;
 use moleroad_types::prelude::Millis;
 
--- a/crates/moleroad_gateway/src/front/waiting.rs
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -1,12 +1,12 @@
 //! How long a request waits for a place at a target: in the hope of its wanted
 //! latency first, then to be served late.
 
-use crate::acquire::{NoPlace, Place, acquire};
+use crate::acquire::{Place, acquire};
 use crate::experiments::Mechanism;
 use crate::front::attempt::{Attempts, GiveUp};
 use crate::front::patience;
+use crate::no_place::{NoPlace, NoPlaceCause};
 use crate::places::Ask;
-use crate::refusal::NoPlaceCause;
 use moleroad_dispatch::prelude::Line;
 use moleroad_types::prelude::Millis;
 
--- a/crates/moleroad_gateway/src/lib.rs
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod named_versions;
+mod no_place;
 pub mod node;
 pub mod operator;
 pub mod peer;
--- /dev/null
+++ b/crates/moleroad_gateway/src/no_place.rs
@@ -0,0 +1,95 @@
+//! Why a request gets no place, and when to come back.
+
+use crate::node::Node;
+use crate::places::{Ask, ServicePlaces};
+use crate::view::View;
+use moleroad_dispatch::prelude::*;
+use moleroad_types::prelude::{AllowedRegions, Millis};
+
+/// What stands in the way of a place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoPlaceCause {
+    /// Targets have no room that makes the wanted latency.
+    Busy,
+    /// The route and the account allow no common region.
+    DisjointRegions,
+    /// No region that they allow has a target.
+    EmptyRegions(BarrierTally),
+}
+
+/// Why there is no place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoPlace {
+    /// What stands in the way.
+    pub cause: NoPlaceCause,
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: u64,
+    /// Requests that waited.
+    pub waiting: usize,
+    /// Targets that might take requests.
+    pub candidates: usize,
+    /// Places believed to be free at them, rounded down.
+    pub free_places: u64,
+}
+
+/// Shortest time after which a refused request may come back, in milliseconds.
+const RETRY_AFTER_LEAST_MS: u64 = 300;
+/// The same while no target can take requests and nothing tells when one will.
+const RETRY_AFTER_OUTAGE_MS: u64 = 1_800;
+/// Time over which the returns of refused requests are spread, in milliseconds.
+const RETRY_AFTER_SPREAD_MS: u64 = 900;
+/// Who is refused because weights are still far from being served comes back
+/// this long before they are expected, in milliseconds, and is held from then on.
+const HELD_BEFORE_MS: u64 = 1_500;
+
+/// What is known of places for this request.
+pub(crate) fn no_place_for(node: &Node, view: &View, ask: &Ask) -> NoPlace {
+    let least = node.least_version(view, &ask.service);
+    let places = view.services.get(&ask.service);
+    let now = node.clock.now();
+    let entries = view.entry_count(now);
+    no_place(now, places, ask.needs(now, least), entries)
+}
+
+/// When the next of `waiting` requests gets a place, of all that `entries` send,
+/// while all targets are cold; 0 while some is not.
+fn cold_wait_ms(
+    now: Millis,
+    places: Option<&ServicePlaces>,
+    needs: Needs<'_>,
+    entries: usize,
+) -> u64 {
+    let gap_ms = places.and_then(|places| places.targets.cold_gap_ms(now, needs));
+    let waiting = places.map_or(0, |places| places.waiting());
+    let ahead = (waiting + 1) * entries;
+    gap_ms.map_or(0, |gap_ms| (gap_ms * ahead as f64) as u64)
+}
+
+/// What is known of places for a request with these needs, of all that
+/// `entries` send.
+pub(crate) fn no_place(
+    now: Millis,
+    places: Option<&ServicePlaces>,
+    needs: Needs<'_>,
+    entries: usize,
+) -> NoPlace {
+    let candidates = places.map_or(0, |places| places.targets.count_open());
+    let is_outage = !places.is_some_and(|places| places.targets.any_reachable(now, needs));
+    let spread = rand::random::<u64>() % RETRY_AFTER_SPREAD_MS;
+    let comes_in_ms = places.and_then(|places| places.expected_outage_ms(now));
+    let least = match (is_outage, comes_in_ms) {
+        (true, Some(ms)) => ms.saturating_sub(HELD_BEFORE_MS).max(RETRY_AFTER_LEAST_MS),
+        (true, None) => RETRY_AFTER_OUTAGE_MS,
+        (false, _) => cold_wait_ms(now, places, needs, entries)
+            .clamp(RETRY_AFTER_LEAST_MS, RETRY_AFTER_OUTAGE_MS),
+    };
+    let all = AllowedRegions::all();
+    let regions = needs.regions.unwrap_or(&all);
+    NoPlace {
+        cause: NoPlaceCause::Busy,
+        retry_after_ms: least + spread,
+        waiting: places.map_or(0, |places| places.waiting()),
+        candidates,
+        free_places: places.map_or(0, |places| places.targets.free_places(now, regions) as u64),
+    }
+}
--- a/crates/moleroad_gateway/src/refusal.rs
+++ b/crates/moleroad_gateway/src/refusal.rs
@@ -1,22 +1,11 @@
 //! Refusing a request at once where no target may ever get it.
 
-use crate::acquire::{NoPlace, no_place};
+use crate::no_place::{NoPlace, NoPlaceCause, no_place};
 use crate::node::Node;
 use crate::places::Ask;
 use crate::view::View;
 use moleroad_dispatch::prelude::*;
 
-/// What stands in the way of a place.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NoPlaceCause {
-    /// Targets have no room that makes the wanted latency.
-    Busy,
-    /// The route and the account allow no common region.
-    DisjointRegions,
-    /// No region that they allow has a target.
-    EmptyRegions(BarrierTally),
-}
-
 /// How much later than after an outage to come back while the configuration
 /// allows no region, in milliseconds: an operator must change it first.
 const CONFIGURATION_LATER_MS: u64 = 8_000;
