Bound the wait for an older version; announce only draws that can be made

Cause, by review: with a long bound on versions agents would wait for the rest of an older one as long, though the origin may have dropped it; a first agent that the origin refuses went on announcing its draws, so that the next ones waited for it. Change: 10 s without a piece end the wait; nothing is announced after a refusal; pieces from other agents end the pause, not the order by rank in which agents come back.

--- a/crates/moleroad_gateway/src/agent/fetch.rs
+++ b/crates/moleroad_gateway/src/agent/fetch.rs
@@ -31,6 +31,7 @@
 /// How long a source that did not give a piece is not asked for it again, in
 /// milliseconds.
 const SOURCE_REST_MS: u64 = 40;
+
 /// A version all of whose pieces are here.
 pub struct Fetched {
     /// The version.
@@ -231,7 +232,7 @@
             return;
         }
         if now.since(self.progress_at) >= STALL_MS {
-            self.divide_anew(now);
+            self.divide_anew(now, source);
         }
         self.progress_at = now;
         let spread = &self.membership.spread;
@@ -247,11 +248,15 @@
 
     /// Pieces come again: those that are still missing are divided, and the
     /// origin is asked at once.
-    fn divide_anew(&mut self, now: Millis) {
+    fn divide_anew(&mut self, now: Millis, source: Source) {
         self.divided_at = now;
         self.turns = Turns::of_missing(&self.missing());
         self.origin_pause.end();
-        self.origin_failed_at = None;
+        // That another agent has pieces does not say that the origin gives them
+        // to all: ranks still come back one after the other.
+        if let Source::Origin(_) = source {
+            self.origin_failed_at = None;
+        }
     }
 
     /// Whether it is better to go on with a newer version.
--- a/crates/moleroad_rollout/src/choice.rs
+++ b/crates/moleroad_rollout/src/choice.rs
@@ -150,11 +150,11 @@
 const ANNOUNCED_FOR_MS: u64 = 400;
 
 /// Whether the agent says that it draws the piece from the origin: it is the one
-/// that does, and the turn of the piece has come. It may still be busy with the
-/// one before it.
+/// that does, the turn of the piece has come, and the origin did not refuse it the
+/// last time. It may still be busy with the piece before it.
 pub fn announces(piece: u32, spread: &Spread, conditions: &Conditions) -> bool {
     let is_first = spread.is_in_origin_region() && spread.rank(piece) == Some(0);
-    is_first && conditions.has_turn(piece)
+    is_first && conditions.has_turn(piece) && conditions.origin_failed_ms.is_none()
 }
 
 impl Conditions {
--- a/crates/moleroad_rollout/src/overtaking.rs
+++ b/crates/moleroad_rollout/src/overtaking.rs
@@ -9,6 +9,10 @@
 /// A version of which this share is known to have left the origin is drawn to the
 /// end: what is known is some hundred milliseconds old, about a quarter of a copy.
 const NEARLY_OUT_SHARE: f64 = 0.5;
+/// Longest time without a piece for which an older version is waited for, in
+/// milliseconds: an origin that is restarted is back by then, and one that gives
+/// nothing for longer may no longer have the older version.
+const LONGEST_WAIT_MS: u64 = 10_000;
 /// Time for which engines must be able to serve a version that is waited for, in
 /// milliseconds: a change of weights costs each of them about as much.
 const LEAST_USE_MS: u64 = 1_000;
@@ -62,11 +66,13 @@
 
     /// Whether to wait for an origin that gives nothing: the newer version needs
     /// it for a whole copy and this one for a small part, and engines can serve
-    /// this one in between. An origin has the version before the newest only.
+    /// this one in between. An origin need have no more than the two newest
+    /// versions.
     fn is_worth_waiting_for(&self) -> bool {
         let is_small = f64::from(self.not_out) <= self.part(1.0 - FINISHED_FROM_SHARE);
         let is_usable = self.usable_ms >= self.finish_ms + LEAST_USE_MS;
-        self.newer == 1 && !self.newer_comes && is_small && is_usable
+        let is_recent = self.idle_ms <= LONGEST_WAIT_MS;
+        self.newer == 1 && !self.newer_comes && is_small && is_usable && is_recent
     }
 
     fn part(&self, share: f64) -> f64 {
--- a/crates/moleroad_rollout/tests/model/mod.rs
+++ b/crates/moleroad_rollout/tests/model/mod.rs
@@ -127,13 +127,15 @@
 }
 
 impl Agent {
-    fn note_progress(&mut self, now: u64, pieces: u32) {
+    fn note_progress(&mut self, now: u64, pieces: u32, from: From) {
         if now - self.progress_ms >= STALL_MS {
             self.divided_ms = now;
             let missing: Vec<u32> = (0..pieces).filter(|p| !self.held.contains(p)).collect();
             self.turns = Turns::of_missing(&missing);
             self.origin_pause.end();
-            self.origin_failed_ms = None;
+            if from == From::Origin {
+                self.origin_failed_ms = None;
+            }
         }
         self.progress_ms = now;
     }
@@ -284,7 +286,7 @@
             Event::Arrived { to, from, piece } => {
                 self.end(to, from, piece);
                 let pieces = self.setup.pieces;
-                self.agents[to].note_progress(now, pieces);
+                self.agents[to].note_progress(now, pieces, from);
                 self.agents[to].held.insert(piece);
                 if from == From::Origin {
                     self.offer_in_place_of_silent(now, to, piece);
--- a/crates/moleroad_rollout/tests/overtaking.rs
+++ b/crates/moleroad_rollout/tests/overtaking.rs
@@ -48,6 +48,16 @@
     assert!(late.gives_up());
 }
 
+#[test]
+fn a_version_whose_rest_stays_away_is_given_up_however_long_it_could_be_served() {
+    let away = Overtaking {
+        idle_ms: 11_000,
+        usable_ms: 3_600_000,
+        ..stuck()
+    };
+    assert!(away.gives_up());
+}
+
 #[test]
 fn a_version_that_the_origin_no_longer_has_is_given_up() {
     let overtaken_twice = Overtaking {
--- a/crates/moleroad_rollout/tests/rollout.rs
+++ b/crates/moleroad_rollout/tests/rollout.rs
@@ -420,6 +420,12 @@
     assert!(draws(&first, None, conditions(260, None)));
     assert!(announces(piece, &first, &conditions(260, None)));
     assert!(!announces(piece, &second, &conditions(260, None)));
+    // Whom the origin refused says nothing that others would wait for.
+    let refused = Conditions {
+        origin_failed_ms: Some(100),
+        ..conditions(260, None)
+    };
+    assert!(!announces(piece, &first, &refused));
     // Nothing was heard of the first, and the origin has gone on.
     assert!(!draws(&second, None, conditions(400, Some(9))));
     assert!(draws(&second, None, conditions(700, Some(12))));
