--- a/crates/moleroad_gateway/src/agent/fetch.rs
+++ b/crates/moleroad_gateway/src/agent/fetch.rs
@@ -1,18 +1,15 @@
 //! Fetching the pieces of one version into memory, checked one by one.
 
-use crate::agent::bring::{Held, LOOK_EVERY, Wanted, fallback_of, held_version, wanted};
+use crate::agent::bring::{LOOK_EVERY, Wanted, fallback_of};
 use crate::agent::choice::Membership;
-use crate::agent::digests::fellows;
 use crate::agent::offers::{self, offers};
 use crate::agent::pieces;
 use crate::agent::transfer::{Brought, bring_piece};
 use crate::interface::PieceDigests;
 use crate::node::Node;
 use crate::peer::Offer;
-use crate::view::leaves_older_after_ms;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use moleroad_directory::prelude::DaemonRecord;
 use moleroad_rollout::prelude::*;
 use moleroad_types::prelude::Millis;
 use std::collections::HashMap;
@@ -22,9 +19,6 @@
 /// Pieces fetched from other agents at once; a piece from the origin comes
 /// beside them.
 const FETCHED_AT_ONCE: usize = 4;
-/// Time for an engine to take weights that are here, in milliseconds: its running
-/// requests end, and it takes the order.
-const TAKE_OVER_MS: u64 = 1_000;
 /// About the longest pause of an agent that the origin refused, in milliseconds:
 /// only the first agents of missing pieces ask, and all wait for these pieces.
 const LONGEST_ORIGIN_PAUSE_MS: u64 = 400;
@@ -64,7 +58,7 @@
     pub(super) node: Arc<Node>,
     pub(super) wanted: Wanted,
     /// Whether it stands in for a newer version that does not come.
-    is_fallback: bool,
+    pub(super) is_fallback: bool,
     digests: PieceDigests,
     pub(super) membership: Membership,
     pub(super) patience: Patience,
@@ -259,59 +253,6 @@
         }
     }
 
-    /// Whether it is better to go on with a newer version.
-    fn is_overtaken(&self) -> bool {
-        // An engine that was silent at first may hold the version after all.
-        if let Held::Version(version) = held_version(&self.node, &self.wanted.model)
-            && version >= self.wanted.version
-        {
-            return true;
-        }
-        if wanted(&self.node).map(|now| now.version) == Some(self.wanted.version) {
-            return false;
-        }
-        self.overtaking().gives_up()
-    }
-
-    /// What is known of this version and of newer ones.
-    fn overtaking(&self) -> Overtaking {
-        let now = self.node.clock.now();
-        let missing = self.missing();
-        let view = self.node.view();
-        let origin_piece_ms = self.origin_piece_ms(&view);
-        let (model, version) = (&self.wanted.model, self.wanted.version);
-        let others = fellows(&view, now);
-        let has = |other: &&DaemonRecord, piece: u32| {
-            let map = other.pieces_of(&model.model, version);
-            map.is_some_and(|map| map.has(piece))
-        };
-        let has_newer = |other: &&DaemonRecord| {
-            let mut maps = other.pieces.iter();
-            maps.any(|map| map.model == model.model && map.version > version && map.count() > 0)
-        };
-        let offers = offers(&self.node);
-        let is_out = |piece: &u32| {
-            !offers.of(version, *piece).is_empty() || others.iter().any(|other| has(other, *piece))
-        };
-        let not_out = missing.iter().filter(|piece| !is_out(piece)).count() as u32;
-        let named = view.named.get(&model.model);
-        let newer = named.map_or(0, |named| named.versions().filter(|v| *v > version).count());
-        let newest_named_at = named.and_then(|named| named.waiting_since(version));
-        let usable_for_ms = leaves_older_after_ms(self.node.settings.bounds.version_ms);
-        Overtaking {
-            pieces: model.pieces,
-            missing: missing.len() as u32,
-            not_out,
-            is_fallback: self.is_fallback,
-            idle_ms: self.idle_ms(),
-            patience: self.patience,
-            newer,
-            newer_comes: others.iter().any(has_newer),
-            usable_ms: newest_named_at.map_or(0, |at| (at + usable_for_ms).since(now)),
-            finish_ms: u64::from(not_out) * origin_piece_ms + TAKE_OVER_MS,
-        }
-    }
-
     /// Whether nothing comes and an older version can be had.
     fn is_stuck(&self) -> bool {
         let is_idle = self.idle_ms() > self.patience.origin_ms;
@@ -337,7 +278,7 @@
         self.stood_still = stands_still;
     }
 
-    fn idle_ms(&self) -> u64 {
+    pub(super) fn idle_ms(&self) -> u64 {
         self.node.clock.now().since(self.progress_at)
     }
 
--- a/crates/moleroad_gateway/src/agent/mod.rs
+++ b/crates/moleroad_gateway/src/agent/mod.rs
@@ -4,10 +4,10 @@
 //!
 //! [`watch`] reads the engine, [`bring`] decides what is wanted, [`digests`]
 //! and [`fetch`] get it: [`choice`] says which piece from where, [`transfer`]
-//! brings it, [`offers`] tells others of it. [`pieces`] knows what is here,
-//! [`store`] puts it into the engine's store, [`change`] lets the engine take
-//! it, [`uploads`] gives pieces to others, [`calls`] are the HTTP calls to the
-//! engine and the origin, [`cold`] grants requests while the engine is cold.
+//! brings it, `overtaken` whether a newer version goes first, [`offers`] tells
+//! others of it. [`pieces`] knows what is here, [`store`] puts it into the
+//! engine's store, [`change`] lets the engine take it, [`uploads`] gives pieces
+//! to others, [`calls`] are the HTTP calls to the engine and the origin, [`cold`] grants requests while the engine is cold.
 
 pub mod bring;
 pub mod calls;
@@ -17,6 +17,7 @@
 pub mod digests;
 pub mod fetch;
 pub mod offers;
+mod overtaken;
 pub mod pieces;
 pub mod store;
 pub mod transfer;
