Judge a target by what is known when the first byte goes out

Cause: the last look before a send judged the copy of the target that was made when it was chosen. A target that turned cold since was sent to without a grant; one that was no longer listed, or whose weights were too old by now, was judged by its old copy; a process that stood still while it connected acted on what it knew before; and the time that the target is given was worked out before the connection was up. A kept connection that was not used was given back with a new idle time, so that it could outlive the target's.

Change: after the connection is up the process hears what it missed while it stood still, at most until the request's time is over. Then the target as it is known now decides: not listed, evacuated, in a region that is not allowed or with weights older than the least version, it is barred; cold, it needs a grant or a part that holds (Targets::may_begin). The deadline header is set after that. A connection remembers its idle deadline and is given back with it.

Tests: may_begin and the pool, without a network beyond one loopback connection. The looks in send itself have no test of their own.

--- a/crates/moleroad_dispatch/src/admission.rs
+++ b/crates/moleroad_dispatch/src/admission.rs
@@ -48,6 +48,28 @@
         }
     }
 
+    /// Whether a send to a target that was chosen may begin now, by what is known
+    /// now: its grant or part has not lapsed, and one that turned cold since it
+    /// was chosen has one.
+    pub fn may_begin(&self, now: Millis, chosen: &Candidate) -> bool {
+        let holds = chosen.granted_until.map(|until| now <= until);
+        let Some(known) = self.candidate(&chosen.id) else {
+            return false;
+        };
+        if holds == Some(false) {
+            return false;
+        }
+        if self.cold_until(now, known).is_none() {
+            return true;
+        }
+        let way = |candidate: &Candidate| candidate.cold.as_deref().map(|cold| cold.by_grant);
+        let is_open = match known.cold.as_deref() {
+            Some(cold) if !cold.by_grant => cold.part > 0 && now >= cold.part_from,
+            _ => self.admission(now, known) == Admission::Grant,
+        };
+        holds == Some(true) && way(chosen) == way(known) && is_open
+    }
+
     /// How soon one more request can be sent while all targets that serve it
     /// are cold, in milliseconds; `None` while some is not.
     pub fn cold_gap_ms(&self, now: Millis, needs: Needs<'_>) -> Option<f64> {
--- /dev/null
+++ b/crates/moleroad_dispatch/tests/cold_admission.rs
@@ -0,0 +1,97 @@
+//! The last look at a target that may be cold, before a send begins.
+
+use moleroad_directory::prelude::TargetId;
+use moleroad_dispatch::prelude::*;
+use moleroad_types::prelude::{Millis, Region};
+use std::sync::Arc;
+
+/// A bound that holds until 5,000 ms.
+fn cold(by_grant: bool, part: u32) -> ColdTarget {
+    ColdTarget {
+        bound: RateBound::new(15.0, 1.5, 5.0),
+        until: Millis(5_000),
+        source: ColdSource::Heartbeat,
+        lasts_ms: 3_000,
+        by_grant,
+        part,
+        part_from: Millis(0),
+    }
+}
+
+fn target(cold: Option<ColdTarget>) -> Candidate {
+    Candidate {
+        id: TargetId::new("t"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        slots: 12,
+        most_own: 12,
+        share: 12,
+        distance: Distance::SameHall,
+        region: Region::new("r"),
+        evacuated: false,
+        version: Some(1),
+        switching: false,
+        slowness: 1.0,
+        agent: Some("127.0.0.1:2".parse().unwrap()),
+        cold: cold.map(Arc::new),
+        granted_until: None,
+    }
+}
+
+fn with(candidate: &Candidate) -> Targets {
+    let mut targets = Targets::default();
+    targets.set(vec![candidate.clone()]);
+    targets
+}
+
+fn granted(candidate: &Candidate, until: u64) -> Candidate {
+    Candidate {
+        granted_until: Some(Millis(until)),
+        ..candidate.clone()
+    }
+}
+
+#[test]
+fn a_target_that_turned_cold_after_it_was_chosen_gets_nothing_without_a_grant() {
+    let warm = target(None);
+    let turned = target(Some(cold(true, 0)));
+    let now = Millis(4_000);
+    assert!(with(&warm).may_begin(now, &warm));
+    assert!(!with(&turned).may_begin(now, &warm));
+    assert!(!with(&turned).may_begin(now, &turned));
+    assert!(with(&turned).may_begin(now, &granted(&turned, 4_000)));
+    assert!(!with(&turned).may_begin(now, &granted(&turned, 3_999)));
+    // It is cold no longer.
+    assert!(with(&turned).may_begin(Millis(5_000), &warm));
+}
+
+#[test]
+fn what_its_agent_said_meanwhile_counts() {
+    let known = target(Some(cold(true, 0)));
+    let mut targets = with(&known);
+    assert!(targets.may_begin(Millis(6_000), &known));
+    targets.agent_says_cold(&known.id, Millis(7_000));
+    assert!(!targets.may_begin(Millis(6_000), &known));
+}
+
+#[test]
+fn a_target_that_is_no_longer_listed_gets_nothing() {
+    let warm = target(None);
+    let targets = Targets::default();
+    assert!(!targets.may_begin(Millis(4_000), &warm));
+    assert!(!targets.may_begin(Millis(4_000), &granted(&warm, 4_100)));
+}
+
+#[test]
+fn a_divided_target_gets_only_what_was_counted_as_a_part() {
+    let (warm, owned) = (target(None), target(Some(cold(false, 1))));
+    let mut targets = with(&owned);
+    targets.started(Millis(4_000), &owned.id, 0);
+    assert!(!targets.may_begin(Millis(4_000), &warm));
+    assert!(targets.may_begin(Millis(4_000), &granted(&owned, 4_100)));
+    // Another entry has its part by now.
+    let foreign = target(Some(cold(false, 0)));
+    assert!(!with(&foreign).may_begin(Millis(4_000), &granted(&owned, 4_100)));
+    // A part is no grant.
+    let by_grant = target(Some(cold(true, 0)));
+    assert!(!with(&by_grant).may_begin(Millis(4_000), &granted(&owned, 4_100)));
+}
--- a/crates/moleroad_gateway/src/front/exchange.rs
+++ b/crates/moleroad_gateway/src/front/exchange.rs
@@ -93,14 +93,21 @@
                 }
             }
         };
-        if !grants::holds(node, candidate) {
-            node.pool.give_back(connection, None);
+        // It may have stood still while it chose or connected.
+        let heard = tokio::time::timeout_at(limit, node.hear_after_standstill()).await;
+        if heard.is_err() {
+            node.pool.give_back_unused(connection);
             return Err(SendError::Lapsed);
         }
         if is_barred(node, request, candidate) {
-            node.pool.give_back(connection, None);
+            node.pool.give_back_unused(connection);
             return Err(SendError::Barred);
         }
+        if !grants::holds(node, &request.service, candidate) {
+            node.pool.give_back_unused(connection);
+            return Err(SendError::Lapsed);
+        }
+        set_deadline(node, request, candidate, message.headers_mut());
         let sending = connection.sender.try_send_request(message);
         match tokio::time::timeout_at(limit, sending).await {
             Err(_) => return Err(SendError::TimedOut),
@@ -118,17 +125,19 @@
 }
 
 /// Whether a target that was chosen may not get the request any more: while it
-/// waited or connected, a configuration may have taken the region away.
+/// waited or connected, a configuration may have taken the region away, the
+/// target may have left, or its weights may have become too old.
 fn is_barred(node: &Node, request: &Accepted, chosen: &Candidate) -> bool {
     let view = node.view();
     let residency = view.residency(&request.residency);
     let needs = Needs {
+        least: node.least_version(&view, &request.service),
         regions: Some(residency.allowed()),
         ..Needs::default()
     };
     let places = view.services.get(&request.service);
     let known = places.and_then(|places| places.targets.candidate(&chosen.id));
-    barrier(known.unwrap_or(chosen), needs).is_some()
+    known.is_none_or(|known| barrier(known, needs).is_some())
 }
 
 fn build(
@@ -155,14 +164,18 @@
     {
         headers.insert(&names.last_event, event);
     }
-    // An engine may go on with a request whose connection was closed. It stops
-    // at the time that it is given: what still waits in its queue then does not
-    // begin on weights that are too old.
+    Ok(message)
+}
+
+/// Says how long the target has. An engine may go on with a request whose
+/// connection was closed; it stops at the time that it is given: what still
+/// waits in its queue then does not begin on weights that are too old.
+fn set_deadline(node: &Node, request: &Accepted, candidate: &Candidate, headers: &mut HeaderMap) {
+    let names = node.interface.headers();
     let old = node.old_weights(&request.service, candidate.version);
     let until = old.map_or(request.until, |old| old.last_start.min(request.until));
     let left = until.since(node.clock.now()).max(1);
     headers.insert(&names.deadline_ms, HeaderValue::from(left));
-    Ok(message)
 }
 
 fn judge(
--- a/crates/moleroad_gateway/src/front/pool.rs
+++ b/crates/moleroad_gateway/src/front/pool.rs
@@ -29,6 +29,9 @@
     pub sender: SendRequest<Full<Bytes>>,
     address: SocketAddr,
     driver: AbortHandle,
+    /// Until when it would have been kept, had it not been taken; `None` for a
+    /// new one.
+    idle_until: Option<Instant>,
 }
 
 impl Drop for Connection {
@@ -56,11 +59,12 @@
         let now = Instant::now();
         let mut idle = self.lock();
         let kept = idle.get_mut(&address)?;
-        while let Some(candidate) = kept.pop() {
+        while let Some(mut candidate) = kept.pop() {
             let usable = candidate.until > now
                 && candidate.connection.sender.is_ready()
                 && !candidate.connection.sender.is_closed();
             if usable {
+                candidate.connection.idle_until = Some(candidate.until);
                 return Some(candidate.connection);
             }
         }
@@ -87,17 +91,28 @@
             sender,
             address,
             driver: driver.abort_handle(),
+            idle_until: None,
         })
     }
 
     /// Keeps a connection whose last answer was whole. `target_limit` is the
     /// time for which the target said it keeps it.
     pub fn give_back(&self, connection: Connection, target_limit: Option<Duration>) {
-        let limit = idle_limit(target_limit);
-        if limit.is_zero() || connection.sender.is_closed() {
+        self.keep(connection, Instant::now() + idle_limit(target_limit));
+    }
+
+    /// Keeps a connection on which nothing was sent, no longer than it would
+    /// have been kept: the target's clock runs from its last answer.
+    pub fn give_back_unused(&self, connection: Connection) {
+        let unsaid = Instant::now() + IDLE_UNSAID;
+        let until = connection.idle_until.unwrap_or(unsaid);
+        self.keep(connection, until);
+    }
+
+    fn keep(&self, connection: Connection, until: Instant) {
+        if until <= Instant::now() || connection.sender.is_closed() {
             return;
         }
-        let until = Instant::now() + limit;
         let mut idle = self.lock();
         let kept = idle.entry(connection.address).or_default();
         if kept.len() < MOST_IDLE {
--- a/crates/moleroad_gateway/src/grants.rs
+++ b/crates/moleroad_gateway/src/grants.rs
@@ -96,10 +96,15 @@
     places.is_some_and(|places| places.targets.admission(now, candidate) == Admission::Grant)
 }
 
-/// Whether a send may begin now: the grant that it needs has not lapsed.
-pub fn holds(node: &Node, candidate: &Candidate) -> bool {
+/// Whether a send to a target of `service` may begin now: it has the grant or
+/// the part that it needs by now, and that has not lapsed.
+pub fn holds(node: &Node, service: &str, candidate: &Candidate) -> bool {
     let now = node.clock.now();
-    let holds = candidate.granted_until.is_none_or(|until| now <= until);
+    let holds = {
+        let view = node.view();
+        let places = view.services.get(service);
+        places.is_some_and(|places| places.targets.may_begin(now, candidate))
+    };
     if !holds {
         node.metrics.count("grant_lapsed");
     }
--- a/crates/moleroad_gateway/tests/connect.rs
+++ b/crates/moleroad_gateway/tests/connect.rs
@@ -1,6 +1,7 @@
 //! Connecting to targets over links that lose packets.
 
 use moleroad_gateway::front::connect::first_up;
+use moleroad_gateway::front::pool::Pool;
 use std::io;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -45,3 +46,23 @@
     assert!(began.elapsed() < LIMIT);
     assert_eq!(tried.load(Ordering::Relaxed), 1);
 }
+
+#[tokio::test]
+async fn a_connection_that_was_not_used_is_kept_no_longer_for_it() {
+    let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0))
+        .await
+        .unwrap();
+    let address = listener.local_addr().unwrap();
+    let pool = Pool::default();
+    let mut connection = pool.connect(address).await.unwrap();
+    let _accepted = listener.accept().await.unwrap();
+    connection.sender.ready().await.unwrap();
+    // Its margin taken off, it is kept for 300 ms.
+    pool.give_back(connection, Some(Duration::from_millis(1_800)));
+    let taken = pool.take(address).expect("it is kept");
+    pool.give_back_unused(taken);
+    let taken = pool.take(address).expect("it is kept still");
+    pool.give_back_unused(taken);
+    tokio::time::sleep(Duration::from_millis(350)).await;
+    assert!(pool.take(address).is_none());
+}
