Let silences of an agent end when nobody asks it any more

Cause: a target whose agent did not answer twice in a row counts as out of reach until a report or a refusal comes. Where the agent is no longer known, nobody asks it, so that the target stayed out of reach for good.

Change: a silence counts for three seconds; one that comes later begins anew.

Test: fails before (the target is passed over for ever).

--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -94,7 +94,7 @@
         let sound = |candidate: &&&Candidate| {
             let load = self.load(&candidate.id);
             let is_avoided = load.health.is_avoided(now);
-            let is_silent = load.is_out_of_reach() && load.agent_rests(now);
+            let is_silent = load.is_out_of_reach(now) && load.agent_rests(now);
             !candidate.switching && !is_silent && (self.ignores_failures || !is_avoided)
         };
         let pool: Vec<&Candidate> = fitting.iter().filter(sound).copied().collect();
@@ -142,7 +142,7 @@
             .filter_map(|looked_at| self.candidate(&looked_at.id))
             .filter(|candidate| barrier(candidate, needs).is_none())
             .collect();
-        let is_heard = |candidate: &&Candidate| !self.load(&candidate.id).is_out_of_reach();
+        let is_heard = |candidate: &&Candidate| !self.load(&candidate.id).is_out_of_reach(now);
         let any_heard = known.iter().any(is_heard);
         let free = known
             .into_iter()
--- a/crates/moleroad_dispatch/src/cost.rs
+++ b/crates/moleroad_dispatch/src/cost.rs
@@ -64,7 +64,7 @@
         let beyond = (requests + 1.0 - slots).max(0.0) * FULL_COST_MS / slots;
         let failing = load.health.failure_rate(now) * FAILURE_COST_MS;
         let slow = (self.slowness(now, candidate) - 1.0).max(0.0) * SLOW_COST_MS;
-        let silent = load.silence_cost_ms();
+        let silent = load.silence_cost_ms(now);
         candidate.distance.cost_ms() + busy + beyond + failing + slow + silent
     }
 
--- a/crates/moleroad_dispatch/src/load.rs
+++ b/crates/moleroad_dispatch/src/load.rs
@@ -24,6 +24,11 @@
 /// may be lost on its way, and one that is late is still counted.
 const OUT_OF_REACH_SILENCES: u32 = 2;
 
+/// Time after which a silence no longer counts, in milliseconds: an agent that is
+/// there is asked many times in it, and of one that nobody asks any more, since
+/// it is no longer known, nothing is learned.
+const SILENCE_OVER_MS: u64 = 3_000;
+
 #[derive(Clone, Copy, Debug)]
 struct Report {
     others: u32,
@@ -46,6 +51,8 @@
     cold_until: Millis,
     /// How often in a row the agent did not answer.
     silences: u32,
+    /// When it last did not answer.
+    silent_at: Millis,
     /// The recent past.
     pub health: Health,
 }
@@ -102,20 +109,30 @@
             return;
         }
         self.agent_rests_until = now + AGENT_RESTS_MS;
-        self.silences = (self.silences + 1).min(MOST_SILENCES);
+        self.silences = (self.silences(now) + 1).min(MOST_SILENCES);
+        self.silent_at = now;
     }
 
     /// Whether the way to the target seems to be cut or held up: a send would
     /// find that out only when its connection does not come up.
-    pub fn is_out_of_reach(&self) -> bool {
-        self.silences >= OUT_OF_REACH_SILENCES
+    pub fn is_out_of_reach(&self, now: Millis) -> bool {
+        self.silences(now) >= OUT_OF_REACH_SILENCES
+    }
+
+    /// Silences in a row that still count.
+    fn silences(&self, now: Millis) -> u32 {
+        if now.since(self.silent_at) < SILENCE_OVER_MS {
+            self.silences
+        } else {
+            0
+        }
     }
 
     /// What the silence of its agent costs the target, in milliseconds. A link
     /// that holds up the agent's answers holds up the target's as well, and the
     /// last report, as it fades, would make the target look idle.
-    pub fn silence_cost_ms(&self) -> f64 {
-        f64::from(self.silences) * SILENCE_COST_MS
+    pub fn silence_cost_ms(&self, now: Millis) -> f64 {
+        f64::from(self.silences(now)) * SILENCE_COST_MS
     }
 
     /// Takes that the agent counts the target as cold until then.
--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -590,3 +590,23 @@
     assert!(!is_drawn(&targets, 901));
     assert!(is_drawn(&targets, 1_200));
 }
+
+#[test]
+fn a_target_whose_agent_nobody_asks_any_more_is_in_reach_again() {
+    let mut targets = engines();
+    let looked_at = [0, 1].map(|index| engine(&format!("near-{index}"), Distance::SameHall));
+    let [silent, full] = [&looked_at[0].id, &looked_at[1].id];
+    for at in [0, 300] {
+        targets.agent_was_silent(Millis(at), silent);
+    }
+    let sent = |targets: &mut Targets, now| {
+        targets.reported(Millis(now), full, 16, 4);
+        let best = targets.best_of(Millis(now), Needs::default(), &looked_at);
+        best.map(|candidate| candidate.id)
+    };
+    assert_eq!(sent(&mut targets, 3_299), None);
+    assert_eq!(sent(&mut targets, 3_300).as_ref(), Some(silent));
+    // What is over does not add to a new silence.
+    targets.agent_was_silent(Millis(3_400), silent);
+    assert_eq!(sent(&mut targets, 3_401).as_ref(), Some(silent));
+}
