Ask for grants only where agents are asked, and only of cold engines

Cause: the address at which the agent of an engine is assumed while nothing was heard of it stayed in the list for ever, so that warm engines counted as ones with agents. And grants were the way of a service whose reading speed is not known, or with asked agents off: the choice then asks nobody, and cold engines got nothing.

Change: the address is assumed while the engine counts as cold, by what was heard or by its agent. Where no agent is asked the bound is divided among entries.

Tests: the service of the tests had no reading speed and was admitted by grants, which could not be served. It has one now; that the engine is then found, and sent to with a grant only, is a test of its own, and the case without a speed is one of division. Both new cases fail before.

Result: the test cold of moleroad_gateway passes.

--- a/crates/moleroad_gateway/src/candidates.rs
+++ b/crates/moleroad_gateway/src/candidates.rs
@@ -59,7 +59,7 @@
             if let Some(mut candidate) = candidate {
                 candidate.agent = agent.map(|agent| agent.record.peer);
                 candidate.cold = colds.get(&record.id).cloned();
-                if candidate.cold.as_ref().is_some_and(|cold| cold.by_grant) {
+                if self.is_cold_by_grant(now, &service.name, &candidate) {
                     // Others may have heard of its agent before.
                     let agent = settings.peer_address_at(record.address.ip());
                     candidate.agent.get_or_insert(agent);
@@ -77,18 +77,9 @@
                 .services
                 .entry(name.to_string())
                 .or_insert_with(|| ServicePlaces::new(bounds));
-            let steps = table.service(name).and_then(|service| service.steps);
-            places.targets.reading =
-                steps
-                    .filter(|steps| steps.prompt_tokens_per_s > 0.0)
-                    .map(|steps| ReadingSpeed {
-                        tokens_per_ms: steps.prompt_tokens_per_s / 1_000.0,
-                        usual_prompt: steps.usual_prompt,
-                        steps_ms: steps.step_ms
-                            * steps.steps_per_pass.max(1) as f64
-                            * STEP_SLOWNESS,
-                        tokens_per_pass: steps.tokens_per_pass as f64,
-                    });
+            places.targets.reading = table
+                .service(name)
+                .and_then(|service| reading_speed(service));
             places.targets.ignores_failures = !settings.experiments.has(Mechanism::Avoidance);
             places.targets.set(candidates);
         }
@@ -97,6 +88,18 @@
             .retain(|name, places| table.service(name).is_some() || !places.is_idle());
     }
 
+    /// Whether requests go to the target on grants only, now.
+    fn is_cold_by_grant(&self, now: Millis, service: &str, candidate: &Candidate) -> bool {
+        let cold = candidate.cold.as_deref();
+        let Some(cold) = cold.filter(|cold| cold.by_grant) else {
+            return false;
+        };
+        let places = self.services.get(service);
+        places.map_or(cold.until > now, |places| {
+            places.targets.cold_until(now, candidate).is_some()
+        })
+    }
+
     /// Notes how far weights have come that are on their way to engines.
     fn note_arrivals(&mut self, now: Millis, table: &RouteTable) {
         let origins = self.catalog.origins.iter();
@@ -128,6 +131,17 @@
     }
 }
 
+/// How fast engines of the service read prompts; `None` when it is not known.
+pub(crate) fn reading_speed(service: &Service) -> Option<ReadingSpeed> {
+    let steps = service.steps?;
+    (steps.prompt_tokens_per_s > 0.0).then(|| ReadingSpeed {
+        tokens_per_ms: steps.prompt_tokens_per_s / 1_000.0,
+        usual_prompt: steps.usual_prompt,
+        steps_ms: steps.step_ms * steps.steps_per_pass.max(1) as f64 * STEP_SLOWNESS,
+        tokens_per_pass: steps.tokens_per_pass as f64,
+    })
+}
+
 fn candidate(
     settings: &Settings,
     service: &Service,
--- a/crates/moleroad_gateway/src/cold_news.rs
+++ b/crates/moleroad_gateway/src/cold_news.rs
@@ -1,5 +1,6 @@
 //! Which targets count as cold, from what this daemon heard of them.
 
+use crate::candidates::reading_speed;
 use crate::experiments::Mechanism;
 use crate::settings::Settings;
 use crate::view::View;
@@ -63,11 +64,14 @@
 }
 
 /// Whether a bound on cold targets of the service is kept, and whether by grants:
-/// engines have agents beside them.
+/// engines have agents beside them, which are asked where the choice goes by how
+/// fast prompts are read.
 fn way(settings: &Settings, service: &Service) -> Option<(ColdStart, bool)> {
     let start = service.cold_start?;
-    let by_grant = !service.models.is_empty() && settings.experiments.has(Mechanism::ColdGrants);
-    let is_kept = by_grant || settings.experiments.has(Mechanism::ColdDivision);
+    let has = |mechanism| settings.experiments.has(mechanism);
+    let are_asked = reading_speed(service).is_some() && has(Mechanism::AskedAgents);
+    let by_grant = !service.models.is_empty() && are_asked && has(Mechanism::ColdGrants);
+    let is_kept = by_grant || has(Mechanism::ColdDivision);
     is_kept.then_some((start, by_grant))
 }
 
--- a/crates/moleroad_gateway/tests/cold.rs
+++ b/crates/moleroad_gateway/tests/cold.rs
@@ -57,7 +57,7 @@
         max_connections: 0,
         slots: 12,
         models: if is_engine { vec![model] } else { Vec::new() },
-        steps: None,
+        steps: is_engine.then_some(STEPS),
         origin: None,
         hall: None,
         cold_start,
@@ -69,6 +69,17 @@
     Arc::new(RouteTable::compile(&configuration))
 }
 
+/// How fast the engines are: without it no agent is asked.
+const STEPS: StepModel = StepModel {
+    step_ms: 8.0,
+    per_request_ms: 0.5,
+    prompt_tokens_per_s: 8_000.0,
+    steps_per_pass: 4,
+    tokens_per_pass: 2_048,
+    usual_prompt: 500.0,
+    usual_answer: 100.0,
+};
+
 const BOUND: ColdStart = ColdStart {
     lasts_ms: 3_000,
     requests_per_s: 15.0,
@@ -176,6 +187,78 @@
     }
 }
 
+#[test]
+fn where_no_agent_can_be_asked_cold_engines_are_divided() {
+    let compiled = |steps| {
+        let mut service = Service::clone(
+            table(true, Some(BOUND))
+                .service("chat")
+                .expect("it is there"),
+        );
+        service.steps = steps;
+        let configuration = Configuration {
+            services: vec![service],
+            ..Configuration::default()
+        };
+        Arc::new(RouteTable::compile(&configuration))
+    };
+    let unread = StepModel {
+        prompt_tokens_per_s: 0.0,
+        ..STEPS
+    };
+    for (steps, off) in [
+        (None, ""),
+        (Some(unread), ""),
+        (Some(STEPS), "asked_agents"),
+    ] {
+        let settings = settings(off);
+        let mut view = view(compiled(steps), &settings);
+        view.directory
+            .hear_target(Millis(3_000), target(3_000, 3), 0);
+        view.refresh_candidates(Millis(3_000), &settings);
+        assert_eq!(admission(&view, 3_000), Admission::Part);
+        let targets = &view.services["chat"].targets;
+        let choice = targets.choose(Millis(3_000), Needs::default(), 0);
+        assert!(matches!(choice, Choice::Send(_)), "it is served");
+    }
+}
+
+#[test]
+fn an_engine_that_is_asked_for_grants_can_be_served() {
+    let settings = settings("");
+    let mut view = view(table(true, Some(BOUND)), &settings);
+    view.directory
+        .hear_target(Millis(3_000), target(3_000, 3), 0);
+    view.refresh_candidates(Millis(3_000), &settings);
+    let targets = &view.services["chat"].targets;
+    assert!(targets.have_agents());
+    let now = Millis(3_000);
+    let looked_at = targets.shortlist(now, Needs::default(), Reach::Near, 0);
+    let best = targets.best_of(now, Needs::default(), &looked_at);
+    let best = best.expect("it may be asked");
+    assert_eq!(admission(&view, 3_000), Admission::Grant);
+    let granted = Candidate {
+        granted_until: Some(now + GRANT_LIFE_MS),
+        ..best.clone()
+    };
+    assert!(targets.may_begin(now, &granted) && !targets.may_begin(now, &best));
+}
+
+#[test]
+fn the_address_of_an_agent_is_assumed_while_its_engine_is_cold_only() {
+    let settings = settings("");
+    let mut view = View::new(daemon(DaemonRole::Entry, 1));
+    view.table = Some(table(true, Some(BOUND)));
+    view.directory.hear_target(Millis(1_000), target(0, 1), 0);
+    let mut agent_at = |now| {
+        view.refresh_candidates(Millis(now), &settings);
+        view.services["chat"].targets.candidates()[0].agent
+    };
+    assert_eq!(agent_at(1_000), Some(address(1)));
+    assert_eq!(agent_at(3_999), Some(address(1)));
+    assert_eq!(agent_at(4_000), None);
+}
+
 #[test]
 fn what_its_agent_says_counts_at_once() {
     let settings = settings("");
