Pass on what a target said of itself, and no assumption

Cause: that a data hall was taken back lets entries take its targets for cold until they speak. Entries told agents so as if the targets had said it. An agent keeps the longest time it was told, so that engines which said at once that they are not cold stayed throttled at all entries.

Change: an entry keeps until when a target is cold by its own word beside until when it counts as cold, and passes on only the former. A word that ends earlier than the assumption is passed on too; before, it was hidden by it.

Test: fails with the former rule.

--- a/crates/moleroad_dispatch/src/cold.rs
+++ b/crates/moleroad_dispatch/src/cold.rs
@@ -61,21 +61,25 @@
                 from + self.lasts_ms
             }
         };
-        let by_heartbeat = if self.left_ms > 0 {
-            self.heard + self.left_ms
-        } else {
-            Millis(0)
-        };
         let restored = self.restored.map_or(Millis(0), assumed);
         [
             (assumed(self.first_heard), ColdSource::FirstHeard),
             (restored, ColdSource::Restored),
-            (by_heartbeat, ColdSource::Heartbeat),
+            (self.said_until(), ColdSource::Heartbeat),
         ]
         .into_iter()
         .max()
         .unwrap_or((Millis(0), ColdSource::FirstHeard))
     }
+
+    /// Until when the target is cold by its own word.
+    pub fn said_until(self) -> Millis {
+        if self.left_ms > 0 {
+            self.heard + self.left_ms
+        } else {
+            Millis(0)
+        }
+    }
 }
 
 /// A bound on a target while it is cold, and until when that is.
@@ -87,6 +91,8 @@
     pub until: Millis,
     /// What says so.
     pub source: ColdSource,
+    /// Until when it is cold by its own word.
+    pub said_until: Millis,
     /// How long a target is cold after its start, in milliseconds.
     pub lasts_ms: u64,
     /// Whether requests go there on grants of the agent beside it only.
@@ -98,13 +104,11 @@
 }
 
 impl ColdTarget {
-    /// How much longer it is cold by what it said itself, or by what is known of
-    /// its data hall, in milliseconds: what others may rely on.
+    /// How much longer it is cold by what it said itself, in milliseconds: what
+    /// others may rely on. What was only assumed of it, as after its data hall
+    /// was taken back, ends here with its own word, and elsewhere would not.
     pub fn known_left_ms(&self, now: Millis) -> u64 {
-        match self.source {
-            ColdSource::Heartbeat | ColdSource::Restored => self.until.since(now),
-            ColdSource::FirstHeard | ColdSource::Agent => 0,
-        }
+        self.said_until.since(now)
     }
 
     /// The part of `own` among `entries` that are ready; none where grants are
--- a/crates/moleroad_dispatch/tests/cold_admission.rs
+++ b/crates/moleroad_dispatch/tests/cold_admission.rs
@@ -11,6 +11,7 @@
         bound: RateBound::new(15.0, 1.5, 5.0),
         until: Millis(5_000),
         source: ColdSource::Heartbeat,
+        said_until: Millis(5_000),
         lasts_ms: 3_000,
         by_grant,
         part,
@@ -95,3 +96,30 @@
     let by_grant = target(Some(cold(true, 0)));
     assert!(!with(&by_grant).may_begin(Millis(4_000), &granted(&owned, 4_100)));
 }
+
+/// What an entry tells the agent at 2,000 ms of a target whose data hall was
+/// taken back at 1,000 ms, and which said before that `left_ms` were left.
+fn told_of_restored(left_ms: u64) -> (ColdSource, u64) {
+    let news = ColdNews {
+        lasts_ms: 3_000,
+        first_heard: Millis(0),
+        heard: Millis(900),
+        left_ms,
+        restored: Some(Millis(1_000)),
+    };
+    let (until, source) = news.until();
+    let target = ColdTarget {
+        until,
+        source,
+        said_until: news.said_until(),
+        ..cold(true, 0)
+    };
+    assert_eq!(until, Millis(4_000));
+    (source, target.known_left_ms(Millis(2_000)))
+}
+
+#[test]
+fn an_entry_passes_on_the_word_of_a_target_and_no_assumption() {
+    assert_eq!(told_of_restored(0), (ColdSource::Restored, 0));
+    assert_eq!(told_of_restored(1_500), (ColdSource::Restored, 400));
+}
--- a/crates/moleroad_gateway/src/cold_news.rs
+++ b/crates/moleroad_gateway/src/cold_news.rs
@@ -122,20 +122,21 @@
     ) -> ColdTarget {
         let id = &heard.record.id;
         let first_heard = self.cold.first_heard(id);
-        let (until, source) = ColdNews {
+        let news = ColdNews {
             lasts_ms: start.lasts_ms,
             first_heard,
             heard: heard.at,
             left_ms: heard.record.cold_left_ms,
             restored: self.restored_at(&heard.record.hall),
-        }
-        .until();
+        };
+        let (until, source) = news.until();
         let bounds = &settings.bounds;
         let (overshoot, slack) = (bounds.cold_overshoot, bounds.cold_slack);
         ColdTarget {
             bound: RateBound::new(start.requests_per_s, overshoot, slack),
             until,
             source,
+            said_until: news.said_until(),
             lasts_ms: start.lasts_ms,
             by_grant: false,
             part: 0,
