End both connections only when the target refuses one

Cause: the connection that fails first ended both, so that an error of this process at the second one (no file, no local address) gave up a first one that would have come up.

Change: a refusal ends both; with any other error the other one decides.

Test: fails before.

Result: the test connect of moleroad_gateway passes.

--- a/crates/moleroad_gateway/src/front/connect.rs
+++ b/crates/moleroad_gateway/src/front/connect.rs
@@ -12,8 +12,9 @@
 /// the first takes long; the one that is not used is closed without a byte.
 ///
 /// # Errors
-/// The error of the one that fails first: a target that refuses one refuses
-/// both.
+/// A refusal of either, since a target that refuses one refuses both; else the
+/// error of the one that fails last. An error of its own, as too few files, says
+/// nothing of the other.
 pub async fn first_up<C, F>(connect: impl Fn() -> F) -> io::Result<C>
 where
     F: Future<Output = io::Result<C>>,
@@ -22,9 +23,20 @@
     if let Ok(connected) = tokio::time::timeout(BESIDE_AFTER, first.as_mut()).await {
         return connected;
     }
-    tokio::select! {
+    let mut second = std::pin::pin!(connect());
+    let (connected, is_first) = tokio::select! {
         biased;
-        connected = first => connected,
-        connected = connect() => connected,
+        connected = first.as_mut() => (connected, true),
+        connected = second.as_mut() => (connected, false),
+    };
+    match connected {
+        Err(error) if error.kind() != io::ErrorKind::ConnectionRefused => {
+            if is_first {
+                second.await
+            } else {
+                first.await
+            }
+        }
+        decided => decided,
     }
 }
--- a/crates/moleroad_gateway/tests/connect.rs
+++ b/crates/moleroad_gateway/tests/connect.rs
@@ -66,3 +66,28 @@
     tokio::time::sleep(Duration::from_millis(350)).await;
     assert!(pool.take(address).is_none());
 }
+
+/// Two connections that end after these times as given.
+async fn of_two(ends: [(u64, Result<u32, io::ErrorKind>); 2]) -> Result<u32, io::ErrorKind> {
+    let tried = AtomicU32::new(0);
+    let connect = || async {
+        let number = tried.fetch_add(1, Ordering::Relaxed);
+        let (after_ms, end) = ends[number as usize];
+        tokio::time::sleep(Duration::from_millis(after_ms)).await;
+        end.map_err(io::Error::from)
+    };
+    first_up(connect).await.map_err(|error| error.kind())
+}
+
+#[tokio::test]
+async fn an_error_of_one_connection_does_not_end_the_other() {
+    use io::ErrorKind::*;
+    let (up, local) = (Ok(1), Err(AddrNotAvailable));
+    assert_eq!(of_two([(150, up), (1, local)]).await, up);
+    assert_eq!(of_two([(150, local), (100, up)]).await, up);
+    assert_eq!(of_two([(150, Err(Other)), (1, local)]).await, Err(Other));
+    // The target refuses the other as well.
+    let refused = Err(ConnectionRefused);
+    assert_eq!(of_two([(60_000, up), (1, refused)]).await, refused);
+    assert_eq!(of_two([(150, refused), (60_000, up)]).await, refused);
+}
