Keep what was sent to a divided target while it is not listed

Cause: the times of sends to a divided target were forgotten with its load, that is as soon as it was not listed for a moment, so that the entry sent its part anew at once. A rate below one request a second was cut to 0, and the target had no owner and got nothing.

Change: the times are kept for their span, whatever the list; the rate is rounded up. The bound itself still limits the owners.

--- a/crates/moleroad_dispatch/src/division.rs
+++ b/crates/moleroad_dispatch/src/division.rs
@@ -42,7 +42,7 @@
     /// requests a second.
     pub fn of(bound: RateBound) -> Self {
         let whole = bound.whole() as u32 / SETS;
-        let rate = bound.requests_per_s.max(0.0) as u32;
+        let rate = bound.requests_per_s.max(0.0).ceil() as u32;
         let part = PART.min(whole).max(1);
         Self {
             owners: (whole / part).min(rate.div_ceil(part)),
@@ -76,6 +76,11 @@
         (recent.count() as u32) < part
     }
 
+    /// Whether any send still counts.
+    pub(crate) fn is_recent(&self, now: Millis) -> bool {
+        !self.has_room(now, 1)
+    }
+
     /// Notes a send.
     pub fn note(&mut self, now: Millis) {
         if self.0.len() >= MOST_TIMES {
--- a/crates/moleroad_dispatch/src/targets.rs
+++ b/crates/moleroad_dispatch/src/targets.rs
@@ -19,7 +19,8 @@
     pub ignores_failures: bool,
     pub(crate) candidates: Vec<Candidate>,
     pub(crate) loads: HashMap<TargetId, TargetLoad>,
-    /// Sends to targets that have a bound while they are cold.
+    /// Sends to targets that have a bound while they are cold. They outlast the
+    /// list: a target that is not listed for a moment got them all the same.
     pub(crate) sends: HashMap<TargetId, SendTimes>,
 }
 
@@ -29,8 +30,6 @@
         self.loads.retain(|id, load| {
             load.own() > 0 || candidates.iter().any(|candidate| candidate.id == *id)
         });
-        let loads = &self.loads;
-        self.sends.retain(|id, _| loads.contains_key(id));
         self.candidates = candidates;
     }
 
@@ -99,6 +98,7 @@
         let load = self.loads.entry(id.clone()).or_default();
         load.started(now, tokens);
         if self.candidate(id).is_some_and(|c| c.cold.is_some()) {
+            self.sends.retain(|_, sends| sends.is_recent(now));
             self.sends.entry(id.clone()).or_default().note(now);
         }
     }
--- a/crates/moleroad_dispatch/tests/cold_admission.rs
+++ b/crates/moleroad_dispatch/tests/cold_admission.rs
@@ -1,6 +1,7 @@
 //! The last look at a target that may be cold, before a send begins.
 
 use moleroad_directory::prelude::TargetId;
+use moleroad_dispatch::division::SPAN_MS;
 use moleroad_dispatch::prelude::*;
 use moleroad_types::prelude::{Millis, Region};
 use std::sync::Arc;
@@ -123,3 +124,30 @@
     assert_eq!(told_of_restored(0), (ColdSource::Restored, 0));
     assert_eq!(told_of_restored(1_500), (ColdSource::Restored, 400));
 }
+
+#[test]
+fn sends_count_toward_the_part_of_a_target_that_was_not_listed_for_a_moment() {
+    let owned = target(Some(cold(false, 1)));
+    let mut targets = with(&owned);
+    targets.started(Millis(3_000), &owned.id, 0);
+    targets.was_read(&owned.id, 0);
+    targets.finished(Millis(3_010), &owned.id, Outcome::Answered);
+    targets.set(Vec::new());
+    targets.set(vec![owned.clone()]);
+    let admission = |targets: &Targets, now| targets.admission(Millis(now), &owned);
+    assert_eq!(admission(&targets, 3_000 + SPAN_MS - 1), Admission::Closed);
+    assert_eq!(admission(&targets, 3_000 + SPAN_MS), Admission::Part);
+    // Those that are over are forgotten with the next send to any target.
+    targets.started(Millis(3_000 + SPAN_MS), &owned.id, 0);
+    assert_eq!(admission(&targets, 4_500), Admission::Closed);
+}
+
+#[test]
+fn a_rate_below_one_a_second_has_an_owner() {
+    let division = Division::of(RateBound::new(0.5, 1.5, 5.0));
+    assert_eq!((division.owners, division.part), (1, 1));
+    assert_eq!(Division::of(RateBound::new(0.0, 1.5, 5.0)).owners, 0);
+    assert_eq!(Division::of(RateBound::new(15.0, 1.5, 5.0)).owners, 13);
+    // One request in a second for each of two sets would be above it.
+    assert_eq!(Division::of(RateBound::new(0.5, 1.5, 0.0)).owners, 0);
+}
