--- a/crates/moleroad_gateway/src/agent/cold.rs
+++ b/crates/moleroad_gateway/src/agent/cold.rs
@@ -16,7 +16,8 @@
 /// milliseconds: a wrong word must end.
 const LONGEST_COLD_MS: u64 = 60_000;
 /// Time without a sign of life of this process after which it has stood still,
-/// in milliseconds: reads of the engine come more often.
+/// in milliseconds. Longer than at entries: a sign comes with each read of the
+/// engine, and one without answer and the pause after it take nearly a second.
 const STOOD_STILL_MS: u64 = 1_500;
 /// Time between two looks at what was granted.
 const SUM_EVERY: Duration = Duration::from_secs(1);
@@ -68,7 +69,7 @@
     }
 
     /// Notes that this process runs.
-    pub fn is_alive(&self, now: Millis) {
+    pub fn note_alive(&self, now: Millis) {
         let mut state = self.lock();
         let before = state.alive_at.replace(now);
         let runs_on = before.is_some_and(|before| now.since(before) <= STOOD_STILL_MS);
@@ -83,7 +84,7 @@
 
     /// Answers an entry that wants to send one request.
     pub fn grant(&self, now: Millis, ask: GrantAsk) -> GrantAnswer {
-        self.is_alive(now);
+        self.note_alive(now);
         let mut state = self.lock();
         let told_until = now + ask.left_ms.min(LONGEST_COLD_MS);
         if ask.left_ms > 0 {
--- a/crates/moleroad_gateway/src/agent/watch.rs
+++ b/crates/moleroad_gateway/src/agent/watch.rs
@@ -33,7 +33,7 @@
             (FIRST_READ_TIMEOUT, FIRST_READ_EVERY)
         };
         let read = read_within(&node, timeout).await;
-        node.cold_engine.is_alive(node.clock.now());
+        node.cold_engine.note_alive(node.clock.now());
         match read {
             Some(state) => {
                 unanswered = 0;
--- a/crates/moleroad_gateway/tests/cold.rs
+++ b/crates/moleroad_gateway/tests/cold.rs
@@ -315,10 +315,10 @@
 #[test]
 fn an_agent_that_stood_still_begins_with_nothing() {
     let engine = ColdEngine::default();
-    engine.is_alive(Millis(1_000));
+    engine.note_alive(Millis(1_000));
     engine.grant(Millis(1_000), ask(0));
     for at in [1_500, 2_000] {
-        engine.is_alive(Millis(at));
+        engine.note_alive(Millis(at));
     }
     assert_eq!(engine.state(Millis(2_000)).grants, Some(3));
     // It stands still for two seconds, and an entry's question is the first.
@@ -330,7 +330,7 @@
 fn grants_come_up_from_the_begin_of_the_agent_and_not_from_the_first_question() {
     let engine = ColdEngine::default();
     for at in [10_000, 10_400] {
-        engine.is_alive(Millis(at));
+        engine.note_alive(Millis(at));
     }
     let given = |at| engine.grant(Millis(at), ask(0)).is_given;
     assert_eq!([given(10_500), given(10_500), given(10_500)], [true; 3]);
