--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -2,6 +2,7 @@
 
 use crate::candidate::{Candidate, Distance, Needs};
 use crate::cold::Admission;
+use crate::division::PART_LIFE_MS;
 use crate::eligibility::barrier;
 use crate::targets::Targets;
 use moleroad_types::prelude::Millis;
@@ -80,7 +81,7 @@
             .iter()
             .min_by(|left, right| self.cost_ms(now, left).total_cmp(&self.cost_ms(now, right)));
         match best {
-            Some(best) => Choice::Send((*best).clone()),
+            Some(best) => Choice::Send(self.with_part_life(now, best)),
             None => Choice::Full,
         }
     }
@@ -93,7 +94,7 @@
         let sound = |candidate: &&&Candidate| {
             let load = self.load(&candidate.id);
             let is_avoided = load.health.is_avoided(now);
-            let is_silent = load.is_out_of_reach() && load.agent_rests(now);
+            let is_silent = load.is_out_of_reach(now) && load.agent_rests(now);
             !candidate.switching && !is_silent && (self.ignores_failures || !is_avoided)
         };
         let pool: Vec<&Candidate> = fitting.iter().filter(sound).copied().collect();
@@ -141,7 +142,7 @@
             .filter_map(|looked_at| self.candidate(&looked_at.id))
             .filter(|candidate| barrier(candidate, needs).is_none())
             .collect();
-        let is_heard = |candidate: &&Candidate| !self.load(&candidate.id).is_out_of_reach();
+        let is_heard = |candidate: &&Candidate| !self.load(&candidate.id).is_out_of_reach(now);
         let any_heard = known.iter().any(is_heard);
         let free = known
             .into_iter()
@@ -150,6 +151,15 @@
             .filter(|candidate| self.has_place(now, candidate, needs.spare))
             .filter(|candidate| self.is_in_time(now, candidate, needs));
         let best = free.min_by(|a, b| self.cost_ms(now, a).total_cmp(&self.cost_ms(now, b)));
-        best.cloned()
+        best.map(|best| self.with_part_life(now, best))
+    }
+
+    /// The target as it is chosen: a part of it must be used soon.
+    fn with_part_life(&self, now: Millis, chosen: &Candidate) -> Candidate {
+        let is_part = self.admission(now, chosen) == Admission::Part;
+        Candidate {
+            granted_until: is_part.then(|| now + PART_LIFE_MS),
+            ..chosen.clone()
+        }
     }
 }
--- /dev/null
+++ b/crates/moleroad_dispatch/tests/cold_admission.rs
@@ -0,0 +1,153 @@
+//! The last look at a target that may be cold, before a send begins.
+
+use moleroad_directory::prelude::TargetId;
+use moleroad_dispatch::division::SPAN_MS;
+use moleroad_dispatch::prelude::*;
+use moleroad_types::prelude::{Millis, Region};
+use std::sync::Arc;
+
+/// A bound that holds until 5,000 ms.
+fn cold(by_grant: bool, part: u32) -> ColdTarget {
+    ColdTarget {
+        bound: RateBound::new(15.0, 1.5, 5.0),
+        until: Millis(5_000),
+        source: ColdSource::Heartbeat,
+        said_until: Millis(5_000),
+        lasts_ms: 3_000,
+        by_grant,
+        part,
+        part_from: Millis(0),
+    }
+}
+
+fn target(cold: Option<ColdTarget>) -> Candidate {
+    Candidate {
+        id: TargetId::new("t"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        slots: 12,
+        most_own: 12,
+        share: 12,
+        distance: Distance::SameHall,
+        region: Region::new("r"),
+        evacuated: false,
+        version: Some(1),
+        switching: false,
+        slowness: 1.0,
+        agent: Some("127.0.0.1:2".parse().unwrap()),
+        cold: cold.map(Arc::new),
+        granted_until: None,
+    }
+}
+
+fn with(candidate: &Candidate) -> Targets {
+    let mut targets = Targets::default();
+    targets.set(vec![candidate.clone()]);
+    targets
+}
+
+fn granted(candidate: &Candidate, until: u64) -> Candidate {
+    Candidate {
+        granted_until: Some(Millis(until)),
+        ..candidate.clone()
+    }
+}
+
+#[test]
+fn a_target_that_turned_cold_after_it_was_chosen_gets_nothing_without_a_grant() {
+    let warm = target(None);
+    let turned = target(Some(cold(true, 0)));
+    let now = Millis(4_000);
+    assert!(with(&warm).may_begin(now, &warm));
+    assert!(!with(&turned).may_begin(now, &warm));
+    assert!(!with(&turned).may_begin(now, &turned));
+    assert!(with(&turned).may_begin(now, &granted(&turned, 4_000)));
+    assert!(!with(&turned).may_begin(now, &granted(&turned, 3_999)));
+    // It is cold no longer.
+    assert!(with(&turned).may_begin(Millis(5_000), &warm));
+}
+
+#[test]
+fn what_its_agent_said_meanwhile_counts() {
+    let known = target(Some(cold(true, 0)));
+    let mut targets = with(&known);
+    assert!(targets.may_begin(Millis(6_000), &known));
+    targets.agent_says_cold(&known.id, Millis(7_000));
+    assert!(!targets.may_begin(Millis(6_000), &known));
+}
+
+#[test]
+fn a_target_that_is_no_longer_listed_gets_nothing() {
+    let warm = target(None);
+    let targets = Targets::default();
+    assert!(!targets.may_begin(Millis(4_000), &warm));
+    assert!(!targets.may_begin(Millis(4_000), &granted(&warm, 4_100)));
+}
+
+#[test]
+fn a_divided_target_gets_only_what_was_counted_as_a_part() {
+    let (warm, owned) = (target(None), target(Some(cold(false, 1))));
+    let mut targets = with(&owned);
+    targets.started(Millis(4_000), &owned.id, 0);
+    assert!(!targets.may_begin(Millis(4_000), &warm));
+    assert!(targets.may_begin(Millis(4_000), &granted(&owned, 4_100)));
+    // Another entry has its part by now.
+    let foreign = target(Some(cold(false, 0)));
+    assert!(!with(&foreign).may_begin(Millis(4_000), &granted(&owned, 4_100)));
+    // A part is no grant.
+    let by_grant = target(Some(cold(true, 0)));
+    assert!(!with(&by_grant).may_begin(Millis(4_000), &granted(&owned, 4_100)));
+}
+
+/// What an entry tells the agent at 2,000 ms of a target whose data hall was
+/// taken back at 1,000 ms, and which said before that `left_ms` were left.
+fn told_of_restored(left_ms: u64) -> (ColdSource, u64) {
+    let news = ColdNews {
+        lasts_ms: 3_000,
+        first_heard: Millis(0),
+        heard: Millis(900),
+        left_ms,
+        restored: Some(Millis(1_000)),
+    };
+    let (until, source) = news.until();
+    let target = ColdTarget {
+        until,
+        source,
+        said_until: news.said_until(),
+        ..cold(true, 0)
+    };
+    assert_eq!(until, Millis(4_000));
+    (source, target.known_left_ms(Millis(2_000)))
+}
+
+#[test]
+fn an_entry_passes_on_the_word_of_a_target_and_no_assumption() {
+    assert_eq!(told_of_restored(0), (ColdSource::Restored, 0));
+    assert_eq!(told_of_restored(1_500), (ColdSource::Restored, 400));
+}
+
+#[test]
+fn sends_count_toward_the_part_of_a_target_that_was_not_listed_for_a_moment() {
+    let owned = target(Some(cold(false, 1)));
+    let mut targets = with(&owned);
+    targets.started(Millis(3_000), &owned.id, 0);
+    targets.was_read(&owned.id, 0);
+    targets.finished(Millis(3_010), &owned.id, Outcome::Answered);
+    targets.set(Vec::new());
+    targets.set(vec![owned.clone()]);
+    let admission = |targets: &Targets, now| targets.admission(Millis(now), &owned);
+    assert_eq!(admission(&targets, 3_000 + SPAN_MS - 1), Admission::Closed);
+    assert_eq!(admission(&targets, 3_000 + SPAN_MS), Admission::Part);
+    // Those that are over are forgotten with the next send to any target.
+    targets.started(Millis(3_000 + SPAN_MS), &owned.id, 0);
+    assert_eq!(admission(&targets, 4_500), Admission::Closed);
+}
+
+#[test]
+fn a_rate_below_one_a_second_has_an_owner() {
+    let division = Division::of(RateBound::new(0.5, 1.5, 5.0));
+    assert_eq!((division.owners, division.part), (1, 1));
+    assert_eq!(Division::of(RateBound::new(0.0, 1.5, 5.0)).owners, 0);
+    assert_eq!(Division::of(RateBound::new(15.0, 1.5, 5.0)).owners, 13);
+    // One request in a second for each of two sets would be above it.
+    assert_eq!(Division::of(RateBound::new(0.5, 1.5, 0.0)).owners, 0);
+}
