Give back a granted place when its caller leaves while news is waited for

Cause: the granted target was taken out of its channel before the wait for news after a standstill, and was lost when the caller left during that wait: the target kept a request in flight that never was. The queue entry's own clean-up found the channel empty. Change: the grant becomes a place, which gives itself back, before the wait.

--- a/crates/moleroad_gateway/src/acquire.rs
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -169,11 +169,12 @@
     loop {
         let look = (node.clock.now() + look_again_ms(ask.line)).min(ask.until);
         let granted = tokio::time::timeout_at(node.clock.instant(look), &mut in_queue.grant).await;
+        // A place from here on, so that it is given back if the caller leaves.
+        let granted = granted.ok().and_then(Result::ok).map(place);
         node.hear_after_standstill().await;
         let residency = node.view().residency(&in_queue.ask.residency);
         in_queue.ask.residency = residency;
-        if let Ok(Ok(candidate)) = granted {
-            let place = place(candidate);
+        if let Some(place) = granted {
             if is_open(node, &in_queue.ask, &place.candidate) {
                 return Ok(place);
             }
--- a/crates/moleroad_gateway/src/lib.rs
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -10,7 +10,7 @@
 //! outside speaks is behind [`interface::Interface`].
 #![warn(missing_docs)]
 
-mod acquire;
+pub mod acquire;
 pub mod agent;
 pub mod candidates;
 pub mod clock;
@@ -31,7 +31,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod named_versions;
-mod no_place;
+pub mod no_place;
 pub mod node;
 pub mod operator;
 pub mod peer;
--- /dev/null
+++ b/crates/moleroad_gateway/tests/support/mod.rs
@@ -0,0 +1,176 @@
+//! An entry without a network, for tests of what it decides.
+
+use hyper::Method;
+use hyper::header::HeaderMap;
+use moleroad_config::prelude::*;
+use moleroad_directory::prelude::*;
+use moleroad_dispatch::prelude::*;
+use moleroad_gateway::clock::Clock;
+use moleroad_gateway::evacuations::{HallRevision, HallState};
+use moleroad_gateway::halls::{HallNews, HallsNews};
+use moleroad_gateway::interface::*;
+use moleroad_gateway::node::Node;
+use moleroad_gateway::places::Ask;
+use moleroad_gateway::settings::Settings;
+use moleroad_types::prelude::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The service of all requests.
+pub const SERVICE: &str = "plain";
+
+/// An outside that nobody speaks to.
+struct Nobody;
+
+impl Interface for Nobody {
+    fn headers(&self) -> &HeaderNames {
+        unreachable!()
+    }
+    fn token_usage(&self, _: &HeaderMap) -> Option<TokenUsage> {
+        None
+    }
+    fn system_call(&self, _: &Method, _: &str, _: Option<&str>) -> Option<SystemCall> {
+        None
+    }
+    fn document_type(&self) -> &'static str {
+        unreachable!()
+    }
+    fn read_configuration(&self, _: &[u8]) -> Result<Configuration, ConfigurationError> {
+        unreachable!()
+    }
+    fn read_heartbeat(&self, _: &str, _: &[u8]) -> Option<TargetRecord> {
+        None
+    }
+    fn write_heartbeat_answer(&self, _: Option<SocketAddr>) -> Vec<u8> {
+        unreachable!()
+    }
+    fn read_named_version(&self, _: &[u8]) -> Option<NamedVersion> {
+        None
+    }
+    fn write_addresses(&self, _: &[SocketAddr], _: Millis) -> Vec<u8> {
+        unreachable!()
+    }
+    fn write_error(&self, _: &str) -> Vec<u8> {
+        unreachable!()
+    }
+    fn ask_state(&self) -> OutsideCall {
+        unreachable!()
+    }
+    fn read_state(&self, _: &[u8]) -> Option<EngineState> {
+        None
+    }
+    fn ask_digests(&self, _: &str, _: u64) -> OutsideCall {
+        unreachable!()
+    }
+    fn read_digests(&self, _: &[u8]) -> Option<PieceDigests> {
+        None
+    }
+    fn ask_piece(&self, _: &str, _: u64, _: u32) -> OutsideCall {
+        unreachable!()
+    }
+    fn put_staged(&self, _: &str, _: u32, _: Vec<u8>) -> OutsideCall {
+        unreachable!()
+    }
+    fn get_staged(&self, _: &str, _: u32) -> OutsideCall {
+        unreachable!()
+    }
+    fn order_start(&self, _: &str, _: u64, _: StartMode, _: u64) -> OutsideCall {
+        unreachable!()
+    }
+}
+
+/// Settings of an entry.
+pub fn settings() -> Settings {
+    let text = "instance: e\nrole: entry\nip: 127.0.0.1\nhall: hall-a\nregion: r\nregions: {hall-a: r}\npeer_ports: [1,2]\nlisten: {frontend: \"127.0.0.1:9\"}\n";
+    Settings::parse(text).unwrap()
+}
+
+fn service() -> Service {
+    Service {
+        name: SERVICE.into(),
+        max_connections: 0,
+        models: Vec::new(),
+        slots: 0,
+        steps: None,
+        origin: None,
+        hall: None,
+        cold_start: None,
+    }
+}
+
+/// An account, found by its name as key, that allows region `r` alone.
+fn restricted_account() -> ClientAccount {
+    ClientAccount {
+        name: "restricted".into(),
+        keys: vec!["restricted".into()],
+        priority: None,
+        allowed_regions: AllowedRegions::only([Region::new("r")]),
+    }
+}
+
+/// An entry that knows one target with one place, `i-a` in `hall-a` of region `r`.
+pub fn entry() -> Arc<Node> {
+    let node = Node::new(settings(), Clock::default(), Arc::new(Nobody), None);
+    let now = node.clock.now();
+    let configuration = Configuration {
+        services: vec![service()],
+        accounts: vec![restricted_account()],
+        ..Configuration::default()
+    };
+    let target = TargetRecord {
+        id: TargetId::new("i-a"),
+        service: SERVICE.into(),
+        address: SocketAddr::from(([127, 0, 0, 2], 1)),
+        hall: "hall-a".into(),
+        slots: 1,
+        life: TargetLife::Ready,
+        cold_left_ms: 0,
+        sequence: 1,
+        holdings: None,
+    };
+    {
+        let mut view = node.view();
+        view.table = Some(Arc::new(RouteTable::compile(&configuration)));
+        let own = view.own.clone();
+        view.directory.hear_daemon(now, own, 0);
+        view.directory.hear_target(now, target, 0);
+        view.refresh_candidates(now, &node.settings);
+    }
+    Arc::new(node)
+}
+
+/// A request that waits for up to ten seconds, of the account with this key.
+pub fn ask(node: &Node, key: Option<&str>) -> Ask {
+    let table = node.view().table.clone().unwrap();
+    let until = node.clock.now() + 10_000;
+    Ask {
+        service: SERVICE.into(),
+        tried: Vec::new(),
+        prompt_tokens: 0,
+        priority: 1,
+        wanted_by: None,
+        until,
+        line: Line::InTime,
+        residency: Residency::new(&table, "host", "/", key),
+    }
+}
+
+/// Lets the entry learn that `hall-a` is evacuated.
+pub fn evacuate(node: &Node) {
+    let state = HallState {
+        revision: HallRevision(1),
+        evacuated: true,
+    };
+    let news = HallsNews::from([("hall-a".to_string(), HallNews { state, age_ms: 0 })]);
+    let now = node.clock.now();
+    let mut view = node.view();
+    view.learn_halls(now, &news);
+    view.refresh_candidates(now, &node.settings);
+}
+
+/// Requests of this entry that hold a place at the target.
+pub fn in_flight(node: &Node) -> u32 {
+    let view = node.view();
+    let targets = &view.services[SERVICE].targets;
+    targets.load(&TargetId::new("i-a")).own()
+}
