Let an entry with a disk hear what it missed before it sends by old state

Cause: an entry with a data folder begins with the configuration and the halls of its last life and served at once by them, so it could send to a hall that was evacuated while it was off, or to regions that are no longer allowed. Ruled out: counting the start as a wake: no call can lie in the sockets of a process that begins, so its orders need not be refused. Change: where there is a member of the control group, requests wait as after a standstill until a greeting was answered, a second at most. The first start of all waits no longer than that. The reason for the time of the backlog is stated. Result: tests of the rule and of a process with an empty disk, which began without waiting before.

--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -77,8 +77,13 @@
         core: Option<Core>,
     ) -> Self {
         let own = own_record(&settings);
+        let began_at = clock.now();
+        let standstill = match core {
+            Some(_) => Standstill::with_old_state(began_at),
+            None => Standstill::new(began_at),
+        };
         Self {
-            began_at: clock.now(),
+            began_at,
             clock,
             interface,
             peers: Peers::default(),
@@ -97,7 +102,7 @@
             pulling: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             ending: AtomicBool::new(false),
-            standstill: Mutex::new(Standstill::new(clock.now())),
+            standstill: Mutex::new(standstill),
             view: Mutex::new(View::new(own)),
             settings,
         }
@@ -120,8 +125,8 @@
         standstill
     }
 
-    /// Waits until this process heard what happened while it stood still, if it
-    /// did.
+    /// Waits until this process heard what happened while it stood still or was
+    /// off, if it did or was.
     pub async fn hear_after_standstill(&self) {
         while self.standstill().waits_for_news(self.clock.now()) {
             tokio::time::sleep(NEWS_LOOK).await;
--- a/crates/moleroad_gateway/src/standstill.rs
+++ b/crates/moleroad_gateway/src/standstill.rs
@@ -1,5 +1,5 @@
-//! Noticing that this process stood still, so that it hears what happened
-//! meanwhile before it acts on what it knew.
+//! Noticing that this process stood still, or begins with what an earlier life
+//! of it knew, so that it hears what happened meanwhile before it acts on that.
 
 use moleroad_types::prelude::Millis;
 
@@ -8,10 +8,11 @@
 /// been given up and repeated elsewhere.
 pub const STOOD_STILL_MS: u64 = 1_000;
 /// Time after waking in which calls are read that came while the process stood
-/// still, in milliseconds.
+/// still, in milliseconds: several times what it takes to read all sockets, and
+/// less than the second for which an operator tries one daemon after another.
 const BACKLOG_MS: u64 = 300;
-/// Longest time for which requests wait for news after waking, in milliseconds:
-/// a daemon that reaches nobody goes on with what it knows.
+/// Longest time for which requests wait for news after waking or beginning, in
+/// milliseconds: a daemon that reaches nobody goes on with what it knows.
 const NEWS_WAIT_MS: u64 = 1_000;
 
 /// When this process last stood still, and whether it heard of others since.
@@ -19,16 +20,26 @@
 pub struct Standstill {
     looked_at: Millis,
     woke_at: Option<Millis>,
-    has_news: bool,
+    /// Since when it is without news of what it may have missed.
+    lacks_news_since: Option<Millis>,
 }
 
 impl Standstill {
-    /// A process that begins at `now`.
+    /// A process that begins at `now` and knows nothing yet.
     pub fn new(now: Millis) -> Self {
         Self {
             looked_at: now,
             woke_at: None,
-            has_news: true,
+            lacks_news_since: None,
+        }
+    }
+
+    /// A process that begins at `now` with what its disk kept: it missed what
+    /// happened while it was off, but no call lies in its sockets.
+    pub fn with_old_state(now: Millis) -> Self {
+        Self {
+            lacks_news_since: Some(now),
+            ..Self::new(now)
         }
     }
 
@@ -38,7 +49,7 @@
         let stood_still = now.since(self.looked_at) >= STOOD_STILL_MS;
         if stood_still {
             self.woke_at = Some(now);
-            self.has_news = false;
+            self.lacks_news_since = Some(now);
         }
         self.looked_at = now;
         stood_still
@@ -46,20 +57,20 @@
 
     /// Notes an answer with news to a question that was asked at `asked_at`.
     pub fn heard(&mut self, asked_at: Millis) {
-        self.has_news |= self.woke_at.is_none_or(|woke_at| asked_at >= woke_at);
+        if self.lacks_news_since.is_some_and(|since| asked_at >= since) {
+            self.lacks_news_since = None;
+        }
     }
 
     /// Whether requests are to wait for news of what happened meanwhile.
     pub fn waits_for_news(&self, now: Millis) -> bool {
-        !self.has_news && self.woke_within(now, NEWS_WAIT_MS)
+        let since = self.lacks_news_since;
+        since.is_some_and(|since| now.since(since) < NEWS_WAIT_MS)
     }
 
     /// Whether a call that is read now may have come long ago.
     pub fn reads_backlog(&self, now: Millis) -> bool {
-        self.woke_within(now, BACKLOG_MS)
-    }
-
-    fn woke_within(&self, now: Millis, ms: u64) -> bool {
-        self.woke_at.is_some_and(|woke_at| now.since(woke_at) < ms)
+        let woke_at = self.woke_at;
+        woke_at.is_some_and(|woke_at| now.since(woke_at) < BACKLOG_MS)
     }
 }
--- a/crates/moleroad_gateway/tests/acquire.rs
+++ b/crates/moleroad_gateway/tests/acquire.rs
@@ -4,7 +4,7 @@
 
 use moleroad_gateway::acquire::acquire;
 use std::time::Duration;
-use support::{ask, entry, in_flight};
+use support::{ask, entry, entry_with_disk, in_flight};
 
 /// Longer than a process may go without a look at the clock.
 const FREEZE: Duration = Duration::from_millis(1_100);
@@ -39,3 +39,19 @@
     assert!(waiting.await.unwrap_err().is_cancelled());
     assert_eq!(in_flight(&node), 0);
 }
+
+#[tokio::test]
+async fn an_entry_with_a_disk_begins_by_waiting_for_news_for_a_bounded_time() {
+    assert!(!entry().standstill().waits_for_news(entry().clock.now()));
+    let node = entry_with_disk("begins");
+    let began_at = node.clock.now();
+    assert!(node.standstill().waits_for_news(began_at));
+    assert!(!node.standstill().reads_backlog(began_at));
+    // Nobody answers.
+    node.hear_after_standstill().await;
+    assert!(node.clock.now().since(node.began_at) >= 1_000);
+
+    let node = entry_with_disk("begins");
+    node.standstill().heard(node.clock.now());
+    assert!(!node.standstill().waits_for_news(node.began_at));
+}
--- a/crates/moleroad_gateway/tests/evacuations.rs
+++ b/crates/moleroad_gateway/tests/evacuations.rs
@@ -208,3 +208,23 @@
     assert!(process.waits_for_news(Millis(20_999)));
     assert!(!process.waits_for_news(Millis(21_000)));
 }
+
+#[test]
+fn a_process_that_begins_with_what_it_kept_waits_for_news_but_not_for_old_calls() {
+    let mut process = Standstill::with_old_state(Millis(5_000));
+    assert!(!process.look(Millis(5_010)));
+    assert!(process.waits_for_news(Millis(5_010)) && !process.reads_backlog(Millis(5_010)));
+    process.heard(Millis(5_020));
+    assert!(!process.waits_for_news(Millis(5_030)));
+
+    // One that reaches nobody goes on with what it knows.
+    let mut alone = Standstill::with_old_state(Millis(5_000));
+    for now in (5_000..6_000).step_by(50) {
+        assert!(!alone.look(Millis(now)));
+        assert!(alone.waits_for_news(Millis(now)));
+    }
+    assert!(!alone.waits_for_news(Millis(6_000)));
+
+    let fresh = Standstill::new(Millis(5_000));
+    assert!(!fresh.waits_for_news(Millis(5_000)));
+}
--- a/crates/moleroad_gateway/tests/support/mod.rs
+++ b/crates/moleroad_gateway/tests/support/mod.rs
@@ -3,9 +3,11 @@
 use hyper::Method;
 use hyper::header::HeaderMap;
 use moleroad_config::prelude::*;
+use moleroad_consensus::prelude::MemberId;
 use moleroad_directory::prelude::*;
 use moleroad_dispatch::prelude::*;
 use moleroad_gateway::clock::Clock;
+use moleroad_gateway::core::{Core, CoreSettings};
 use moleroad_gateway::evacuations::{HallRevision, HallState};
 use moleroad_gateway::halls::{HallNews, HallsNews};
 use moleroad_gateway::interface::*;
@@ -14,7 +16,9 @@
 use moleroad_gateway::settings::Settings;
 use moleroad_types::prelude::*;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
+use tokio::sync::mpsc;
 
 /// The service of all requests.
 pub const SERVICE: &str = "plain";
@@ -108,9 +112,33 @@
     }
 }
 
-/// An entry that knows one target with one place, `i-a` in `hall-a` of region `r`.
+/// An entry without a disk that knows one target with one place, `i-a` in
+/// `hall-a` of region `r`.
 pub fn entry() -> Arc<Node> {
-    let node = Node::new(settings(), Clock::default(), Arc::new(Nobody), None);
+    let clock = Clock::default();
+    knowing_one_target(Node::new(settings(), clock, Arc::new(Nobody), None))
+}
+
+/// The same with a member of the control group, whose disk is empty.
+pub fn entry_with_disk(name: &str) -> Arc<Node> {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    let clock = Clock::default();
+    let core = CoreSettings {
+        folder,
+        fresh: MemberId(1),
+        instance: "e".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        founding: None,
+        tolerated_losses: 1,
+    };
+    let (output, _) = mpsc::unbounded_channel();
+    let core = Core::start(core, clock, output).unwrap();
+    knowing_one_target(Node::new(settings(), clock, Arc::new(Nobody), Some(core)))
+}
+
+fn knowing_one_target(node: Node) -> Arc<Node> {
     let now = node.clock.now();
     let configuration = Configuration {
         services: vec![service()],
