Count an answer as news only once what it tells of is known

Cause: a greeting's answer ended the wait after a standstill also when the newer configuration that it told of had not come: the fetch had failed, or another one was under way, in which case it returned at once. Requests could then go by the regions of the old configuration. Result: a test with two entries on loopback and a fetch that is under way ended the wait before, and ends it after the fetch now.

--- a/crates/moleroad_gateway/src/greeting/mod.rs
+++ b/crates/moleroad_gateway/src/greeting/mod.rs
@@ -14,6 +14,7 @@
 use crate::node::Node;
 use crate::peer::{Hello, HelloAnswer, Speaker};
 use contacts::{Contact, LONG_SILENT_MS, Standing};
+use moleroad_config::prelude::ConfigVersion;
 use moleroad_directory::prelude::*;
 use moleroad_types::prelude::Millis;
 use std::collections::{HashMap, HashSet};
@@ -182,8 +183,10 @@
         }
     }
     if let Ok(answer) = answer {
+        let config_version = answer.config_version;
         let is_complete = take_answer(&node, address, answer).await;
-        if contact.scope != Scope::Nothing {
+        // A fetch may have failed, or another one may still be under way.
+        if contact.scope != Scope::Nothing && !is_behind(&node, config_version) {
             node.standstill().heard(Millis(next.at));
         }
         if !is_complete && let Some(told) = lock(&greeted).told.get_mut(&address) {
@@ -252,7 +255,8 @@
 async fn take_answer(node: &Arc<Node>, address: SocketAddr, answer: HelloAnswer) -> bool {
     let now = node.clock.now();
     node.take_halls(&answer.halls, Source::Greeting);
-    let (taken, behind) = {
+    let config_version = answer.config_version;
+    let taken = {
         let mut view = node.view();
         let taken = take::take_news(&mut view, now, answer.news);
         for (model, versions) in &answer.versions {
@@ -271,17 +275,22 @@
             view.catalog = catalog;
         }
         view.take_leader(answer.leader);
-        (taken, answer.config_version > view.state.config_version())
+        taken
     };
     if node.settings.role.knows_all() {
         take::put_to_use(node, taken.changed);
-        if behind {
+        if is_behind(node, config_version) {
             pull(node, address).await;
         }
     }
     taken.is_complete
 }
 
+/// Whether this daemon lacks a configuration that it needs, of which it was told.
+fn is_behind(node: &Node, config_version: ConfigVersion) -> bool {
+    node.settings.role.knows_all() && config_version > node.view().state.config_version()
+}
+
 /// Takes what another daemon has in force, unless it is being fetched.
 pub async fn pull(node: &Arc<Node>, address: SocketAddr) {
     let Some(_pulling) = node.begin_pull() else {
--- a/crates/moleroad_gateway/tests/acquire.rs
+++ b/crates/moleroad_gateway/tests/entries.rs
@@ -1,14 +1,30 @@
-//! Taking places, and refusing requests that need not wait for one.
+//! What an entry does with requests while it waits for news, and where none of
+//! its targets may get them.
 
 mod support;
 
+use moleroad_config::prelude::ConfigVersion;
 use moleroad_gateway::acquire::acquire;
+use moleroad_gateway::greeting::greet;
 use std::time::Duration;
-use support::{ask, entry, entry_with_disk, in_flight};
+use support::{ask, entry, entry_with_configuration, entry_with_disk, evacuate, in_flight};
 
 /// Longer than a process may go without a look at the clock.
 const FREEZE: Duration = Duration::from_millis(1_100);
 
+/// Longest wait for what must happen.
+const LONGEST: Duration = Duration::from_secs(20);
+
+async fn until(what: &str, mut has_come: impl FnMut() -> bool) {
+    let wait = async {
+        while !has_come() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let came = tokio::time::timeout(LONGEST, wait).await;
+    came.unwrap_or_else(|_| panic!("{what}"));
+}
+
 async fn let_others_run() {
     for _ in 0..10 {
         tokio::task::yield_now().await;
@@ -55,3 +71,21 @@
     node.standstill().heard(node.clock.now());
     assert!(!node.standstill().waits_for_news(node.began_at));
 }
+
+#[tokio::test]
+async fn an_answer_counts_as_news_only_once_what_it_tells_of_was_fetched() {
+    let (node, other) = (entry_with_disk("fetches"), entry_with_configuration());
+    evacuate(&other);
+    node.replace_seeds(vec![other.settings.peer_address()]);
+    // Another fetch is under way, so that an answer starts none.
+    let fetching = node.begin_pull().expect("nothing is fetched yet");
+    tokio::spawn(greet(node.clone()));
+    let has_answer = || node.view().is_evacuated("hall-a");
+    until("an answer", has_answer).await;
+    let_others_run().await;
+    let lacks_news = || node.standstill().waits_for_news(node.began_at);
+    assert!(lacks_news());
+    drop(fetching);
+    until("news", || !lacks_news()).await;
+    assert!(node.view().state.config_version() == ConfigVersion(1));
+}
--- a/crates/moleroad_gateway/tests/support/mod.rs
+++ b/crates/moleroad_gateway/tests/support/mod.rs
@@ -7,11 +7,14 @@
 use moleroad_directory::prelude::*;
 use moleroad_dispatch::prelude::*;
 use moleroad_gateway::clock::Clock;
+use moleroad_gateway::control_state::{ConfigDocument, ControlState};
 use moleroad_gateway::core::{Core, CoreSettings};
 use moleroad_gateway::evacuations::{HallRevision, HallState};
-use moleroad_gateway::halls::{HallNews, HallsNews};
+use moleroad_gateway::halls::{HallNews, HallsNews, Source};
 use moleroad_gateway::interface::*;
+use moleroad_gateway::listening::listen;
 use moleroad_gateway::node::Node;
+use moleroad_gateway::peer_server;
 use moleroad_gateway::places::Ask;
 use moleroad_gateway::settings::Settings;
 use moleroad_types::prelude::*;
@@ -40,7 +43,7 @@
         unreachable!()
     }
     fn read_configuration(&self, _: &[u8]) -> Result<Configuration, ConfigurationError> {
-        unreachable!()
+        Ok(Configuration::default())
     }
     fn read_heartbeat(&self, _: &str, _: &[u8]) -> Option<TargetRecord> {
         None
@@ -83,10 +86,11 @@
     }
 }
 
-/// Settings of an entry.
-pub fn settings() -> Settings {
-    let text = "instance: e\nrole: entry\nip: 127.0.0.1\nhall: hall-a\nregion: r\nregions: {hall-a: r}\npeer_ports: [1,2]\nlisten: {frontend: \"127.0.0.1:9\"}\n";
-    Settings::parse(text).unwrap()
+fn settings(name: &str, peer_port: u16) -> Settings {
+    let text = format!(
+        "instance: {name}\nrole: entry\nip: 127.0.0.1\nhall: hall-a\nregion: r\nregions: {{hall-a: r}}\npeer_ports: [{peer_port},{peer_port}]\nlisten: {{frontend: \"127.0.0.1:9\"}}\n"
+    );
+    Settings::parse(&text).unwrap()
 }
 
 fn service() -> Service {
@@ -116,7 +120,8 @@
 /// `hall-a` of region `r`.
 pub fn entry() -> Arc<Node> {
     let clock = Clock::default();
-    knowing_one_target(Node::new(settings(), clock, Arc::new(Nobody), None))
+    let settings = settings("e", 1);
+    knowing_one_target(Node::new(settings, clock, Arc::new(Nobody), None))
 }
 
 /// The same with a member of the control group, whose disk is empty.
@@ -135,7 +140,27 @@
     };
     let (output, _) = mpsc::unbounded_channel();
     let core = Core::start(core, clock, output).unwrap();
-    knowing_one_target(Node::new(settings(), clock, Arc::new(Nobody), Some(core)))
+    let settings = settings("e", 1);
+    knowing_one_target(Node::new(settings, clock, Arc::new(Nobody), Some(core)))
+}
+
+/// Another entry, which answers greetings and has a configuration in force.
+pub fn entry_with_configuration() -> Arc<Node> {
+    let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let settings = settings("other", listener.local_addr().unwrap().port());
+    let node = Arc::new(Node::new(
+        settings,
+        Clock::default(),
+        Arc::new(Nobody),
+        None,
+    ));
+    let state = ControlState {
+        configuration: Some(ConfigDocument::new(ConfigVersion(1), b"")),
+        ..ControlState::default()
+    };
+    assert!(node.take_state(&state, Source::Push));
+    tokio::spawn(peer_server::serve(node.clone(), listener));
+    node
 }
 
 fn knowing_one_target(node: Node) -> Arc<Node> {
