Count a request once when its place was given back before anything went out

Cause: a request whose target was barred, or whose grant lapsed, between the place and the first byte has no send yet, so the next place counted it anew: in the budget of repeats, in the share of overdue requests and in the histogram of waits. One that was sent before took a second repeat for the same send. Change: what a request has used up is kept in one small type, which gives each of these out once and holds a repeat until a send reaches a target. Result: a test with a hall evacuated while the connection comes up saw two waits for one request before, one now; a test of the type for repeats.

--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -6,6 +6,7 @@
 use crate::front::exchange::{self, Reply, SendError, Verdict, is_promise};
 use crate::front::patience;
 use crate::front::request::{Accepted, forwarded};
+use crate::front::sends::Sends;
 use crate::front::waiting::LEAST_USEFUL_MS;
 use crate::no_place::{NoPlace, NoPlaceCause};
 use crate::node::Node;
@@ -30,7 +31,7 @@
     /// The request.
     pub request: Arc<Accepted>,
     pub(super) tried: Vec<TargetId>,
-    pub(super) sends: u32,
+    pub(super) sends: Sends,
     pub(super) unreachable: usize,
     may_have_run: bool,
     failed_reply: Option<(Reply, Bytes)>,
@@ -78,7 +79,7 @@
             node,
             request: Arc::new(request),
             tried: Vec::new(),
-            sends: 0,
+            sends: Sends::default(),
             unreachable: 0,
             may_have_run: false,
             failed_reply: None,
@@ -88,7 +89,7 @@
 
     /// Number of sends that reached a target.
     pub fn sends(&self) -> u32 {
-        self.sends
+        self.sends.made()
     }
 
     /// The last send, for the log.
@@ -120,7 +121,7 @@
             };
             self.last = Some(Sent {
                 target: place.candidate.id.clone(),
-                send: self.sends + 1,
+                send: self.sends() + 1,
                 waited_ms: self.node.clock.now().since(self.request.arrived),
                 belief: place.belief,
                 weights: place.candidate.version.unwrap_or(0),
@@ -147,7 +148,7 @@
                 }
                 Err(SendError::Barred) => self.node.metrics.count("place_barred"),
                 Err(_) => {
-                    self.sends += 1;
+                    self.sends.reached_target();
                     self.may_have_run = true;
                     place.ended(Outcome::Broken);
                     if !self.is_idempotent() {
@@ -155,7 +156,7 @@
                     }
                 }
                 Ok(reply) => {
-                    self.sends += 1;
+                    self.sends.reached_target();
                     match self.take_head(place, reply).await {
                         Some(running) => return Ok(running),
                         None if self.may_have_run && !self.is_idempotent() => {
@@ -245,7 +246,7 @@
         let silence = async {
             loop {
                 tokio::time::sleep(LOOK_FOR_OTHERS).await;
-                let is_silent = began.elapsed() >= patience && self.can_move(self.sends + 1);
+                let is_silent = began.elapsed() >= patience && self.can_move(self.sends() + 1);
                 if is_silent || self.is_outdated(place) {
                     return;
                 }
--- a/crates/moleroad_gateway/src/front/mod.rs
+++ b/crates/moleroad_gateway/src/front/mod.rs
@@ -1,7 +1,7 @@
 //! Callers' requests: taken, sent to a target, answered.
 //!
 //! [`serve`] takes connections, [`request`] reads and checks a request,
-//! [`attempt`] sends it until it has an answer, `waiting` says how
+//! [`attempt`] sends it until it has an answer, [`sends`] counts that, `waiting` says how
 //! long it waits for a place, [`exchange`] is one send over
 //! a connection of the [`pool`], `patience` says how long
 //! silence is borne, [`whole`] reads answers to their end, [`stream`] passes events on and resumes at
@@ -16,6 +16,7 @@
 mod patience;
 pub mod pool;
 pub mod request;
+pub mod sends;
 pub mod serve;
 pub mod stream;
 mod waiting;
--- /dev/null
+++ b/crates/moleroad_gateway/src/front/sends.rs
@@ -0,0 +1,55 @@
+//! What the sends of one request have used up.
+//!
+//! A place may be given back before anything goes out: no connection comes up,
+//! or what was learned meanwhile bars the target. The request then looks for a
+//! place again, but counts once.
+
+/// How often a request was sent, and what was already counted of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sends {
+    made: u32,
+    /// Whether a repeat was taken from the budget for a send that is yet to be
+    /// made.
+    holds_repeat: bool,
+    noted_in_time: bool,
+    noted_first: bool,
+}
+
+impl Sends {
+    /// Number of sends that reached a target.
+    pub fn made(&self) -> u32 {
+        self.made
+    }
+
+    /// Whether nothing was sent yet.
+    pub fn is_first(&self) -> bool {
+        self.made == 0
+    }
+
+    /// Whether the next send must take a repeat from the budget.
+    pub fn needs_repeat(&self) -> bool {
+        self.made > 0 && !self.holds_repeat
+    }
+
+    /// Notes that a repeat was taken for the next send.
+    pub fn took_repeat(&mut self) {
+        self.holds_repeat = true;
+    }
+
+    /// Notes that a send reached a target.
+    pub fn reached_target(&mut self) {
+        self.made += 1;
+        self.holds_repeat = false;
+    }
+
+    /// Whether it is yet to be noted if the request found a place in time; true
+    /// once.
+    pub fn note_in_time(&mut self) -> bool {
+        self.made == 0 && !std::mem::replace(&mut self.noted_in_time, true)
+    }
+
+    /// Whether the first place is yet to be noted; true once.
+    pub fn note_first(&mut self) -> bool {
+        self.made == 0 && !std::mem::replace(&mut self.noted_first, true)
+    }
+}
--- a/crates/moleroad_gateway/src/front/waiting.rs
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -32,22 +32,25 @@
         if now + LEAST_USEFUL_MS > self.request.until {
             return Err(GiveUp::TimeOver);
         }
-        if self.sends >= self.request.route.max_attempts.max(1) {
+        if self.sends() >= self.request.route.max_attempts.max(1) {
             return Err(GiveUp::NotAgain);
         }
-        if self.sends > 0 && !self.take_repeat(now) {
-            self.node.metrics.count("repeat_over_budget");
-            return Err(GiveUp::NotAgain);
+        if self.sends.needs_repeat() {
+            if !self.take_repeat(now) {
+                self.node.metrics.count("repeat_over_budget");
+                return Err(GiveUp::NotAgain);
+            }
+            self.sends.took_repeat();
         }
         let ask = self.ask();
-        let is_first = self.sends == 0;
+        let is_first = self.sends.is_first();
         if is_first && self.unreachable == 0 {
             self.node.note_kept_away(&ask);
         }
         let in_time = acquire(&self.node, &ask).await;
         let lacks_room = |no_place: &NoPlace| no_place.cause == NoPlaceCause::Busy;
         let is_about_room = in_time.as_ref().err().is_none_or(lacks_room);
-        if is_first && is_about_room {
+        if is_about_room && self.sends.note_in_time() {
             self.note_in_time(in_time.is_ok());
         }
         let place = match in_time {
@@ -55,7 +58,7 @@
             Err(no_place) if is_first && is_about_room => self.overdue_place(ask, no_place).await?,
             Err(no_place) => return Err(GiveUp::NoPlace(no_place)),
         };
-        if self.sends == 0 && self.unreachable == 0 {
+        if self.sends.note_first() {
             self.note_first_send();
             let waited = self.node.clock.now().since(self.request.arrived);
             self.node.metrics.wait_s.observe(waited as f64 / 1_000.0);
@@ -68,7 +71,7 @@
     /// waits as long as its caller does.
     fn ask(&self) -> Ask {
         let request = &self.request;
-        let is_first = self.sends == 0;
+        let is_first = self.sends.is_first();
         let latency_ms = request.route.target_latency_ms;
         let until = if is_first {
             request.arrived + self.in_time_wait_ms()
--- a/crates/moleroad_gateway/tests/entries.rs
+++ b/crates/moleroad_gateway/tests/entries.rs
@@ -5,9 +5,13 @@
 
 use moleroad_config::prelude::ConfigVersion;
 use moleroad_gateway::acquire::acquire;
+use moleroad_gateway::front::attempt::Attempts;
+use moleroad_gateway::front::sends::Sends;
 use moleroad_gateway::greeting::greet;
 use std::time::Duration;
-use support::{ask, entry, entry_with_configuration, entry_with_disk, evacuate, in_flight};
+use support::{
+    add_target, ask, entry, entry_with_configuration, entry_with_disk, evacuate, in_flight, request,
+};
 
 /// Longer than a process may go without a look at the clock.
 const FREEZE: Duration = Duration::from_millis(1_100);
@@ -36,7 +40,7 @@
     let node = entry();
     let request = ask(&node, None);
     let first = acquire(&node, &request).await.expect("a free place");
-    assert_eq!(in_flight(&node), 1);
+    assert_eq!(in_flight(&node, "i-a"), 1);
     let waiting = tokio::spawn({
         let node = node.clone();
         async move { acquire(&node, &request).await.map(drop) }
@@ -47,13 +51,13 @@
     // The place is granted to the one that waits, and the process stands still
     // before that one runs.
     drop(first);
-    assert_eq!(in_flight(&node), 1);
+    assert_eq!(in_flight(&node, "i-a"), 1);
     std::thread::sleep(FREEZE);
     let_others_run().await;
     assert!(!waiting.is_finished(), "it waits for news");
     waiting.abort();
     assert!(waiting.await.unwrap_err().is_cancelled());
-    assert_eq!(in_flight(&node), 0);
+    assert_eq!(in_flight(&node, "i-a"), 0);
 }
 
 #[tokio::test]
@@ -75,7 +79,7 @@
 #[tokio::test]
 async fn an_answer_counts_as_news_only_once_what_it_tells_of_was_fetched() {
     let (node, other) = (entry_with_disk("fetches"), entry_with_configuration());
-    evacuate(&other);
+    evacuate(&other, "hall-a");
     node.replace_seeds(vec![other.settings.peer_address()]);
     // Another fetch is under way, so that an answer starts none.
     let fetching = node.begin_pull().expect("nothing is fetched yet");
@@ -89,3 +93,45 @@
     until("news", || !lacks_news()).await;
     assert!(node.view().state.config_version() == ConfigVersion(1));
 }
+
+#[tokio::test]
+async fn a_request_that_is_barred_before_it_goes_out_counts_as_one() {
+    let node = entry();
+    // Connections come up, and nobody answers.
+    let listeners = [(); 2].map(|()| std::net::TcpListener::bind("127.0.0.1:0").unwrap());
+    for (listener, (id, hall)) in listeners.iter().zip([("i-a", "hall-a"), ("i-b", "hall-b")]) {
+        add_target(&node, id, hall, listener.local_addr().unwrap());
+    }
+    let mut attempts = Attempts::new(node.clone(), request(&node, 1_500));
+    let orders = async {
+        // The place is taken, and the connection is not up yet.
+        let hall = match in_flight(&node, "i-a") {
+            0 => "hall-b",
+            _ => "hall-a",
+        };
+        assert_eq!(in_flight(&node, "i-a") + in_flight(&node, "i-b"), 1);
+        evacuate(&node, hall);
+    };
+    let (sent, ()) = tokio::join!(attempts.next_run(None), orders);
+    assert!(sent.is_err(), "no answer came");
+    let sends = |outcome: &str| node.metrics.sends.with_label_values(&[outcome]).get();
+    assert_eq!((sends("barred"), sends("timed_out")), (1, 1));
+    assert_eq!(node.metrics.wait_s.get_sample_count(), 1);
+}
+
+#[test]
+fn a_repeat_is_taken_once_for_each_send_that_is_made() {
+    let mut sends = Sends::default();
+    assert!(sends.is_first() && !sends.needs_repeat());
+    assert!(sends.note_in_time() && sends.note_first());
+    // The place was given back before anything went out.
+    assert!(!sends.note_in_time() && !sends.note_first());
+    assert!(sends.is_first() && !sends.needs_repeat());
+    sends.reached_target();
+    assert!(sends.made() == 1 && sends.needs_repeat());
+    sends.took_repeat();
+    assert!(!sends.needs_repeat(), "nothing was sent by it yet");
+    assert!(!sends.note_in_time() && !sends.note_first());
+    sends.reached_target();
+    assert!(sends.made() == 2 && sends.needs_repeat());
+}
--- a/crates/moleroad_gateway/tests/support/mod.rs
+++ b/crates/moleroad_gateway/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! An entry without a network, for tests of what it decides.
 
 use hyper::Method;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderName};
 use moleroad_config::prelude::*;
 use moleroad_consensus::prelude::MemberId;
 use moleroad_directory::prelude::*;
@@ -10,6 +10,7 @@
 use moleroad_gateway::control_state::{ConfigDocument, ControlState};
 use moleroad_gateway::core::{Core, CoreSettings};
 use moleroad_gateway::evacuations::{HallRevision, HallState};
+use moleroad_gateway::front::request::Accepted;
 use moleroad_gateway::halls::{HallNews, HallsNews, Source};
 use moleroad_gateway::interface::*;
 use moleroad_gateway::listening::listen;
@@ -27,11 +28,32 @@
 pub const SERVICE: &str = "plain";
 
 /// An outside that nobody speaks to.
-struct Nobody;
+struct Nobody {
+    headers: HeaderNames,
+}
+
+fn nobody() -> Arc<Nobody> {
+    let name = HeaderName::from_static;
+    Arc::new(Nobody {
+        headers: HeaderNames {
+            request_id: name("x-request"),
+            deadline_ms: name("x-deadline"),
+            key: name("x-key"),
+            account: name("x-account"),
+            signature: name("x-signature"),
+            expected_target: name("x-target"),
+            expected_version: name("x-version"),
+            not_executed: name("x-not-executed"),
+            last_event: name("x-last-event"),
+            model: name("x-model"),
+            priority: name("x-priority"),
+        },
+    })
+}
 
 impl Interface for Nobody {
     fn headers(&self) -> &HeaderNames {
-        unreachable!()
+        &self.headers
     }
     fn token_usage(&self, _: &HeaderMap) -> Option<TokenUsage> {
         None
@@ -88,7 +110,7 @@
 
 fn settings(name: &str, peer_port: u16) -> Settings {
     let text = format!(
-        "instance: {name}\nrole: entry\nip: 127.0.0.1\nhall: hall-a\nregion: r\nregions: {{hall-a: r}}\npeer_ports: [{peer_port},{peer_port}]\nlisten: {{frontend: \"127.0.0.1:9\"}}\n"
+        "instance: {name}\nrole: entry\nip: 127.0.0.1\nhall: hall-a\nregion: r\nregions: {{hall-a: r, hall-b: r}}\npeer_ports: [{peer_port},{peer_port}]\nlisten: {{frontend: \"127.0.0.1:9\"}}\n"
     );
     Settings::parse(&text).unwrap()
 }
@@ -121,7 +143,7 @@
 pub fn entry() -> Arc<Node> {
     let clock = Clock::default();
     let settings = settings("e", 1);
-    knowing_one_target(Node::new(settings, clock, Arc::new(Nobody), None))
+    knowing_one_target(Node::new(settings, clock, nobody(), None))
 }
 
 /// The same with a member of the control group, whose disk is empty.
@@ -141,19 +163,14 @@
     let (output, _) = mpsc::unbounded_channel();
     let core = Core::start(core, clock, output).unwrap();
     let settings = settings("e", 1);
-    knowing_one_target(Node::new(settings, clock, Arc::new(Nobody), Some(core)))
+    knowing_one_target(Node::new(settings, clock, nobody(), Some(core)))
 }
 
 /// Another entry, which answers greetings and has a configuration in force.
 pub fn entry_with_configuration() -> Arc<Node> {
     let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
     let settings = settings("other", listener.local_addr().unwrap().port());
-    let node = Arc::new(Node::new(
-        settings,
-        Clock::default(),
-        Arc::new(Nobody),
-        None,
-    ));
+    let node = Arc::new(Node::new(settings, Clock::default(), nobody(), None));
     let state = ControlState {
         configuration: Some(ConfigDocument::new(ConfigVersion(1), b"")),
         ..ControlState::default()
@@ -170,26 +187,38 @@
         accounts: vec![restricted_account()],
         ..Configuration::default()
     };
+    {
+        let mut view = node.view();
+        view.table = Some(Arc::new(RouteTable::compile(&configuration)));
+        let own = view.own.clone();
+        view.directory.hear_daemon(now, own, 0);
+    }
+    add_target(
+        &node,
+        "i-a",
+        "hall-a",
+        SocketAddr::from(([127, 0, 0, 2], 1)),
+    );
+    Arc::new(node)
+}
+
+/// Lets the entry hear of a target with one place, in region `r`.
+pub fn add_target(node: &Node, id: &str, hall: &str, address: SocketAddr) {
     let target = TargetRecord {
-        id: TargetId::new("i-a"),
+        id: TargetId::new(id),
         service: SERVICE.into(),
-        address: SocketAddr::from(([127, 0, 0, 2], 1)),
-        hall: "hall-a".into(),
+        address,
+        hall: hall.into(),
         slots: 1,
         life: TargetLife::Ready,
         cold_left_ms: 0,
         sequence: 1,
         holdings: None,
     };
-    {
-        let mut view = node.view();
-        view.table = Some(Arc::new(RouteTable::compile(&configuration)));
-        let own = view.own.clone();
-        view.directory.hear_daemon(now, own, 0);
-        view.directory.hear_target(now, target, 0);
-        view.refresh_candidates(now, &node.settings);
-    }
-    Arc::new(node)
+    let now = node.clock.now();
+    let mut view = node.view();
+    view.directory.hear_target(now, target, 0);
+    view.refresh_candidates(now, &node.settings);
 }
 
 /// A request that waits for up to ten seconds, of the account with this key.
@@ -208,22 +237,58 @@
     }
 }
 
-/// Lets the entry learn that `hall-a` is evacuated.
-pub fn evacuate(node: &Node) {
+/// Lets the entry learn that a hall is evacuated.
+pub fn evacuate(node: &Node, hall: &str) {
     let state = HallState {
         revision: HallRevision(1),
         evacuated: true,
     };
-    let news = HallsNews::from([("hall-a".to_string(), HallNews { state, age_ms: 0 })]);
-    let now = node.clock.now();
-    let mut view = node.view();
-    view.learn_halls(now, &news);
-    view.refresh_candidates(now, &node.settings);
+    let news = HallsNews::from([(hall.to_string(), HallNews { state, age_ms: 0 })]);
+    node.take_halls(&news, Source::Push);
 }
 
-/// Requests of this entry that hold a place at the target.
-pub fn in_flight(node: &Node) -> u32 {
+/// Requests of this entry that hold a place at a target.
+pub fn in_flight(node: &Node, id: &str) -> u32 {
     let view = node.view();
     let targets = &view.services[SERVICE].targets;
-    targets.load(&TargetId::new("i-a")).own()
+    targets.load(&TargetId::new(id)).own()
+}
+
+/// A request that must be answered within `ms`, and may run once.
+pub fn request(node: &Node, ms: u64) -> Accepted {
+    let ask = ask(node, None);
+    let arrived = node.clock.now();
+    let route = Route {
+        name: "r".into(),
+        host: "host".into(),
+        prefix: "/".into(),
+        weighted_services: Vec::new(),
+        repeatability: Repeatability::AtMostOnce,
+        streaming: false,
+        resumable: false,
+        timeout_ms: ms,
+        target_latency_ms: ms,
+        target_pause_ms: 0,
+        max_attempts: 3,
+        priority: 1,
+        public: true,
+        allowed_regions: AllowedRegions::all(),
+    };
+    Accepted {
+        method: Method::POST,
+        target: "/".into(),
+        headers: HeaderMap::new(),
+        body: Default::default(),
+        id: "request".try_into().unwrap(),
+        route: Arc::new(route),
+        service: SERVICE.into(),
+        config_version: 0,
+        priority: 1,
+        arrived,
+        caller_until: None,
+        until: arrived + ms,
+        prompt_tokens: 0,
+        residency: ask.residency,
+        last_event: None,
+    }
 }
