Tell evacuation apart from a lack of room

Cause: a request that was refused because all its targets are evacuated had the cause of one that found no room. It was noted as one that missed its time, which shrank the share of overdue requests, asked again for the overdue line, and its caller was told of a lack of room. Result: a test without a network; the cause didn't exist before.

--- a/crates/moleroad_gateway/src/front/answer.rs
+++ b/crates/moleroad_gateway/src/front/answer.rs
@@ -67,6 +67,8 @@
     TooLarge,
     /// No target can take it now; it did not run.
     NoPlace,
+    /// All targets stand in evacuated data halls; it did not run.
+    AllEvacuated,
     /// It was not sent because the process stops.
     Leaving,
     /// The targets turned it away; it did not run.
@@ -130,6 +132,11 @@
                 "MR-6207",
                 "no target has room; not run",
             ),
+            AllEvacuated => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "MR-6215",
+                "all its targets stand in evacuated data halls; not run",
+            ),
             Leaving => (
                 StatusCode::SERVICE_UNAVAILABLE,
                 "MR-6208",
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -286,6 +286,7 @@
             GiveUp::NoPlace(no_place) => {
                 let own = match no_place.cause {
                     NoPlaceCause::Busy => OwnAnswer::NoPlace,
+                    NoPlaceCause::Evacuated => OwnAnswer::AllEvacuated,
                     NoPlaceCause::DisjointRegions => OwnAnswer::NoCommonRegion,
                     NoPlaceCause::EmptyRegions(_) => OwnAnswer::NoAllowedTarget,
                 };
--- a/crates/moleroad_gateway/src/front/attempt_log.rs
+++ b/crates/moleroad_gateway/src/front/attempt_log.rs
@@ -11,7 +11,7 @@
     /// Says why there is no place, and what was known of the targets.
     pub(super) fn log_no_place(&self, no_place: &NoPlace) {
         match no_place.cause {
-            NoPlaceCause::Busy => self.log_no_room(no_place),
+            NoPlaceCause::Busy | NoPlaceCause::Evacuated => self.log_no_room(no_place),
             NoPlaceCause::DisjointRegions => {
                 self.log_no_allowed_target(no_place, BarrierTally::default());
             }
@@ -45,6 +45,7 @@
             event = "no_place",
             request = self.request.id.to_str().unwrap_or("-"),
             service = self.request.service.as_str(),
+            cause:? = no_place.cause,
             candidates = no_place.candidates as u64,
             free_places = no_place.free_places,
             waiting = no_place.waiting as u64,
--- a/crates/moleroad_gateway/src/no_place.rs
+++ b/crates/moleroad_gateway/src/no_place.rs
@@ -11,6 +11,8 @@
 pub enum NoPlaceCause {
     /// Targets have no room that makes the wanted latency.
     Busy,
+    /// All targets stand in evacuated data halls.
+    Evacuated,
     /// The route and the account allow no common region.
     DisjointRegions,
     /// No region that they allow has a target.
--- a/crates/moleroad_gateway/src/refusal.rs
+++ b/crates/moleroad_gateway/src/refusal.rs
@@ -23,7 +23,10 @@
     let needs = ask.needs(now, least);
     if allowed.is_all() {
         let is_evacuated = places.targets.is_evacuated(needs);
-        return is_evacuated.then(|| no_place(now, Some(places), needs, view.entry_count(now)));
+        return is_evacuated.then(|| NoPlace {
+            cause: NoPlaceCause::Evacuated,
+            ..no_place(now, Some(places), needs, view.entry_count(now))
+        });
     }
     if places.targets.any_reachable(now, needs) {
         return None;
--- a/crates/moleroad_gateway/tests/entries.rs
+++ b/crates/moleroad_gateway/tests/entries.rs
@@ -3,11 +3,14 @@
 
 mod support;
 
+use hyper::StatusCode;
 use moleroad_config::prelude::ConfigVersion;
 use moleroad_gateway::acquire::acquire;
+use moleroad_gateway::front::answer::AnswerBody;
 use moleroad_gateway::front::attempt::Attempts;
 use moleroad_gateway::front::sends::Sends;
 use moleroad_gateway::greeting::greet;
+use moleroad_gateway::no_place::NoPlaceCause;
 use std::time::Duration;
 use support::{
     add_target, ask, entry, entry_with_configuration, entry_with_disk, evacuate, in_flight, request,
@@ -135,3 +138,22 @@
     sends.reached_target();
     assert!(sends.made() == 2 && sends.needs_repeat());
 }
+
+#[tokio::test]
+async fn a_request_whose_targets_are_all_evacuated_is_refused_for_that_at_once() {
+    let node = entry();
+    evacuate(&node, "hall-a");
+    let refused = acquire(&node, &ask(&node, None)).await.err();
+    let refused = refused.expect("no target may get it");
+    assert_eq!(refused.cause, NoPlaceCause::Evacuated);
+    let mut attempts = Attempts::new(node.clone(), request(&node, 1_500));
+    let reason = attempts.next_run(None).await.err().expect("no target");
+    assert_eq!(attempts.sends(), 0);
+    let answer = attempts.give_up(reason);
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let AnswerBody::Whole(Some(body)) = answer.into_body() else {
+        panic!("an answer of our own is whole");
+    };
+    assert!(String::from_utf8_lossy(&body).contains("MR-6215"));
+    assert_eq!(node.view().services["plain"].waiting(), 0);
+}
