Let a request come back soon whose allowed targets merely had it

Cause: where all targets of the allowed regions had turned the request away, it was refused as if those regions had no target, with the time of an outage.

--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -8,7 +8,7 @@
 use crate::front::request::{Accepted, forwarded};
 use crate::front::sends::Sends;
 use crate::front::waiting::LEAST_USEFUL_MS;
-use crate::no_place::{NoPlace, NoPlaceCause};
+use crate::no_place::{NoPlace, NoPlaceCause, TURNED_AWAY_RETRY_MS};
 use crate::node::Node;
 use bytes::Bytes;
 use hyper::Response;
@@ -287,6 +287,7 @@
                 let own = match no_place.cause {
                     NoPlaceCause::Busy => OwnAnswer::NoPlace,
                     NoPlaceCause::Evacuated => OwnAnswer::AllEvacuated,
+                    NoPlaceCause::TurnedAway => OwnAnswer::TurnedAway,
                     NoPlaceCause::DisjointRegions => OwnAnswer::NoCommonRegion,
                     NoPlaceCause::EmptyRegions(_) => OwnAnswer::NoAllowedTarget,
                 };
@@ -313,9 +314,6 @@
     }
 }
 
-/// When a request that targets turned away may come back, in milliseconds.
-const TURNED_AWAY_RETRY_MS: u64 = 150;
-
 /// A target's answer, as the caller gets it.
 pub fn passed_on(reply: &Reply, body: AnswerBody) -> Answer {
     let headers: HeaderMap = forwarded(&reply.headers);
--- a/crates/moleroad_gateway/src/front/attempt_log.rs
+++ b/crates/moleroad_gateway/src/front/attempt_log.rs
@@ -11,7 +11,9 @@
     /// Says why there is no place, and what was known of the targets.
     pub(super) fn log_no_place(&self, no_place: &NoPlace) {
         match no_place.cause {
-            NoPlaceCause::Busy | NoPlaceCause::Evacuated => self.log_no_room(no_place),
+            NoPlaceCause::Busy | NoPlaceCause::Evacuated | NoPlaceCause::TurnedAway => {
+                self.log_no_room(no_place);
+            }
             NoPlaceCause::DisjointRegions => {
                 self.log_no_allowed_target(no_place, BarrierTally::default());
             }
--- a/crates/moleroad_gateway/src/no_place.rs
+++ b/crates/moleroad_gateway/src/no_place.rs
@@ -15,6 +15,8 @@
     Evacuated,
     /// The route and the account allow no common region.
     DisjointRegions,
+    /// All targets of the regions that they allow have had it and didn't run it.
+    TurnedAway,
     /// No region that they allow has a target.
     EmptyRegions(BarrierTally),
 }
@@ -34,6 +36,9 @@
     pub free_places: u64,
 }
 
+/// When a request that targets turned away may come back, in milliseconds: a
+/// target that is full or not ready for a moment takes requests again soon.
+pub(crate) const TURNED_AWAY_RETRY_MS: u64 = 150;
 /// Shortest time after which a refused request may come back, in milliseconds.
 const RETRY_AFTER_LEAST_MS: u64 = 300;
 /// The same while no target can take requests and nothing tells when one will.
--- a/crates/moleroad_gateway/src/refusal.rs
+++ b/crates/moleroad_gateway/src/refusal.rs
@@ -1,10 +1,11 @@
 //! Refusing a request at once where no target may ever get it.
 
-use crate::no_place::{NoPlace, NoPlaceCause, no_place};
+use crate::no_place::{NoPlace, NoPlaceCause, TURNED_AWAY_RETRY_MS, no_place};
 use crate::node::Node;
-use crate::places::Ask;
+use crate::places::{Ask, ServicePlaces};
 use crate::view::View;
 use moleroad_dispatch::prelude::*;
+use moleroad_types::prelude::Millis;
 
 /// How much later than after an outage to come back while the configuration
 /// allows no region, in milliseconds: an operator must change it first.
@@ -38,12 +39,15 @@
         NoPlaceCause::DisjointRegions
     } else if kept_out.old_weights > 0 || weights_come {
         return None;
+    } else if only_tried(kept_out) && is_up(places, now, needs) {
+        NoPlaceCause::TurnedAway
     } else {
         NoPlaceCause::EmptyRegions(kept_out)
     };
     let refused = no_place(now, Some(places), needs, view.entry_count(now));
     let retry_after_ms = match cause {
         NoPlaceCause::DisjointRegions => refused.retry_after_ms + CONFIGURATION_LATER_MS,
+        NoPlaceCause::TurnedAway => TURNED_AWAY_RETRY_MS,
         _ => refused.retry_after_ms,
     };
     Some(NoPlace {
@@ -52,3 +56,18 @@
         ..refused
     })
 }
+
+/// Whether targets of the allowed regions are kept out by nothing but that they
+/// had the request.
+fn only_tried(kept_out: BarrierTally) -> bool {
+    kept_out.tried > 0 && kept_out.evacuated + kept_out.old_weights + kept_out.open == 0
+}
+
+/// Whether a target that may have had the request is reachable.
+fn is_up(places: &ServicePlaces, now: Millis, needs: Needs<'_>) -> bool {
+    let untried = Needs {
+        tried: &[],
+        ..needs
+    };
+    places.targets.any_reachable(now, untried)
+}
--- a/crates/moleroad_gateway/tests/entries.rs
+++ b/crates/moleroad_gateway/tests/entries.rs
@@ -5,12 +5,14 @@
 
 use hyper::StatusCode;
 use moleroad_config::prelude::ConfigVersion;
+use moleroad_directory::prelude::TargetId;
 use moleroad_gateway::acquire::acquire;
 use moleroad_gateway::front::answer::AnswerBody;
 use moleroad_gateway::front::attempt::Attempts;
 use moleroad_gateway::front::sends::Sends;
 use moleroad_gateway::greeting::greet;
 use moleroad_gateway::no_place::NoPlaceCause;
+use std::net::SocketAddr;
 use std::time::Duration;
 use support::{
     add_target, ask, entry, entry_with_configuration, entry_with_disk, evacuate, in_flight, request,
@@ -157,3 +159,20 @@
     assert!(String::from_utf8_lossy(&body).contains("MR-6215"));
     assert_eq!(node.view().services["plain"].waiting(), 0);
 }
+
+#[tokio::test]
+async fn a_request_whose_only_allowed_target_had_it_may_come_back_soon() {
+    let node = entry();
+    let mut restricted = ask(&node, Some("restricted"));
+    restricted.tried = vec![TargetId::new("i-a")];
+    let refused = acquire(&node, &restricted).await.err().expect("no target");
+    assert_eq!(refused.cause, NoPlaceCause::TurnedAway);
+    assert_eq!(refused.retry_after_ms, 150);
+    // An evacuated target beside it is another matter.
+    let address = SocketAddr::from(([127, 0, 0, 2], 2));
+    add_target(&node, "i-b", "hall-b", address);
+    evacuate(&node, "hall-b");
+    let refused = acquire(&node, &restricted).await.err().expect("no target");
+    assert!(matches!(refused.cause, NoPlaceCause::EmptyRegions(_)));
+    assert!(refused.retry_after_ms >= 1_000);
+}
