--- a/crates/moleroad_cli/src/halls.rs
+++ b/crates/moleroad_cli/src/halls.rs
@@ -1,5 +1,6 @@
 //! Calls about data halls, over HTTP to the control address of any daemon.
 
+use crate::error_body::ErrorBody;
 use quick_error::quick_error;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -44,17 +45,6 @@
     pub in_flight: u32,
 }
 
-#[derive(Deserialize)]
-struct ErrorBody {
-    error: ErrorFields,
-}
-
-#[derive(Deserialize)]
-struct ErrorFields {
-    code: String,
-    message: String,
-}
-
 /// Calls any of several daemons about their halls.
 #[derive(Clone, Debug)]
 pub struct HallClient {
--- a/crates/moleroad_config/src/residency.rs
+++ b/crates/moleroad_config/src/residency.rs
@@ -9,7 +9,7 @@
 
 /// What the route and the account of a request are found by.
 #[derive(Debug)]
-struct Origin {
+struct FoundBy {
     host: String,
     path: String,
     key: Option<String>,
@@ -22,7 +22,7 @@
 /// [`Residency::under`] says what holds under another one.
 #[derive(Clone, Debug)]
 pub struct Residency {
-    origin: Arc<Origin>,
+    found_by: Arc<FoundBy>,
     version: ConfigVersion,
     route: AllowedRegions,
     account: AllowedRegions,
@@ -32,13 +32,13 @@
 impl Residency {
     /// Looks up a request for `host` and `path` that is sent with `key`.
     pub fn new(table: &RouteTable, host: &str, path: &str, key: Option<&str>) -> Self {
-        let origin = Origin {
+        let found_by = FoundBy {
             host: host.to_string(),
             path: path.to_string(),
             key: key.map(str::to_string),
         };
         let all = AllowedRegions::all();
-        Self::look_up(Arc::new(origin), table, &all, &all)
+        Self::look_up(Arc::new(found_by), table, &all, &all)
     }
 
     /// The same request under another configuration. A route or an account that
@@ -47,22 +47,22 @@
         if table.version() == self.version {
             return self.clone();
         }
-        Self::look_up(self.origin.clone(), table, &self.route, &self.account)
+        Self::look_up(self.found_by.clone(), table, &self.route, &self.account)
     }
 
     fn look_up(
-        origin: Arc<Origin>,
+        found_by: Arc<FoundBy>,
         table: &RouteTable,
         last_route: &AllowedRegions,
         last_account: &AllowedRegions,
     ) -> Self {
-        let route = table.find(&origin.host, &origin.path);
+        let route = table.find(&found_by.host, &found_by.path);
         let route = route.map_or(last_route, |route| &route.allowed_regions);
-        let key = origin.key.as_deref();
+        let key = found_by.key.as_deref();
         let account = key.and_then(|key| table.account_of(key));
         let account = account.map_or(last_account, |account| &account.allowed_regions);
         Self {
-            origin,
+            found_by,
             version: table.version(),
             route: route.clone(),
             account: account.clone(),
--- a/crates/moleroad_dispatch/src/targets.rs
+++ b/crates/moleroad_dispatch/src/targets.rs
@@ -78,7 +78,7 @@
 
     /// Whether all targets that stand where the request may be served are in
     /// evacuated halls, so that waiting for a place is in vain.
-    pub fn is_evacuated(&self, needs: Needs<'_>) -> bool {
+    pub fn all_evacuated(&self, needs: Needs<'_>) -> bool {
         let barriers = self.candidates.iter().map(|c| barrier(c, needs));
         let mut in_region = barriers.filter(|b| *b != Some(Barrier::Region)).peekable();
         in_region.peek().is_some() && in_region.all(|b| b == Some(Barrier::Evacuated))
--- a/crates/moleroad_gateway/src/refusal.rs
+++ b/crates/moleroad_gateway/src/refusal.rs
@@ -23,8 +23,8 @@
     let least = node.least_version(view, &ask.service);
     let needs = ask.needs(now, least);
     if allowed.is_all() {
-        let is_evacuated = places.targets.is_evacuated(needs);
-        return is_evacuated.then(|| NoPlace {
+        let all_evacuated = places.targets.all_evacuated(needs);
+        return all_evacuated.then(|| NoPlace {
             cause: NoPlaceCause::Evacuated,
             ..no_place(now, Some(places), needs, view.entry_count(now))
         });
--- a/crates/moleroad_gateway/src/standstill.rs
+++ b/crates/moleroad_gateway/src/standstill.rs
@@ -8,8 +8,8 @@
 /// been given up and repeated elsewhere.
 pub const STOOD_STILL_MS: u64 = 1_000;
 /// Time after waking in which calls are read that came while the process stood
-/// still, in milliseconds: several times what it takes to read all sockets, and
-/// less than the second for which an operator tries one daemon after another.
+/// still, in milliseconds: enough to read all that lay in the sockets, and
+/// less than the second for which operators wait, who then ask another daemon.
 const BACKLOG_MS: u64 = 300;
 /// Longest time for which requests wait for news after waking or beginning, in
 /// milliseconds: a daemon that reaches nobody goes on with what it knows.
--- a/crates/moleroad_gateway/tests/halls.rs
+++ b/crates/moleroad_gateway/tests/halls.rs
@@ -133,7 +133,7 @@
             .free_places(Millis(2_000), &AllowedRegions::all()),
         4.0
     );
-    assert!(places.targets.any_serves(needs) && !places.targets.is_evacuated(needs));
+    assert!(places.targets.any_serves(needs) && !places.targets.all_evacuated(needs));
     for draw in 0..50 {
         match places.targets.choose(Millis(2_000), needs, draw) {
             Choice::Send(candidate) => assert_eq!(candidate.id.as_str(), "i-bb"),
@@ -151,7 +151,7 @@
 
     learn(&mut view, 3_000, &news("hall-b", 1, true, 0));
     let places = &view.services["plain"];
-    assert!(places.targets.is_evacuated(needs) && !places.targets.any_serves(needs));
+    assert!(places.targets.all_evacuated(needs) && !places.targets.any_serves(needs));
     assert_eq!(
         places.targets.choose(Millis(3_000), needs, 1),
         Choice::Nobody
@@ -171,13 +171,13 @@
         ..Needs::default()
     };
     // No target at all there: that is not an evacuation.
-    assert!(!targets.is_evacuated(needs));
+    assert!(!targets.all_evacuated(needs));
     let here = AllowedRegions::only([Region::new("r")]);
     let needs = Needs {
         regions: Some(&here),
         ..Needs::default()
     };
-    assert!(!targets.is_evacuated(needs), "the other hall serves");
+    assert!(!targets.all_evacuated(needs), "the other hall serves");
 }
 
 #[test]
