Wait for news at a start, and say turned away, only where that is so

The first start of all held its callers for a second, though an empty disk keeps nothing old to go by; and a request whose only allowed target could not be connected to was told that targets turned it away. A test's stub also used a name of the platform's. Change: a process waits for news at its start only if its disk kept something; turned away is only what was sent to a target before. Result: the tests of this crate cover both sides of both rules; the tests of whole processes stay as they are.

--- a/crates/moleroad_gateway/src/core/mod.rs
+++ b/crates/moleroad_gateway/src/core/mod.rs
@@ -88,6 +88,8 @@
     input: Sender<CoreInput>,
     /// This member; the identity is the one of the disk.
     pub own: MemberInfo,
+    /// Whether the disk held anything of an earlier life.
+    pub has_old_state: bool,
 }
 
 impl Core {
@@ -106,6 +108,7 @@
             settings.instance.as_str(),
             settings.address,
         );
+        let has_old_state = restored.snapshot.is_some() || !restored.entries.is_empty();
         let (input, inputs) = channel();
         let founding = settings.founding.clone();
         let mut member = Member::new(settings, own.clone(), clock, output, storage, restored);
@@ -116,7 +119,11 @@
                 member.begin(founding);
                 member.run(&inputs);
             })?;
-        Ok(Self { input, own })
+        Ok(Self {
+            input,
+            own,
+            has_old_state,
+        })
     }
 
     /// Tells the thread something; it may have ended.
--- a/crates/moleroad_gateway/src/front/waiting.rs
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -81,6 +81,7 @@
         Ask {
             service: request.service.clone(),
             tried: self.tried.clone(),
+            was_sent: !is_first,
             prompt_tokens: request.prompt_tokens,
             priority: if is_first {
                 request.priority
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -78,9 +78,9 @@
     ) -> Self {
         let own = own_record(&settings);
         let began_at = clock.now();
-        let standstill = match core {
-            Some(_) => Standstill::with_old_state(began_at),
-            None => Standstill::new(began_at),
+        let standstill = match &core {
+            Some(core) if core.has_old_state => Standstill::with_old_state(began_at),
+            _ => Standstill::new(began_at),
         };
         Self {
             began_at,
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -15,8 +15,10 @@
 pub struct Ask {
     /// Service.
     pub service: String,
-    /// Targets that it was sent to before.
+    /// Targets that it was sent to before, or could not be.
     pub tried: Vec<TargetId>,
+    /// Whether one of them got it.
+    pub was_sent: bool,
     /// Tokens of its prompt.
     pub prompt_tokens: u64,
     /// Rank; 0 is the most urgent.
--- a/crates/moleroad_gateway/src/refusal.rs
+++ b/crates/moleroad_gateway/src/refusal.rs
@@ -2,10 +2,9 @@
 
 use crate::no_place::{NoPlace, NoPlaceCause, TURNED_AWAY_RETRY_MS, no_place};
 use crate::node::Node;
-use crate::places::{Ask, ServicePlaces};
+use crate::places::Ask;
 use crate::view::View;
 use moleroad_dispatch::prelude::*;
-use moleroad_types::prelude::Millis;
 
 /// How much later than after an outage to come back while the configuration
 /// allows no region, in milliseconds: an operator must change it first.
@@ -39,7 +38,7 @@
         NoPlaceCause::DisjointRegions
     } else if kept_out.old_weights > 0 || weights_come {
         return None;
-    } else if only_tried(kept_out) && is_up(places, now, needs) {
+    } else if ask.was_sent && only_tried(kept_out) {
         NoPlaceCause::TurnedAway
     } else {
         NoPlaceCause::EmptyRegions(kept_out)
@@ -62,12 +61,3 @@
 fn only_tried(kept_out: BarrierTally) -> bool {
     kept_out.tried > 0 && kept_out.evacuated + kept_out.old_weights + kept_out.open == 0
 }
-
-/// Whether a target that may have had the request is reachable.
-fn is_up(places: &ServicePlaces, now: Millis, needs: Needs<'_>) -> bool {
-    let untried = Needs {
-        tried: &[],
-        ..needs
-    };
-    places.targets.any_reachable(now, untried)
-}
--- a/crates/moleroad_gateway/tests/entries.rs
+++ b/crates/moleroad_gateway/tests/entries.rs
@@ -12,10 +12,12 @@
 use moleroad_gateway::front::sends::Sends;
 use moleroad_gateway::greeting::greet;
 use moleroad_gateway::no_place::NoPlaceCause;
+use moleroad_gateway::node::Node;
 use std::net::SocketAddr;
 use std::time::Duration;
 use support::{
-    add_target, ask, entry, entry_with_configuration, entry_with_disk, evacuate, in_flight, request,
+    add_target, ask, entry, entry_that_begins_again, entry_with_configuration, entry_with_disk,
+    evacuate, folder, in_flight, request,
 };
 
 /// Longer than a process may go without a look at the clock.
@@ -66,24 +68,28 @@
 }
 
 #[tokio::test]
-async fn an_entry_with_a_disk_begins_by_waiting_for_news_for_a_bounded_time() {
-    assert!(!entry().standstill().waits_for_news(entry().clock.now()));
-    let node = entry_with_disk("begins");
-    let began_at = node.clock.now();
-    assert!(node.standstill().waits_for_news(began_at));
-    assert!(!node.standstill().reads_backlog(began_at));
+async fn an_entry_with_old_state_begins_by_waiting_for_news_for_a_bounded_time() {
+    let node = entry_that_begins_again("begins").await;
+    let lacks_news = |node: &Node| node.standstill().waits_for_news(node.began_at);
+    assert!(lacks_news(&node));
+    assert!(!node.standstill().reads_backlog(node.began_at));
     // Nobody answers.
     node.hear_after_standstill().await;
     assert!(node.clock.now().since(node.began_at) >= 1_000);
 
-    let node = entry_with_disk("begins");
+    let node = entry_that_begins_again("begins-and-hears").await;
     node.standstill().heard(node.clock.now());
-    assert!(!node.standstill().waits_for_news(node.began_at));
+    assert!(!lacks_news(&node));
+
+    // Those that keep nothing have nothing old to go by.
+    assert!(!lacks_news(&entry()));
+    assert!(!lacks_news(&entry_with_disk(&folder("begins-first"))));
 }
 
 #[tokio::test]
 async fn an_answer_counts_as_news_only_once_what_it_tells_of_was_fetched() {
-    let (node, other) = (entry_with_disk("fetches"), entry_with_configuration());
+    let node = entry_that_begins_again("fetches").await;
+    let other = entry_with_configuration();
     evacuate(&other, "hall-a");
     node.replace_seeds(vec![other.settings.peer_address()]);
     // Another fetch is under way, so that an answer starts none.
@@ -165,6 +171,10 @@
     let node = entry();
     let mut restricted = ask(&node, Some("restricted"));
     restricted.tried = vec![TargetId::new("i-a")];
+    // No connection came up: nobody turned it away.
+    let refused = acquire(&node, &restricted).await.err().expect("no target");
+    assert!(matches!(refused.cause, NoPlaceCause::EmptyRegions(_)));
+    restricted.was_sent = true;
     let refused = acquire(&node, &restricted).await.err().expect("no target");
     assert_eq!(refused.cause, NoPlaceCause::TurnedAway);
     assert_eq!(refused.retry_after_ms, 150);
--- a/crates/moleroad_gateway/tests/support/mod.rs
+++ b/crates/moleroad_gateway/tests/support/mod.rs
@@ -3,7 +3,7 @@
 use hyper::Method;
 use hyper::header::{HeaderMap, HeaderName};
 use moleroad_config::prelude::*;
-use moleroad_consensus::prelude::MemberId;
+use moleroad_consensus::prelude::{MemberId, MemberInfo};
 use moleroad_directory::prelude::*;
 use moleroad_dispatch::prelude::*;
 use moleroad_gateway::clock::Clock;
@@ -20,8 +20,9 @@
 use moleroad_gateway::settings::Settings;
 use moleroad_types::prelude::*;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc;
 
 /// The service of all requests.
@@ -43,7 +44,7 @@
             signature: name("x-signature"),
             expected_target: name("x-target"),
             expected_version: name("x-version"),
-            not_executed: name("x-not-executed"),
+            not_executed: name("x-unrun"),
             last_event: name("x-last-event"),
             model: name("x-model"),
             priority: name("x-priority"),
@@ -146,18 +147,25 @@
     knowing_one_target(Node::new(settings, clock, nobody(), None))
 }
 
-/// The same with a member of the control group, whose disk is empty.
-pub fn entry_with_disk(name: &str) -> Arc<Node> {
+/// A folder for a disk, empty at first.
+pub fn folder(name: &str) -> PathBuf {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     let _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+/// An entry with a disk, which founds the control group when that is empty.
+pub fn entry_with_disk(folder: &Path) -> Arc<Node> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
     let clock = Clock::default();
+    let own = MemberInfo::new(MemberId(1), "e", address);
     let core = CoreSettings {
-        folder,
-        fresh: MemberId(1),
+        folder: folder.to_path_buf(),
+        fresh: own.id,
         instance: "e".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        founding: None,
+        address,
+        founding: Some(moleroad_consensus::prelude::Configuration::of_voters([own])),
         tolerated_losses: 1,
     };
     let (output, _) = mpsc::unbounded_channel();
@@ -166,6 +174,18 @@
     knowing_one_target(Node::new(settings, clock, nobody(), Some(core)))
 }
 
+/// An entry whose disk holds what an earlier life left there.
+pub async fn entry_that_begins_again(name: &str) -> Arc<Node> {
+    let folder = folder(name);
+    let earlier = entry_with_disk(&folder);
+    let core = earlier.core.clone().unwrap();
+    while core.read().await.is_err() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    drop((core, earlier));
+    entry_with_disk(&folder)
+}
+
 /// Another entry, which answers greetings and has a configuration in force.
 pub fn entry_with_configuration() -> Arc<Node> {
     let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
@@ -228,6 +248,7 @@
     Ask {
         service: SERVICE.into(),
         tried: Vec::new(),
+        was_sent: false,
         prompt_tokens: 0,
         priority: 1,
         wanted_by: None,
