--- a/crates/moleroad_gateway/src/refusal.rs
+++ b/crates/moleroad_gateway/src/refusal.rs
@@ -1,6 +1,6 @@
 //! Refusing a request at once where no target may ever get it.
 
-use crate::no_place::{NoPlace, NoPlaceCause, no_place};
+use crate::no_place::{NoPlace, NoPlaceCause, TURNED_AWAY_RETRY_MS, no_place};
 use crate::node::Node;
 use crate::places::Ask;
 use crate::view::View;
@@ -22,8 +22,11 @@
     let least = node.least_version(view, &ask.service);
     let needs = ask.needs(now, least);
     if allowed.is_all() {
-        let is_evacuated = places.targets.is_evacuated(needs);
-        return is_evacuated.then(|| no_place(now, Some(places), needs, view.entry_count(now)));
+        let all_evacuated = places.targets.all_evacuated(needs);
+        return all_evacuated.then(|| NoPlace {
+            cause: NoPlaceCause::Evacuated,
+            ..no_place(now, Some(places), needs, view.entry_count(now))
+        });
     }
     if places.targets.any_reachable(now, needs) {
         return None;
@@ -35,12 +38,15 @@
         NoPlaceCause::DisjointRegions
     } else if kept_out.old_weights > 0 || weights_come {
         return None;
+    } else if ask.was_sent && only_tried(kept_out) {
+        NoPlaceCause::TurnedAway
     } else {
         NoPlaceCause::EmptyRegions(kept_out)
     };
     let refused = no_place(now, Some(places), needs, view.entry_count(now));
     let retry_after_ms = match cause {
         NoPlaceCause::DisjointRegions => refused.retry_after_ms + CONFIGURATION_LATER_MS,
+        NoPlaceCause::TurnedAway => TURNED_AWAY_RETRY_MS,
         _ => refused.retry_after_ms,
     };
     Some(NoPlace {
@@ -49,3 +55,9 @@
         ..refused
     })
 }
+
+/// Whether targets of the allowed regions are kept out by nothing but that they
+/// had the request.
+fn only_tried(kept_out: BarrierTally) -> bool {
+    kept_out.tried > 0 && kept_out.evacuated + kept_out.old_weights + kept_out.open == 0
+}
--- /dev/null
+++ b/crates/moleroad_gateway/tests/entries.rs
@@ -0,0 +1,188 @@
+//! What an entry does with requests while it waits for news, and where none of
+//! its targets may get them.
+
+mod support;
+
+use hyper::StatusCode;
+use moleroad_config::prelude::ConfigVersion;
+use moleroad_directory::prelude::TargetId;
+use moleroad_gateway::acquire::acquire;
+use moleroad_gateway::front::answer::AnswerBody;
+use moleroad_gateway::front::attempt::Attempts;
+use moleroad_gateway::front::sends::Sends;
+use moleroad_gateway::greeting::greet;
+use moleroad_gateway::no_place::NoPlaceCause;
+use moleroad_gateway::node::Node;
+use std::net::SocketAddr;
+use std::time::Duration;
+use support::{
+    add_target, ask, entry, entry_that_begins_again, entry_with_configuration, entry_with_disk,
+    evacuate, folder, in_flight, request,
+};
+
+/// Longer than a process may go without a look at the clock.
+const FREEZE: Duration = Duration::from_millis(1_100);
+
+/// Longest wait for what must happen.
+const LONGEST: Duration = Duration::from_secs(20);
+
+async fn until(what: &str, mut has_come: impl FnMut() -> bool) {
+    let wait = async {
+        while !has_come() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let came = tokio::time::timeout(LONGEST, wait).await;
+    came.unwrap_or_else(|_| panic!("{what}"));
+}
+
+async fn let_others_run() {
+    for _ in 0..10 {
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_while_its_granted_request_waits_for_news_gives_the_place_back() {
+    let node = entry();
+    let request = ask(&node, None);
+    let first = acquire(&node, &request).await.expect("a free place");
+    assert_eq!(in_flight(&node, "i-a"), 1);
+    let waiting = tokio::spawn({
+        let node = node.clone();
+        async move { acquire(&node, &request).await.map(drop) }
+    });
+    let_others_run().await;
+    assert_eq!(node.view().services["plain"].waiting(), 1);
+    drop(node.standstill());
+    // The place is granted to the one that waits, and the process stands still
+    // before that one runs.
+    drop(first);
+    assert_eq!(in_flight(&node, "i-a"), 1);
+    std::thread::sleep(FREEZE);
+    let_others_run().await;
+    assert!(!waiting.is_finished(), "it waits for news");
+    waiting.abort();
+    assert!(waiting.await.unwrap_err().is_cancelled());
+    assert_eq!(in_flight(&node, "i-a"), 0);
+}
+
+#[tokio::test]
+async fn an_entry_with_old_state_begins_by_waiting_for_news_for_a_bounded_time() {
+    let node = entry_that_begins_again("begins").await;
+    let lacks_news = |node: &Node| node.standstill().waits_for_news(node.began_at);
+    assert!(lacks_news(&node));
+    assert!(!node.standstill().reads_backlog(node.began_at));
+    // Nobody answers.
+    node.hear_after_standstill().await;
+    assert!(node.clock.now().since(node.began_at) >= 1_000);
+
+    let node = entry_that_begins_again("begins-and-hears").await;
+    node.standstill().heard(node.clock.now());
+    assert!(!lacks_news(&node));
+
+    // Those that keep nothing have nothing old to go by.
+    assert!(!lacks_news(&entry()));
+    assert!(!lacks_news(&entry_with_disk(&folder("begins-first"))));
+}
+
+#[tokio::test]
+async fn an_answer_counts_as_news_only_once_what_it_tells_of_was_fetched() {
+    let node = entry_that_begins_again("fetches").await;
+    let other = entry_with_configuration();
+    evacuate(&other, "hall-a");
+    node.replace_seeds(vec![other.settings.peer_address()]);
+    // Another fetch is under way, so that an answer starts none.
+    let fetching = node.begin_pull().expect("nothing is fetched yet");
+    tokio::spawn(greet(node.clone()));
+    let has_answer = || node.view().is_evacuated("hall-a");
+    until("an answer", has_answer).await;
+    let_others_run().await;
+    let lacks_news = || node.standstill().waits_for_news(node.began_at);
+    assert!(lacks_news());
+    drop(fetching);
+    until("news", || !lacks_news()).await;
+    assert!(node.view().state.config_version() == ConfigVersion(1));
+}
+
+#[tokio::test]
+async fn a_request_that_is_barred_before_it_goes_out_counts_as_one() {
+    let node = entry();
+    // Connections come up, and nobody answers.
+    let listeners = [(); 2].map(|()| std::net::TcpListener::bind("127.0.0.1:0").unwrap());
+    for (listener, (id, hall)) in listeners.iter().zip([("i-a", "hall-a"), ("i-b", "hall-b")]) {
+        add_target(&node, id, hall, listener.local_addr().unwrap());
+    }
+    let mut attempts = Attempts::new(node.clone(), request(&node, 1_500));
+    let orders = async {
+        // The place is taken, and the connection is not up yet.
+        let hall = match in_flight(&node, "i-a") {
+            0 => "hall-b",
+            _ => "hall-a",
+        };
+        assert_eq!(in_flight(&node, "i-a") + in_flight(&node, "i-b"), 1);
+        evacuate(&node, hall);
+    };
+    let (sent, ()) = tokio::join!(attempts.next_run(None), orders);
+    assert!(sent.is_err(), "no answer came");
+    let sends = |outcome: &str| node.metrics.sends.with_label_values(&[outcome]).get();
+    assert_eq!((sends("barred"), sends("timed_out")), (1, 1));
+    assert_eq!(node.metrics.wait_s.get_sample_count(), 1);
+}
+
+#[test]
+fn a_repeat_is_taken_once_for_each_send_that_is_made() {
+    let mut sends = Sends::default();
+    assert!(sends.is_first() && !sends.needs_repeat());
+    assert!(sends.note_in_time() && sends.note_first());
+    // The place was given back before anything went out.
+    assert!(!sends.note_in_time() && !sends.note_first());
+    assert!(sends.is_first() && !sends.needs_repeat());
+    sends.reached_target();
+    assert!(sends.made() == 1 && sends.needs_repeat());
+    sends.took_repeat();
+    assert!(!sends.needs_repeat(), "nothing was sent by it yet");
+    assert!(!sends.note_in_time() && !sends.note_first());
+    sends.reached_target();
+    assert!(sends.made() == 2 && sends.needs_repeat());
+}
+
+#[tokio::test]
+async fn a_request_whose_targets_are_all_evacuated_is_refused_for_that_at_once() {
+    let node = entry();
+    evacuate(&node, "hall-a");
+    let refused = acquire(&node, &ask(&node, None)).await.err();
+    let refused = refused.expect("no target may get it");
+    assert_eq!(refused.cause, NoPlaceCause::Evacuated);
+    let mut attempts = Attempts::new(node.clone(), request(&node, 1_500));
+    let reason = attempts.next_run(None).await.err().expect("no target");
+    assert_eq!(attempts.sends(), 0);
+    let answer = attempts.give_up(reason);
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let AnswerBody::Whole(Some(body)) = answer.into_body() else {
+        panic!("an answer of our own is whole");
+    };
+    assert!(String::from_utf8_lossy(&body).contains("MR-6215"));
+    assert_eq!(node.view().services["plain"].waiting(), 0);
+}
+
+#[tokio::test]
+async fn a_request_whose_only_allowed_target_had_it_may_come_back_soon() {
+    let node = entry();
+    let mut restricted = ask(&node, Some("restricted"));
+    restricted.tried = vec![TargetId::new("i-a")];
+    // No connection came up: nobody turned it away.
+    let refused = acquire(&node, &restricted).await.err().expect("no target");
+    assert!(matches!(refused.cause, NoPlaceCause::EmptyRegions(_)));
+    restricted.was_sent = true;
+    let refused = acquire(&node, &restricted).await.err().expect("no target");
+    assert_eq!(refused.cause, NoPlaceCause::TurnedAway);
+    assert_eq!(refused.retry_after_ms, 150);
+    // An evacuated target beside it is another matter.
+    let address = SocketAddr::from(([127, 0, 0, 2], 2));
+    add_target(&node, "i-b", "hall-b", address);
+    evacuate(&node, "hall-b");
+    let refused = acquire(&node, &restricted).await.err().expect("no target");
+    assert!(matches!(refused.cause, NoPlaceCause::EmptyRegions(_)));
+    assert!(refused.retry_after_ms >= 1_000);
+}
