Share what tests of the entry set up

Cause: two test files described the same service, and one support file was long. Change: the service and the silent outside stand in files of their own. Result: no line is there twice; the tests are the same.

--- a/crates/moleroad_gateway/tests/halls.rs
+++ b/crates/moleroad_gateway/tests/halls.rs
@@ -1,5 +1,8 @@
 //! What one daemon knows of halls, and which targets get requests by it.
 
+#[path = "support/service.rs"]
+mod service;
+
 use moleroad_config::prelude::*;
 use moleroad_directory::prelude::*;
 use moleroad_dispatch::prelude::*;
@@ -8,6 +11,7 @@
 use moleroad_gateway::settings::Settings;
 use moleroad_gateway::view::View;
 use moleroad_types::prelude::*;
+use service::plain_service;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -54,18 +58,8 @@
 /// An entry that knows a target in each of two halls.
 fn view() -> View {
     let mut view = View::new(entry());
-    let service = Service {
-        name: "plain".into(),
-        max_connections: 0,
-        models: Vec::new(),
-        slots: 0,
-        steps: None,
-        origin: None,
-        hall: None,
-        cold_start: None,
-    };
     let configuration = Configuration {
-        services: vec![service],
+        services: vec![plain_service()],
         ..Configuration::default()
     };
     view.table = Some(Arc::new(RouteTable::compile(&configuration)));
--- a/crates/moleroad_gateway/tests/support/mod.rs
+++ b/crates/moleroad_gateway/tests/support/mod.rs
@@ -1,7 +1,10 @@
 //! An entry without a network, for tests of what it decides.
 
+mod outside;
+mod service;
+
 use hyper::Method;
-use hyper::header::{HeaderMap, HeaderName};
+use hyper::header::HeaderMap;
 use moleroad_config::prelude::*;
 use moleroad_consensus::prelude::{MemberId, MemberInfo};
 use moleroad_directory::prelude::*;
@@ -12,13 +15,14 @@
 use moleroad_gateway::evacuations::{HallRevision, HallState};
 use moleroad_gateway::front::request::Accepted;
 use moleroad_gateway::halls::{HallNews, HallsNews, Source};
-use moleroad_gateway::interface::*;
 use moleroad_gateway::listening::listen;
 use moleroad_gateway::node::Node;
 use moleroad_gateway::peer_server;
 use moleroad_gateway::places::Ask;
 use moleroad_gateway::settings::Settings;
 use moleroad_types::prelude::*;
+use outside::nobody;
+use service::plain_service;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -28,87 +32,6 @@
 /// The service of all requests.
 pub const SERVICE: &str = "plain";
 
-/// An outside that nobody speaks to.
-struct Nobody {
-    headers: HeaderNames,
-}
-
-fn nobody() -> Arc<Nobody> {
-    let name = HeaderName::from_static;
-    Arc::new(Nobody {
-        headers: HeaderNames {
-            request_id: name("x-request"),
-            deadline_ms: name("x-deadline"),
-            key: name("x-key"),
-            account: name("x-account"),
-            signature: name("x-signature"),
-            expected_target: name("x-target"),
-            expected_version: name("x-version"),
-            not_executed: name("x-unrun"),
-            last_event: name("x-last-event"),
-            model: name("x-model"),
-            priority: name("x-priority"),
-        },
-    })
-}
-
-impl Interface for Nobody {
-    fn headers(&self) -> &HeaderNames {
-        &self.headers
-    }
-    fn token_usage(&self, _: &HeaderMap) -> Option<TokenUsage> {
-        None
-    }
-    fn system_call(&self, _: &Method, _: &str, _: Option<&str>) -> Option<SystemCall> {
-        None
-    }
-    fn document_type(&self) -> &'static str {
-        unreachable!()
-    }
-    fn read_configuration(&self, _: &[u8]) -> Result<Configuration, ConfigurationError> {
-        Ok(Configuration::default())
-    }
-    fn read_heartbeat(&self, _: &str, _: &[u8]) -> Option<TargetRecord> {
-        None
-    }
-    fn write_heartbeat_answer(&self, _: Option<SocketAddr>) -> Vec<u8> {
-        unreachable!()
-    }
-    fn read_named_version(&self, _: &[u8]) -> Option<NamedVersion> {
-        None
-    }
-    fn write_addresses(&self, _: &[SocketAddr], _: Millis) -> Vec<u8> {
-        unreachable!()
-    }
-    fn write_error(&self, _: &str) -> Vec<u8> {
-        unreachable!()
-    }
-    fn ask_state(&self) -> OutsideCall {
-        unreachable!()
-    }
-    fn read_state(&self, _: &[u8]) -> Option<EngineState> {
-        None
-    }
-    fn ask_digests(&self, _: &str, _: u64) -> OutsideCall {
-        unreachable!()
-    }
-    fn read_digests(&self, _: &[u8]) -> Option<PieceDigests> {
-        None
-    }
-    fn ask_piece(&self, _: &str, _: u64, _: u32) -> OutsideCall {
-        unreachable!()
-    }
-    fn put_staged(&self, _: &str, _: u32, _: Vec<u8>) -> OutsideCall {
-        unreachable!()
-    }
-    fn get_staged(&self, _: &str, _: u32) -> OutsideCall {
-        unreachable!()
-    }
-    fn order_start(&self, _: &str, _: u64, _: StartMode, _: u64) -> OutsideCall {
-        unreachable!()
-    }
-}
-
 fn settings(name: &str, peer_port: u16) -> Settings {
     let text = format!(
         "instance: {name}\nrole: entry\nip: 127.0.0.1\nhall: hall-a\nregion: r\nregions: {{hall-a: r, hall-b: r}}\npeer_ports: [{peer_port},{peer_port}]\nlisten: {{frontend: \"127.0.0.1:9\"}}\n"
@@ -116,19 +39,6 @@
     Settings::parse(&text).unwrap()
 }
 
-fn service() -> Service {
-    Service {
-        name: SERVICE.into(),
-        max_connections: 0,
-        models: Vec::new(),
-        slots: 0,
-        steps: None,
-        origin: None,
-        hall: None,
-        cold_start: None,
-    }
-}
-
 /// An account, found by its name as key, that allows region `r` alone.
 fn restricted_account() -> ClientAccount {
     ClientAccount {
@@ -203,7 +113,7 @@
 fn knowing_one_target(node: Node) -> Arc<Node> {
     let now = node.clock.now();
     let configuration = Configuration {
-        services: vec![service()],
+        services: vec![plain_service()],
         accounts: vec![restricted_account()],
         ..Configuration::default()
     };
--- /dev/null
+++ b/crates/moleroad_gateway/tests/support/service.rs
@@ -0,0 +1,17 @@
+//! A service for tests.
+
+use moleroad_config::prelude::Service;
+
+/// The service `plain`, whose targets are no engines.
+pub fn plain_service() -> Service {
+    Service {
+        name: "plain".into(),
+        max_connections: 0,
+        models: Vec::new(),
+        slots: 0,
+        steps: None,
+        origin: None,
+        hall: None,
+        cold_start: None,
+    }
+}
