--- a/crates/moleroad_gateway/tests/halls.rs
+++ b/crates/moleroad_gateway/tests/halls.rs
@@ -1,5 +1,8 @@
 //! What one daemon knows of halls, and which targets get requests by it.
 
+#[path = "support/service.rs"]
+mod service;
+
 use moleroad_config::prelude::*;
 use moleroad_directory::prelude::*;
 use moleroad_dispatch::prelude::*;
@@ -8,6 +11,7 @@
 use moleroad_gateway::settings::Settings;
 use moleroad_gateway::view::View;
 use moleroad_types::prelude::*;
+use service::plain_service;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -54,18 +58,8 @@
 /// An entry that knows a target in each of two halls.
 fn view() -> View {
     let mut view = View::new(entry());
-    let service = Service {
-        name: "plain".into(),
-        max_connections: 0,
-        models: Vec::new(),
-        slots: 0,
-        steps: None,
-        origin: None,
-        hall: None,
-        cold_start: None,
-    };
     let configuration = Configuration {
-        services: vec![service],
+        services: vec![plain_service()],
         ..Configuration::default()
     };
     view.table = Some(Arc::new(RouteTable::compile(&configuration)));
@@ -133,7 +127,7 @@
             .free_places(Millis(2_000), &AllowedRegions::all()),
         4.0
     );
-    assert!(places.targets.any_serves(needs) && !places.targets.is_evacuated(needs));
+    assert!(places.targets.any_serves(needs) && !places.targets.all_evacuated(needs));
     for draw in 0..50 {
         match places.targets.choose(Millis(2_000), needs, draw) {
             Choice::Send(candidate) => assert_eq!(candidate.id.as_str(), "i-bb"),
@@ -151,7 +145,7 @@
 
     learn(&mut view, 3_000, &news("hall-b", 1, true, 0));
     let places = &view.services["plain"];
-    assert!(places.targets.is_evacuated(needs) && !places.targets.any_serves(needs));
+    assert!(places.targets.all_evacuated(needs) && !places.targets.any_serves(needs));
     assert_eq!(
         places.targets.choose(Millis(3_000), needs, 1),
         Choice::Nobody
@@ -171,13 +165,13 @@
         ..Needs::default()
     };
     // No target at all there: that is not an evacuation.
-    assert!(!targets.is_evacuated(needs));
+    assert!(!targets.all_evacuated(needs));
     let here = AllowedRegions::only([Region::new("r")]);
     let needs = Needs {
         regions: Some(&here),
         ..Needs::default()
     };
-    assert!(!targets.is_evacuated(needs), "the other hall serves");
+    assert!(!targets.all_evacuated(needs), "the other hall serves");
 }
 
 #[test]
--- /dev/null
+++ b/crates/moleroad_gateway/tests/support/mod.rs
@@ -0,0 +1,225 @@
+//! An entry without a network, for tests of what it decides.
+
+mod outside;
+mod service;
+
+use hyper::Method;
+use hyper::header::HeaderMap;
+use moleroad_config::prelude::*;
+use moleroad_consensus::prelude::{MemberId, MemberInfo};
+use moleroad_directory::prelude::*;
+use moleroad_dispatch::prelude::*;
+use moleroad_gateway::clock::Clock;
+use moleroad_gateway::control_state::{ConfigDocument, ControlState};
+use moleroad_gateway::core::{Core, CoreSettings};
+use moleroad_gateway::evacuations::{HallRevision, HallState};
+use moleroad_gateway::front::request::Accepted;
+use moleroad_gateway::halls::{HallNews, HallsNews, Source};
+use moleroad_gateway::listening::listen;
+use moleroad_gateway::node::Node;
+use moleroad_gateway::peer_server;
+use moleroad_gateway::places::Ask;
+use moleroad_gateway::settings::Settings;
+use moleroad_types::prelude::*;
+use outside::nobody;
+use service::plain_service;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// The service of all requests.
+pub const SERVICE: &str = "plain";
+
+fn settings(name: &str, peer_port: u16) -> Settings {
+    let text = format!(
+        "instance: {name}\nrole: entry\nip: 127.0.0.1\nhall: hall-a\nregion: r\nregions: {{hall-a: r, hall-b: r}}\npeer_ports: [{peer_port},{peer_port}]\nlisten: {{frontend: \"127.0.0.1:9\"}}\n"
+    );
+    Settings::parse(&text).unwrap()
+}
+
+/// An account, found by its name as key, that allows region `r` alone.
+fn restricted_account() -> ClientAccount {
+    ClientAccount {
+        name: "restricted".into(),
+        keys: vec!["restricted".into()],
+        priority: None,
+        allowed_regions: AllowedRegions::only([Region::new("r")]),
+    }
+}
+
+/// An entry without a disk that knows one target with one place, `i-a` in
+/// `hall-a` of region `r`.
+pub fn entry() -> Arc<Node> {
+    let clock = Clock::default();
+    let settings = settings("e", 1);
+    knowing_one_target(Node::new(settings, clock, nobody(), None))
+}
+
+/// A folder for a disk, empty at first.
+pub fn folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+/// An entry with a disk, which founds the control group when that is empty.
+pub fn entry_with_disk(folder: &Path) -> Arc<Node> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let clock = Clock::default();
+    let own = MemberInfo::new(MemberId(1), "e", address);
+    let core = CoreSettings {
+        folder: folder.to_path_buf(),
+        fresh: own.id,
+        instance: "e".into(),
+        address,
+        founding: Some(moleroad_consensus::prelude::Configuration::of_voters([own])),
+        tolerated_losses: 1,
+    };
+    let (output, _) = mpsc::unbounded_channel();
+    let core = Core::start(core, clock, output).unwrap();
+    let settings = settings("e", 1);
+    knowing_one_target(Node::new(settings, clock, nobody(), Some(core)))
+}
+
+/// An entry whose disk holds what an earlier life left there.
+pub async fn entry_that_begins_again(name: &str) -> Arc<Node> {
+    let folder = folder(name);
+    let earlier = entry_with_disk(&folder);
+    let core = earlier.core.clone().unwrap();
+    while core.read().await.is_err() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    drop((core, earlier));
+    entry_with_disk(&folder)
+}
+
+/// Another entry, which answers greetings and has a configuration in force.
+pub fn entry_with_configuration() -> Arc<Node> {
+    let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let settings = settings("other", listener.local_addr().unwrap().port());
+    let node = Arc::new(Node::new(settings, Clock::default(), nobody(), None));
+    let state = ControlState {
+        configuration: Some(ConfigDocument::new(ConfigVersion(1), b"")),
+        ..ControlState::default()
+    };
+    assert!(node.take_state(&state, Source::Push));
+    tokio::spawn(peer_server::serve(node.clone(), listener));
+    node
+}
+
+fn knowing_one_target(node: Node) -> Arc<Node> {
+    let now = node.clock.now();
+    let configuration = Configuration {
+        services: vec![plain_service()],
+        accounts: vec![restricted_account()],
+        ..Configuration::default()
+    };
+    {
+        let mut view = node.view();
+        view.table = Some(Arc::new(RouteTable::compile(&configuration)));
+        let own = view.own.clone();
+        view.directory.hear_daemon(now, own, 0);
+    }
+    add_target(
+        &node,
+        "i-a",
+        "hall-a",
+        SocketAddr::from(([127, 0, 0, 2], 1)),
+    );
+    Arc::new(node)
+}
+
+/// Lets the entry hear of a target with one place, in region `r`.
+pub fn add_target(node: &Node, id: &str, hall: &str, address: SocketAddr) {
+    let target = TargetRecord {
+        id: TargetId::new(id),
+        service: SERVICE.into(),
+        address,
+        hall: hall.into(),
+        slots: 1,
+        life: TargetLife::Ready,
+        cold_left_ms: 0,
+        sequence: 1,
+        holdings: None,
+    };
+    let now = node.clock.now();
+    let mut view = node.view();
+    view.directory.hear_target(now, target, 0);
+    view.refresh_candidates(now, &node.settings);
+}
+
+/// A request that waits for up to ten seconds, of the account with this key.
+pub fn ask(node: &Node, key: Option<&str>) -> Ask {
+    let table = node.view().table.clone().unwrap();
+    let until = node.clock.now() + 10_000;
+    Ask {
+        service: SERVICE.into(),
+        tried: Vec::new(),
+        was_sent: false,
+        prompt_tokens: 0,
+        priority: 1,
+        wanted_by: None,
+        until,
+        line: Line::InTime,
+        residency: Residency::new(&table, "host", "/", key),
+    }
+}
+
+/// Lets the entry learn that a hall is evacuated.
+pub fn evacuate(node: &Node, hall: &str) {
+    let state = HallState {
+        revision: HallRevision(1),
+        evacuated: true,
+    };
+    let news = HallsNews::from([(hall.to_string(), HallNews { state, age_ms: 0 })]);
+    node.take_halls(&news, Source::Push);
+}
+
+/// Requests of this entry that hold a place at a target.
+pub fn in_flight(node: &Node, id: &str) -> u32 {
+    let view = node.view();
+    let targets = &view.services[SERVICE].targets;
+    targets.load(&TargetId::new(id)).own()
+}
+
+/// A request that must be answered within `ms`, and may run once.
+pub fn request(node: &Node, ms: u64) -> Accepted {
+    let ask = ask(node, None);
+    let arrived = node.clock.now();
+    let route = Route {
+        name: "r".into(),
+        host: "host".into(),
+        prefix: "/".into(),
+        weighted_services: Vec::new(),
+        repeatability: Repeatability::AtMostOnce,
+        streaming: false,
+        resumable: false,
+        timeout_ms: ms,
+        target_latency_ms: ms,
+        target_pause_ms: 0,
+        max_attempts: 3,
+        priority: 1,
+        public: true,
+        allowed_regions: AllowedRegions::all(),
+    };
+    Accepted {
+        method: Method::POST,
+        target: "/".into(),
+        headers: HeaderMap::new(),
+        body: Default::default(),
+        id: "request".try_into().unwrap(),
+        route: Arc::new(route),
+        service: SERVICE.into(),
+        config_version: 0,
+        priority: 1,
+        arrived,
+        caller_until: None,
+        until: arrived + ms,
+        prompt_tokens: 0,
+        residency: ask.residency,
+        last_event: None,
+    }
+}
