--- a/crates/moleroad_config/src/route_table.rs
+++ b/crates/moleroad_config/src/route_table.rs
@@ -88,7 +88,8 @@
 
     /// Where entries for a host's callers stand best. Callers that look for an
     /// entry name the host alone, so these are the regions that all its routes
-    /// allow, and where there is none, those that any of them allows.
+    /// allow, and where there is none, those that any restricted route names: an
+    /// entry anywhere is right for the others.
     pub fn regions_of_host(&self, host: &str) -> AllowedRegions {
         let name = host_name(host).to_ascii_lowercase();
         let regions = self.host_regions.get(&name);
@@ -149,6 +150,7 @@
     if !common.is_none() {
         return common;
     }
+    // A route without a restriction says nothing of where to connect.
     let restricted = sets.filter(|set| !set.is_all());
     let none = AllowedRegions::only([]);
     restricted.fold(none, |any, set| any.or(set))
--- a/crates/moleroad_dispatch/src/admission.rs
+++ b/crates/moleroad_dispatch/src/admission.rs
@@ -7,7 +7,8 @@
 use moleroad_directory::prelude::TargetId;
 use moleroad_types::prelude::Millis;
 
-/// How much slower than usual a cold target counts, in times.
+/// Added to the slowness of a cold target, where 1 is as usual: prompts that it
+/// reads for the first time take about twice as long.
 pub const COLD_SLOWNESS: f64 = 1.0;
 
 impl Targets {
@@ -52,22 +53,25 @@
     /// now: its grant or part has not lapsed, and one that turned cold since it
     /// was chosen has one.
     pub fn may_begin(&self, now: Millis, chosen: &Candidate) -> bool {
-        let holds = chosen.granted_until.map(|until| now <= until);
+        // `None`: it was chosen without a grant or a part.
+        let in_time = chosen.granted_until.map(|until| now <= until);
         let Some(known) = self.candidate(&chosen.id) else {
             return false;
         };
-        if holds == Some(false) {
+        if in_time == Some(false) {
             return false;
         }
         if self.cold_until(now, known).is_none() {
             return true;
         }
-        let way = |candidate: &Candidate| candidate.cold.as_deref().map(|cold| cold.by_grant);
+        let is_by_grant =
+            |candidate: &Candidate| candidate.cold.as_deref().map(|cold| cold.by_grant);
+        // Room is not looked at again: this send is counted toward the part already.
         let is_open = match known.cold.as_deref() {
             Some(cold) if !cold.by_grant => cold.part > 0 && now >= cold.part_from,
             _ => self.admission(now, known) == Admission::Grant,
         };
-        holds == Some(true) && way(chosen) == way(known) && is_open
+        in_time == Some(true) && is_by_grant(chosen) == is_by_grant(known) && is_open
     }
 
     /// How soon one more request can be sent while all targets that serve it
--- a/crates/moleroad_dispatch/src/candidate.rs
+++ b/crates/moleroad_dispatch/src/candidate.rs
@@ -17,14 +17,20 @@
     OtherRegion,
 }
 
+/// What another data hall of the region costs, in milliseconds: the way there and
+/// back.
+const SAME_REGION_COST_MS: f64 = 4.0;
+/// What another region costs, in milliseconds: the way there and back, and the
+/// price of the bytes that cross, as a time.
+const OTHER_REGION_COST_MS: f64 = 15.0;
+
 impl Distance {
-    /// What the way costs, as a time in milliseconds: its delay, and for
-    /// another region the bytes that cross, which operators pay for.
+    /// What the way costs, as a time in milliseconds.
     pub(crate) fn cost_ms(self) -> f64 {
         match self {
             Distance::SameHall => 0.0,
-            Distance::SameRegion => 4.0,
-            Distance::OtherRegion => 15.0,
+            Distance::SameRegion => SAME_REGION_COST_MS,
+            Distance::OtherRegion => OTHER_REGION_COST_MS,
         }
     }
 }
--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -27,13 +27,12 @@
     Nobody,
 }
 
-/// Targets of either kind, in the own region and in others, that are compared
-/// by what is known: the more choose by the same reports, the more the best of
-/// many is everybody's best.
+/// Targets compared in the own region, and as many in others: entries that all
+/// took the best of the same reports would all send to one target.
 const COMPARED: usize = 2;
 /// Targets of the own region whose agents are asked for one request: the best
 /// of a few that are drawn anew each time evens out load, and asking more costs
-/// calls for each request. Measured with three only.
+/// calls for each request.
 const NEAR_ASKED: usize = 3;
 /// Targets of other regions whose agents are asked when the near ones are busy.
 const FAR_ASKED: usize = 2;
--- a/crates/moleroad_dispatch/src/cold.rs
+++ b/crates/moleroad_dispatch/src/cold.rs
@@ -8,7 +8,8 @@
 use crate::rate_bound::RateBound;
 use moleroad_types::prelude::Millis;
 
-/// What says that a target is cold.
+/// What says that a target is cold, from assumed to told: of two that end at once
+/// the later one is named.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ColdSource {
     /// It was first heard of a moment ago.
--- a/crates/moleroad_dispatch/src/cost.rs
+++ b/crates/moleroad_dispatch/src/cost.rs
@@ -15,12 +15,14 @@
 const BUSY_ENGINE_COST_MS: f64 = 30.0;
 /// What a failed send costs, in milliseconds: the time until it is noticed.
 const FAILURE_COST_MS: f64 = 500.0;
-/// What a slow target adds for each time that it is slower than usual.
+/// What a slow target adds for each time that it is slower than usual, in
+/// milliseconds: later events are slow too, not only the first.
 const SLOW_COST_MS: f64 = 150.0;
 
-/// Part of its slots up to which any entry sends to a target; beyond it each
-/// entry keeps to its own places.
-const LIGHT_PART: f64 = 0.7;
+/// Share of its slots up to which any entry sends to a target: beyond it, entries
+/// that decide at once would overfill it, and each keeps to its own places.
+const LIGHT_SHARE: f64 = 0.7;
+
 impl Targets {
     pub(crate) fn has_place(&self, now: Millis, candidate: &Candidate, spare: u32) -> bool {
         let load = self.load(&candidate.id);
@@ -32,7 +34,7 @@
         // All entries see a target that has just become free: each sends only
         // its part until a report tells what the others sent.
         let is_crowd = self.reading.is_some() && load.unreported(now) >= candidate.share.max(1);
-        let is_light = requests + 1.0 <= slots * LIGHT_PART && !is_crowd;
+        let is_light = requests + 1.0 <= slots * LIGHT_SHARE && !is_crowd;
         let has_own = load.own() < candidate.share && requests < slots;
         load.own() < candidate.most_own && (is_light || has_own)
     }
--- a/crates/moleroad_dispatch/src/division.rs
+++ b/crates/moleroad_dispatch/src/division.rs
@@ -13,12 +13,11 @@
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 
-/// Requests in a second that one entry sends at most to a target of which it
-/// has a part: the fewer, the more entries may send, and the less it matters
-/// that some believe otherwise.
-const PART: u32 = 1;
+/// Requests in any [`SPAN_MS`] that one owner sends: with the least, the most
+/// entries may send, so the bound holds though more views differ.
+const REQUESTS_PER_OWNER: u32 = 1;
 /// Sets of entries that may send at the same time while views differ.
-const SETS: u32 = 2;
+const SETS_OF_OWNERS: u32 = 2;
 /// How long a send that was counted toward a part may still begin, in
 /// milliseconds: a new connection to the target, as for a grant.
 pub const PART_LIFE_MS: u64 = GRANT_LIFE_MS;
@@ -28,12 +27,16 @@
 /// are counted a span apart so arrive at least a second apart.
 pub const SPAN_MS: u64 = 1_000 + PART_LIFE_MS + DELAY_MS;
 
+/// Sends remembered for one target: more than any part, so that none is forgotten
+/// within [`SPAN_MS`].
+const MOST_TIMES: usize = 16;
+
 /// How the requests of a second are divided.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Division {
     /// Entries that send.
     pub owners: u32,
-    /// Requests in a second of each.
+    /// Requests in any [`SPAN_MS`] of each.
     pub part: u32,
 }
 
@@ -41,9 +44,9 @@
     /// The division under `bound`; without owners when it is below two
     /// requests a second.
     pub fn of(bound: RateBound) -> Self {
-        let whole = bound.whole() as u32 / SETS;
+        let whole = bound.whole() as u32 / SETS_OF_OWNERS;
         let rate = bound.requests_per_s.max(0.0).ceil() as u32;
-        let part = PART.min(whole).max(1);
+        let part = REQUESTS_PER_OWNER.min(whole).max(1);
         Self {
             owners: (whole / part).min(rate.div_ceil(part)),
             part,
@@ -90,11 +93,8 @@
     }
 }
 
-/// Sends that are remembered: above every part.
-const MOST_TIMES: usize = 16;
-
 /// When an entry that began at `began`, and heard of a target at `heard`, may
-/// send it its part: an earlier life of the entry may just have done so.
+/// send it its part: an earlier run of the entry may just have done so.
 pub fn may_send_from(began: Millis, heard: Millis) -> Millis {
     began.max(heard) + SPAN_MS
 }
--- a/crates/moleroad_dispatch/src/health.rs
+++ b/crates/moleroad_dispatch/src/health.rs
@@ -33,8 +33,9 @@
 /// A target counts as unreachable once connections to it failed over this time,
 /// in milliseconds: one that was lost on the way says nothing yet.
 const UNREACHABLE_AFTER_MS: u64 = 400;
-/// ... and for this time after the last one, in milliseconds. Then a request
-/// tries again, so that callers are not refused for longer once it is back.
+/// Time after the last failed connection for which a target counts as unreachable,
+/// in milliseconds: then requests try again, so that callers are not refused for
+/// longer once it is back.
 const UNREACHABLE_MS: u64 = 800;
 
 /// The recent past of one target.
--- a/crates/moleroad_gateway/src/agent/cold.rs
+++ b/crates/moleroad_gateway/src/agent/cold.rs
@@ -13,12 +13,12 @@
 use std::time::Duration;
 
 /// Longest time that an engine counts as cold by what entries say, in
-/// milliseconds: a wrong word must end.
+/// milliseconds: an entry may be wrong.
 const LONGEST_COLD_MS: u64 = 60_000;
 /// Time without a sign of life of this process after which it has stood still,
 /// in milliseconds. Longer than at entries: a sign comes with each read of the
 /// engine, and one without answer and the pause after it take nearly a second.
-const STOOD_STILL_MS: u64 = 1_500;
+const AGENT_STOOD_STILL_MS: u64 = 1_500;
 /// Time between two looks at what was granted.
 const SUM_EVERY: Duration = Duration::from_secs(1);
 
@@ -72,7 +72,7 @@
     pub fn note_alive(&self, now: Millis) {
         let mut state = self.lock();
         let before = state.alive_at.replace(now);
-        let runs_on = before.is_some_and(|before| now.since(before) <= STOOD_STILL_MS);
+        let runs_on = before.is_some_and(|before| now.since(before) <= AGENT_STOOD_STILL_MS);
         if runs_on {
             return;
         }
--- a/crates/moleroad_gateway/src/agent/overtaken.rs
+++ b/crates/moleroad_gateway/src/agent/overtaken.rs
@@ -11,10 +11,11 @@
 /// Time for an engine to take weights that are here, in milliseconds: its running
 /// requests end, and it takes the order.
 const TAKE_OVER_MS: u64 = 1_000;
+
 impl Fetch {
     /// Whether it is better to go on with a newer version.
     pub(super) fn is_overtaken(&self) -> bool {
-        // An engine that was silent at first may hold the version after all.
+        // The engine holds it already, which it did not say while it was silent.
         if let Held::Version(version) = held_version(&self.node, &self.wanted.model)
             && version >= self.wanted.version
         {
--- a/crates/moleroad_gateway/src/experiments.rs
+++ b/crates/moleroad_gateway/src/experiments.rs
@@ -26,7 +26,8 @@
     Fallback,
     /// Requests go to cold targets on grants of the agents beside them.
     ColdGrants,
-    /// Cold targets without such agents are divided among entries.
+    /// The bound on cold targets whose agents are not asked is divided among
+    /// entries.
     ColdDivision,
     /// Pieces take less of the link while the engine beside the agent serves.
     YieldingPieces,
--- a/crates/moleroad_gateway/src/front/answer.rs
+++ b/crates/moleroad_gateway/src/front/answer.rs
@@ -75,7 +75,8 @@
     TurnedAway,
     /// Its time is over before it was sent; it did not run.
     TooLateNotRun,
-    /// No region that its route and account allow has a target; it did not run.
+    /// No target of an allowed region may get it and is reachable; it did not
+    /// run.
     NoAllowedTarget,
     /// Its route and account allow no common region; it did not run.
     NoCommonRegion,
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -32,6 +32,8 @@
     pub request: Arc<Accepted>,
     pub(super) tried: Vec<TargetId>,
     pub(super) sends: Sends,
+    /// Places given back because no connection came up or a grant lapsed; bounds
+    /// how often the request tries again.
     pub(super) unreachable: usize,
     may_have_run: bool,
     failed_reply: Option<(Reply, Bytes)>,
--- a/crates/moleroad_gateway/src/front/exchange.rs
+++ b/crates/moleroad_gateway/src/front/exchange.rs
@@ -22,7 +22,9 @@
 pub enum SendError {
     /// No connection came up; nothing was sent.
     Unreachable,
-    /// The grant on which it would have been sent lapsed; nothing was sent.
+    /// It could not begin in time: its grant or part lapsed, the target turned
+    /// cold since it was chosen, or news did not come after the process had stood
+    /// still; nothing was sent.
     Lapsed,
     /// The target may not get it any more, by what was learned since it was
     /// chosen; nothing was sent.
@@ -130,6 +132,7 @@
 fn is_barred(node: &Node, request: &Accepted, chosen: &Candidate) -> bool {
     let view = node.view();
     let residency = view.residency(&request.residency);
+    // `tried` is left out: this target was added to it when it was chosen.
     let needs = Needs {
         least: node.least_version(&view, &request.service),
         regions: Some(residency.allowed()),
--- a/crates/moleroad_gateway/src/front/sends.rs
+++ b/crates/moleroad_gateway/src/front/sends.rs
@@ -1,4 +1,4 @@
-//! What the sends of one request have used up.
+//! What is counted once for a request, however often it looks for a place.
 //!
 //! A place may be given back before anything goes out: no connection comes up,
 //! or what was learned meanwhile bars the target. The request then looks for a
@@ -42,14 +42,15 @@
         self.holds_repeat = false;
     }
 
-    /// Whether it is yet to be noted if the request found a place in time; true
-    /// once.
-    pub fn note_in_time(&mut self) -> bool {
+    /// True the first time it is called before anything was sent: whether a place
+    /// was found in time is then to be counted.
+    pub fn claim_in_time_note(&mut self) -> bool {
         self.made == 0 && !std::mem::replace(&mut self.noted_in_time, true)
     }
 
-    /// Whether the first place is yet to be noted; true once.
-    pub fn note_first(&mut self) -> bool {
+    /// True the first time it is called before anything was sent: the first place
+    /// is then to be counted.
+    pub fn claim_first_note(&mut self) -> bool {
         self.made == 0 && !std::mem::replace(&mut self.noted_first, true)
     }
 }
--- a/crates/moleroad_gateway/src/front/waiting.rs
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -50,7 +50,7 @@
         let in_time = acquire(&self.node, &ask).await;
         let lacks_room = |no_place: &NoPlace| no_place.cause == NoPlaceCause::Busy;
         let is_about_room = in_time.as_ref().err().is_none_or(lacks_room);
-        if is_about_room && self.sends.note_in_time() {
+        if is_about_room && self.sends.claim_in_time_note() {
             self.note_in_time(in_time.is_ok());
         }
         let place = match in_time {
@@ -58,7 +58,7 @@
             Err(no_place) if is_first && is_about_room => self.overdue_place(ask, no_place).await?,
             Err(no_place) => return Err(GiveUp::NoPlace(no_place)),
         };
-        if self.sends.note_first() {
+        if self.sends.claim_first_note() {
             self.note_first_send();
             let waited = self.node.clock.now().since(self.request.arrived);
             self.node.metrics.wait_s.observe(waited as f64 / 1_000.0);
--- a/crates/moleroad_gateway/src/grants.rs
+++ b/crates/moleroad_gateway/src/grants.rs
@@ -10,9 +10,11 @@
 use std::time::Duration;
 use tokio::task::JoinHandle;
 
-/// How long a grant is waited for: most of its life would be over.
+/// Longest wait for a grant: the rest of its life, 90 ms, must suffice for a new
+/// connection.
 const GRANT_WAIT: Duration = Duration::from_millis(60);
-/// How long an agent has to answer before its connection counts as lost.
+/// Time for an agent's answer before its connection counts as lost: longer than
+/// [`GRANT_WAIT`], so that one slow answer closes no connection that others use.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// The chosen target with the grant that a send there needs; `None` when there
--- a/crates/moleroad_gateway/src/no_place.rs
+++ b/crates/moleroad_gateway/src/no_place.rs
@@ -11,13 +11,15 @@
 pub enum NoPlaceCause {
     /// Targets have no room that makes the wanted latency.
     Busy,
-    /// All targets stand in evacuated data halls.
+    /// All targets stand in evacuated data halls, and the request may be served
+    /// anywhere.
     Evacuated,
     /// The route and the account allow no common region.
     DisjointRegions,
     /// All targets of the regions that they allow have had it and didn't run it.
     TurnedAway,
-    /// No region that they allow has a target.
+    /// No target of the regions that the route and the account allow may get it
+    /// and is reachable; says how many targets each barrier keeps out.
     EmptyRegions(BarrierTally),
 }
 
@@ -30,7 +32,7 @@
     pub retry_after_ms: u64,
     /// Requests that waited.
     pub waiting: usize,
-    /// Targets that might take requests.
+    /// Targets outside evacuated halls, in any region.
     pub candidates: usize,
     /// Places believed to be free at them, rounded down.
     pub free_places: u64,
@@ -58,8 +60,9 @@
     no_place(now, places, ask.needs(now, least), entries)
 }
 
-/// When the next of `waiting` requests gets a place, of all that `entries` send,
-/// while all targets are cold; 0 while some is not.
+/// Time until a request that comes now would get a place while all its targets
+/// are cold, in milliseconds, if each of `entries` has as many waiting as this
+/// one; 0 while some target is not cold.
 fn cold_wait_ms(
     now: Millis,
     places: Option<&ServicePlaces>,
@@ -72,8 +75,8 @@
     gap_ms.map_or(0, |gap_ms| (gap_ms * ahead as f64) as u64)
 }
 
-/// What is known of places for a request with these needs, of all that
-/// `entries` send.
+/// What is known of places for a request with these needs; `entries` is the
+/// number of entries that share the targets.
 pub(crate) fn no_place(
     now: Millis,
     places: Option<&ServicePlaces>,
@@ -84,7 +87,7 @@
     let is_outage = !places.is_some_and(|places| places.targets.any_reachable(now, needs));
     let spread = rand::random::<u64>() % RETRY_AFTER_SPREAD_MS;
     let comes_in_ms = places.and_then(|places| places.expected_outage_ms(now));
-    let least = match (is_outage, comes_in_ms) {
+    let wait_ms = match (is_outage, comes_in_ms) {
         (true, Some(ms)) => ms.saturating_sub(HELD_BEFORE_MS).max(RETRY_AFTER_LEAST_MS),
         (true, None) => RETRY_AFTER_OUTAGE_MS,
         (false, _) => cold_wait_ms(now, places, needs, entries)
@@ -94,7 +97,7 @@
     let regions = needs.regions.unwrap_or(&all);
     NoPlace {
         cause: NoPlaceCause::Busy,
-        retry_after_ms: least + spread,
+        retry_after_ms: wait_ms + spread,
         waiting: places.map_or(0, |places| places.waiting()),
         candidates,
         free_places: places.map_or(0, |places| places.targets.free_places(now, regions) as u64),
--- a/crates/moleroad_gateway/src/refusal.rs
+++ b/crates/moleroad_gateway/src/refusal.rs
@@ -6,15 +6,17 @@
 use crate::view::View;
 use moleroad_dispatch::prelude::*;
 
-/// How much later than after an outage to come back while the configuration
-/// allows no region, in milliseconds: an operator must change it first.
+/// Added to the time to come back while the configuration allows no region, in
+/// milliseconds: only an operator can change that, so callers come back a few
+/// times less often than in an outage.
 const CONFIGURATION_LATER_MS: u64 = 8_000;
 
-/// Why a request need not wait. All targets that might take it are in evacuated
-/// halls; or, where its regions are restricted, no target of an
-/// allowed region may get it and is reachable, nor will one that is known once it
-/// has newer weights. While no target of the service is known at all, and weights are on
-/// their way, it waits as any other.
+/// The refusal of a request that waiting cannot help; `None` when it may wait.
+///
+/// An unrestricted request is refused when all its targets stand in evacuated
+/// halls. A restricted one is refused when no target of its regions is open to it
+/// and reachable, unless one only needs newer weights, or no target is known and
+/// weights are on their way.
 pub(crate) fn refused_at_once(node: &Node, view: &View, ask: &Ask) -> Option<NoPlace> {
     let allowed = ask.residency.allowed();
     let now = node.clock.now();
--- a/crates/moleroad_gateway/src/settings.rs
+++ b/crates/moleroad_gateway/src/settings.rs
@@ -97,9 +97,9 @@
     /// milliseconds.
     #[serde(rename = "catch_up_s", deserialize_with = "seconds")]
     pub catch_up_ms: u64,
-    /// Times the rate of a cold target that it may get in one second.
+    /// Most requests in one second at a cold target, as a multiple of its rate.
     pub cold_overshoot: f64,
-    /// Requests beyond that, in one second.
+    /// Requests allowed on top of that multiple, in one second.
     pub cold_slack: f64,
     /// Time after which an evacuated data hall gets nothing more from any entry,
     /// in milliseconds.
--- a/crates/moleroad_gateway/tests/entries.rs
+++ b/crates/moleroad_gateway/tests/entries.rs
@@ -134,15 +134,15 @@
 fn a_repeat_is_taken_once_for_each_send_that_is_made() {
     let mut sends = Sends::default();
     assert!(sends.is_first() && !sends.needs_repeat());
-    assert!(sends.note_in_time() && sends.note_first());
+    assert!(sends.claim_in_time_note() && sends.claim_first_note());
     // The place was given back before anything went out.
-    assert!(!sends.note_in_time() && !sends.note_first());
+    assert!(!sends.claim_in_time_note() && !sends.claim_first_note());
     assert!(sends.is_first() && !sends.needs_repeat());
     sends.reached_target();
     assert!(sends.made() == 1 && sends.needs_repeat());
     sends.took_repeat();
     assert!(!sends.needs_repeat(), "nothing was sent by it yet");
-    assert!(!sends.note_in_time() && !sends.note_first());
+    assert!(!sends.claim_in_time_note() && !sends.claim_first_note());
     sends.reached_target();
     assert!(sends.made() == 2 && sends.needs_repeat());
 }
--- a/crates/moleroad_rollout/src/overtaking.rs
+++ b/crates/moleroad_rollout/src/overtaking.rs
@@ -6,9 +6,10 @@
 /// wanted: engines serve it meanwhile. Below it the newer one is here sooner
 /// when this one is given up.
 const FINISHED_FROM_SHARE: f64 = 0.75;
-/// A version of which this share is known to have left the origin is drawn to the
-/// end: what is known is some hundred milliseconds old, about a quarter of a copy.
-const NEARLY_OUT_SHARE: f64 = 0.5;
+/// Share of the pieces known to have left the origin from which on the rest is
+/// fetched too, so that agents hold a whole copy if the origin fails: what is known
+/// lags by about a quarter of a copy.
+const MOSTLY_OUT_SHARE: f64 = 0.5;
 /// Longest time without a piece for which an older version is waited for, in
 /// milliseconds: an origin that is restarted is back by then, and one that gives
 /// nothing for longer may no longer have the older version.
@@ -50,7 +51,7 @@
             return false;
         }
         let is_little = f64::from(self.pieces - self.missing) < self.part(FINISHED_FROM_SHARE);
-        if is_little && !self.is_fallback && !self.is_nearly_out() {
+        if is_little && !self.is_fallback && !self.is_mostly_out() {
             return true;
         }
         let is_idle = self.idle_ms > self.patience.origin_ms * 2;
@@ -60,8 +61,8 @@
     /// Whether most pieces have left the origin and a few have not: these are
     /// drawn before the version is given up, so that agents have it between them
     /// should the origin fail.
-    fn is_nearly_out(&self) -> bool {
-        self.not_out > 0 && f64::from(self.not_out) <= self.part(1.0 - NEARLY_OUT_SHARE)
+    fn is_mostly_out(&self) -> bool {
+        self.not_out > 0 && f64::from(self.not_out) <= self.part(1.0 - MOSTLY_OUT_SHARE)
     }
 
     /// Whether to wait for an origin that gives nothing: the newer version needs
--- a/crates/moleroad_rollout/src/turns.rs
+++ b/crates/moleroad_rollout/src/turns.rs
@@ -4,8 +4,8 @@
 
 /// The pieces that have a turn at the origin, one after the other.
 ///
-/// At first these are all pieces. After a standstill only those that had not
-/// come have one: the others need no time of the origin's link.
+/// At first these are all pieces. After a stall only the pieces that are still
+/// missing have one: the others need no time of the origin's link.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Turns(Option<Arc<[u32]>>);
 
--- a/crates/moleroad_types/src/regions.rs
+++ b/crates/moleroad_types/src/regions.rs
@@ -46,8 +46,8 @@
 
     /// Whether `region` is allowed.
     pub fn contains(&self, region: &Region) -> bool {
-        // A look at each of a few names takes half of the time that a search
-        // takes, and each target is looked at for each request.
+        // Sets hold a few names, and this runs for each target of each choice: a
+        // scan is cheaper than a search.
         let regions = self.0.as_ref();
         regions.is_none_or(|regions| regions.iter().any(|allowed| allowed == region))
     }
