--- a/bench/play.sh
+++ b/bench/play.sh
@@ -2,8 +2,9 @@
 # Plays the days of this folder on each given site and prints a table.
 #   bench/play.sh BENCH SITE...
 # BENCH is the users' bench program; without it nothing is run, and that is said.
-# The regression runs take fnfbs-route, fnfbs-route-grown and cpc-router-large. A
-# site named -large is played as its small twin: a whole day takes minutes.
+# The regression runs take fnfbs-route, fnfbs-route-grown, cpc-router-large,
+# cpt-planning-grown and armor-grilles-grown. A site
+# named -large is played as its small twin: a whole day takes minutes.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 bench=${1:-}
