Let the body of a started process end when it is run by itself

Cause: started_process is what the two tests of panics start; run with all tests that are left out, it failed for want of the variable that tells it what to do. Ruled out: unfinished work; the mark keeps it from running as a test of its own. Change: without the variable it ends. Both tests check what they checked. Conclusion: nothing in the tree is left out as unfinished.

--- a/crates/moleroad_daemon/tests/panics.rs
+++ b/crates/moleroad_daemon/tests/panics.rs
@@ -28,7 +28,10 @@
 #[test]
 #[ignore = "runs in the processes that the other tests start"]
 fn started_process() {
-    let what = std::env::var(PANICS).unwrap();
+    // Run by hand, with all tests that are left out, it has nothing to do.
+    let Ok(what) = std::env::var(PANICS) else {
+        return;
+    };
     end_process_on_panic();
     let is_request = what == "request";
     let thread = thread::Builder::new().name(what);
