Say when a target asks for rest, leaves, or is sent to within its rest

Cause: a send that a target turned away is logged without what the target asked for, so that the three hypotheses of the incident look alike in the logs. Ruled out: nothing yet. Change: heads of answers are read for both notices, a daemon remembers who asked it for rest, and lines and counters say when that is and when a send begins within it, with the age of its place. No choice goes by it yet. Conclusion: a failing test that tells the hypotheses apart comes next.

--- a/crates/moleroad_dispatch/src/lib.rs
+++ b/crates/moleroad_dispatch/src/lib.rs
@@ -9,7 +9,8 @@
 //! that costs, [`choice`] picks the cheapest of them, [`queue`] orders
 //! those that wait for a place, [`pace`] tells how soon late ones get one and
 //! [`overdue_share`] how many they may take, [`share`] says whose the last
-//! places are, [`health`] remembers what failed, and [`budget`] holds the
+//! places are, [`health`] remembers what failed, [`rest`] who
+//! asked for rest, and [`budget`] holds the
 //! entry's share of the repeats that all entries may send.
 //!
 //! A target that is cold takes few requests a second: [`cold`] says whether it
@@ -42,6 +43,7 @@
 pub mod queue;
 pub mod rate_bound;
 pub mod reading;
+pub mod rest;
 pub mod share;
 pub mod targets;
 
@@ -61,6 +63,7 @@
     pub use crate::queue::{Line, WaitQueue, Waiter, WaiterId};
     pub use crate::rate_bound::{GRANT_LIFE_MS, GrantTerms, RateBound, TokenBucket};
     pub use crate::reading::ReadingSpeed;
+    pub use crate::rest::{Answering, LONGEST_REST_MS, Rests, read_rest_ms};
     pub use crate::share::{EntryDemand, share};
     pub use crate::targets::Targets;
 }
--- a/crates/moleroad_gateway/src/acquire.rs
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -48,6 +48,8 @@
     service: String,
     /// The target.
     pub candidate: Candidate,
+    /// When it was taken.
+    pub taken_at: Millis,
     /// Its life that gets the request.
     pub life: TargetLifeId,
     /// What the target was sent, and until when it works on that.
@@ -70,6 +72,7 @@
             node: node.clone(),
             service: ask.service.clone(),
             life: node.view().life_of(&candidate.id),
+            taken_at: node.clock.now(),
             sent: None,
             candidate,
             line: ask.line,
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -230,14 +230,7 @@
     ) -> Result<Reply, SendError> {
         let request = &self.request;
         let until = request.until;
-        let sending = exchange::send(
-            &self.node,
-            request,
-            &place.candidate,
-            least,
-            last_event,
-            until,
-        );
+        let sending = exchange::send(&self.node, request, place, least, last_event, until);
         if !request.route.streaming {
             return sending.await;
         }
--- a/crates/moleroad_gateway/src/front/exchange.rs
+++ b/crates/moleroad_gateway/src/front/exchange.rs
@@ -1,5 +1,6 @@
 //! One send to a target.
 
+use crate::acquire::Place;
 use crate::front::pool::Connection;
 use crate::front::request::Accepted;
 use crate::grants;
@@ -74,7 +75,7 @@
     pub connection: Connection,
 }
 
-/// Sends `request` to `candidate` and waits for the head of the answer.
+/// Sends `request` to the target of `place` and waits for the head of the answer.
 ///
 /// # Errors
 /// [`SendError`]; only after [`SendError::Unreachable`],
@@ -82,11 +83,12 @@
 pub async fn send(
     node: &Node,
     request: &Accepted,
-    candidate: &Candidate,
+    place: &Place,
     least_version: Option<u64>,
     last_event: Option<&Bytes>,
     until: Millis,
 ) -> Result<Reply, SendError> {
+    let candidate = &place.candidate;
     let mut message = build(node, request, candidate, least_version, last_event)?;
     let limit = node.clock.instant(until);
     let mut kept = node.pool.take(candidate.address);
@@ -120,10 +122,15 @@
             return Err(SendError::Lapsed);
         }
         set_deadline(node, request, candidate, message.headers_mut());
+        node.note_send_in_rest(request, place);
         let sending = connection.sender.try_send_request(message);
         match tokio::time::timeout_at(limit, sending).await {
             Err(_) => return Err(SendError::TimedOut),
-            Ok(Ok(response)) => return judge(node, request, response, connection),
+            Ok(Ok(response)) => {
+                // Also where the answer is another request's: the target made it.
+                node.take_notice(request, place, response.status(), response.headers());
+                return judge(node, request, response, connection);
+            }
             Ok(Err(mut error)) => match error.take_message() {
                 // The kept connection was closed before anything went out.
                 Some(unsent) if is_kept => {
--- a/crates/moleroad_gateway/src/interface.rs
+++ b/crates/moleroad_gateway/src/interface.rs
@@ -30,6 +30,8 @@
     pub expected_version: HeaderName,
     /// Present when a target did not run a request.
     pub not_executed: HeaderName,
+    /// Says in an answer that its target leaves.
+    pub leaving: HeaderName,
     /// Last event that a resumed stream has brought.
     pub last_event: HeaderName,
     /// Model that the request names.
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -12,6 +12,7 @@
     Configuration, ConfigurationError, Residency, RouteTable, Service, check,
 };
 use moleroad_directory::prelude::*;
+use moleroad_dispatch::prelude::Rests;
 use moleroad_rollout::prelude::OldWeights;
 use moleroad_types::prelude::Millis;
 use std::collections::{BTreeMap, HashMap};
@@ -61,6 +62,8 @@
     pub calls: u64,
     /// Which targets are cold.
     pub cold: ColdMemory,
+    /// Targets that asked this daemon for rest.
+    pub rests: Rests,
     /// Requests that end targets.
     pub quarantine: Quarantine,
 }
@@ -84,6 +87,7 @@
             called_here: HashMap::new(),
             calls: 0,
             cold: ColdMemory::default(),
+            rests: Rests::default(),
             quarantine: Quarantine::default(),
         }
     }
--- a/crates/moleroad_gateway/tests/support/outside.rs
+++ b/crates/moleroad_gateway/tests/support/outside.rs
@@ -26,6 +26,7 @@
             expected_target: name("x-target"),
             expected_version: name("x-version"),
             not_executed: name("x-unrun"),
+            leaving: name("x-leaving"),
             last_event: name("x-last-event"),
             model: name("x-model"),
             priority: name("x-priority"),
