--- a/crates/moleroad_directory/src/directory.rs
+++ b/crates/moleroad_directory/src/directory.rs
@@ -80,7 +80,7 @@
         let Some(known) = self.targets.get_mut(&record.id) else {
             return self.add_target(at, record);
         };
-        match begins(&known.record, &record) {
+        match born(&known.record, record.born_ms) {
             Begins::Later => {
                 self.targets.remove(&record.id);
                 return self.add_target(at, record);
@@ -102,7 +102,13 @@
         }
         let has_turned_cold = turned_cold(known, &record, at);
         known.at = known.at.max(at);
-        let next = TargetRecord { life, ..record };
+        // A word without a birth is not of another life, and the birth stays known.
+        let born_ms = record.born_ms.max(known.record.born_ms);
+        let next = TargetRecord {
+            life,
+            born_ms,
+            ..record
+        };
         let mut renewed = next.clone();
         renewed.sequence = known.record.sequence;
         renewed.cold_left_ms = known.record.cold_left_ms;
@@ -167,6 +173,31 @@
         }
     }
 
+    /// Takes that the life of a target that began at `born_ms` said in an answer
+    /// that it leaves; true if that is news. Its heartbeat may not say so, or may
+    /// not be acknowledged anywhere.
+    pub fn target_leaves(&mut self, now: Millis, id: &TargetId, born_ms: u64) -> bool {
+        let Some(known) = self.targets.get_mut(id) else {
+            return false;
+        };
+        let is_same_life = matches!(born(&known.record, born_ms), Begins::Same);
+        if !is_same_life || known.record.life != TargetLife::Ready {
+            return false;
+        }
+        known.record.life = TargetLife::Draining;
+        self.position += 1;
+        known.changes.note_record(self.position, now);
+        true
+    }
+
+    /// The target that was heard last at `address`, if it is not gone.
+    pub fn target_at(&self, address: SocketAddr) -> Option<&Heard<TargetRecord>> {
+        let is_there = |heard: &&Heard<TargetRecord>| {
+            heard.record.address == address && heard.record.life != TargetLife::Gone
+        };
+        self.targets.values().find(is_there)
+    }
+
     /// Takes what a daemon said `age_ms` ago; true if that is more than a
     /// sign of life.
     pub fn hear_daemon(&mut self, now: Millis, record: DaemonRecord, age_ms: u64) -> bool {
@@ -317,10 +348,10 @@
 /// Of two records under one identity the one that was born later is of a new life,
 /// which knows and holds nothing of the former. Without both births they are of
 /// the same.
-fn begins(known: &TargetRecord, next: &TargetRecord) -> Begins {
-    if known.born_ms == 0 || next.born_ms == 0 || known.born_ms == next.born_ms {
+fn born(known: &TargetRecord, born_ms: u64) -> Begins {
+    if known.born_ms == 0 || born_ms == 0 || known.born_ms == born_ms {
         Begins::Same
-    } else if next.born_ms > known.born_ms {
+    } else if born_ms > known.born_ms {
         Begins::Later
     } else {
         Begins::Earlier
--- a/crates/moleroad_directory/tests/directory.rs
+++ b/crates/moleroad_directory/tests/directory.rs
@@ -306,3 +306,58 @@
     let heard = directory.target(&TargetId::new("t-1")).unwrap();
     assert_eq!(heard.record, born(2_000, 5));
 }
+
+#[test]
+fn a_word_without_a_birth_does_not_make_the_birth_forgotten() {
+    let mut directory = Directory::new();
+    directory.hear_target(Millis(100), born(2_000, 5), 0);
+    directory.hear_target(Millis(200), born(0, 6), 0);
+    directory.hear_target(Millis(300), born(3_000, 1), 0);
+    let heard = directory.target(&TargetId::new("t-1")).unwrap();
+    assert_eq!(heard.record, born(3_000, 1), "another life began");
+}
+
+#[test]
+fn a_target_that_said_in_an_answer_that_it_leaves_is_never_ready_again() {
+    let mut directory = Directory::new();
+    directory.hear_target(Millis(100), born(2_000, 5), 0);
+    let id = TargetId::new("t-1");
+    let position = directory.position();
+    assert!(directory.target_leaves(Millis(200), &id, 2_000));
+    assert!(directory.position() > position, "others are told");
+    assert!(!directory.target_leaves(Millis(210), &id, 2_000), "no news");
+    directory.hear_target(Millis(300), born(2_000, 6), 0);
+    directory.hear_target(Millis(400), born(0, 7), 0);
+    assert_eq!(life_of(&directory, "t-1"), Some(TargetLife::Draining));
+    // Its next life is ready.
+    directory.hear_target(Millis(500), born(3_000, 1), 0);
+    assert_eq!(life_of(&directory, "t-1"), Some(TargetLife::Ready));
+}
+
+#[test]
+fn a_late_answer_of_a_former_life_says_nothing_of_the_present_one() {
+    let mut directory = Directory::new();
+    directory.hear_target(Millis(100), born(2_000, 5), 0);
+    let id = TargetId::new("t-1");
+    assert!(!directory.target_leaves(Millis(200), &id, 1_000));
+    assert!(!directory.target_leaves(Millis(200), &TargetId::new("unknown"), 0));
+    assert_eq!(life_of(&directory, "t-1"), Some(TargetLife::Ready));
+    directory.target_gone(Millis(300), &id);
+    assert!(!directory.target_leaves(Millis(400), &id, 2_000));
+    assert_eq!(life_of(&directory, "t-1"), Some(TargetLife::Gone));
+}
+
+#[test]
+fn that_a_target_leaves_reaches_others_though_its_heartbeat_did_not_change() {
+    let mut told = Directory::new();
+    let mut teller = Directory::new();
+    for directory in [&mut told, &mut teller] {
+        directory.hear_target(Millis(100), born(2_000, 5), 0);
+    }
+    let id = TargetId::new("t-1");
+    teller.target_leaves(Millis(200), &id, 2_000);
+    let news = teller.target(&id).unwrap().aged(Millis(250));
+    let change = told.hear_target(Millis(1_000), news.record, news.age_ms);
+    assert_eq!(change, TargetChange::Changed);
+    assert_eq!(life_of(&told, "t-1"), Some(TargetLife::Draining));
+}
--- a/crates/moleroad_dispatch/benches/choose.rs
+++ b/crates/moleroad_dispatch/benches/choose.rs
@@ -30,6 +30,7 @@
         agent: None,
         cold: None,
         granted_until: None,
+        rests_until: None,
     }
 }
 
--- a/crates/moleroad_dispatch/src/candidate.rs
+++ b/crates/moleroad_dispatch/src/candidate.rs
@@ -62,6 +62,8 @@
     pub slowness: f64,
     /// Where the agent beside it answers; `None` without one.
     pub agent: Option<SocketAddr>,
+    /// Until when it rests from this daemon; `None` when it does not.
+    pub rests_until: Option<Millis>,
     /// The bound on it while it is cold; `None` where its service has none.
     pub cold: Option<Arc<ColdTarget>>,
     /// Until when the grant holds on which the request is sent, or the part as
@@ -72,6 +74,8 @@
 /// What a request asks of a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Needs<'a> {
+    /// When it is chosen.
+    pub now: Millis,
     /// Targets that it was sent to before.
     pub tried: &'a [TargetId],
     /// The least version of weights.
--- a/crates/moleroad_dispatch/src/eligibility.rs
+++ b/crates/moleroad_dispatch/src/eligibility.rs
@@ -16,6 +16,8 @@
     Evacuated,
     /// Its weights are too old.
     OldWeights,
+    /// It asked this daemon for rest.
+    Rests,
     /// The request was sent to it before.
     Tried,
 }
@@ -34,6 +36,11 @@
     if needs.least.is_some_and(is_older) {
         return Some(Barrier::OldWeights);
     }
+    // A bar and not a cost: where all others are full or fail, a cost would send to
+    // a resting target all the same (69 requests of 144 that pressed, where one may).
+    if candidate.rests_until.is_some_and(|until| needs.now < until) {
+        return Some(Barrier::Rests);
+    }
     needs
         .tried
         .contains(&candidate.id)
@@ -49,6 +56,8 @@
     pub evacuated: usize,
     /// Have weights that are too old.
     pub old_weights: usize,
+    /// Asked this daemon for rest.
+    pub rests: usize,
     /// Had it before.
     pub tried: usize,
     /// May get it.
@@ -63,6 +72,7 @@
             Some(Barrier::Region) => tally.region += 1,
             Some(Barrier::Evacuated) => tally.evacuated += 1,
             Some(Barrier::OldWeights) => tally.old_weights += 1,
+            Some(Barrier::Rests) => tally.rests += 1,
             Some(Barrier::Tried) => tally.tried += 1,
             None => tally.open += 1,
         }
--- a/crates/moleroad_dispatch/src/targets.rs
+++ b/crates/moleroad_dispatch/src/targets.rs
@@ -10,6 +10,15 @@
 use moleroad_types::prelude::{AllowedRegions, Millis};
 use std::collections::HashMap;
 
+/// When the first of the targets has rested that a request could go to otherwise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rested {
+    /// Of all of them: then the request can be sent when its caller repeats it.
+    pub any: Millis,
+    /// Of those that it was not sent to before: then it can go on; `None` without.
+    pub untried: Option<Millis>,
+}
+
 /// The targets of one service, and what is in flight at each.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
@@ -60,6 +69,32 @@
         self.candidates.iter().any(serves)
     }
 
+    /// When the first target has rested that keeps a request with these needs
+    /// waiting by that alone; `None` where a target may take it now, or none rests.
+    pub fn rested_at(&self, needs: Needs<'_>) -> Option<Rested> {
+        if self.any_serves(needs) {
+            return None;
+        }
+        let rests = |candidate: &&Candidate| barrier(candidate, needs) == Some(Barrier::Rests);
+        let resting = || self.candidates.iter().filter(rests);
+        let is_untried = |candidate: &&Candidate| !needs.tried.contains(&candidate.id);
+        let untried = resting().filter(is_untried);
+        Some(Rested {
+            any: resting()
+                .filter_map(|candidate| candidate.rests_until)
+                .min()?,
+            untried: untried.filter_map(|candidate| candidate.rests_until).min(),
+        })
+    }
+
+    /// Notes until when a target rests from this daemon.
+    pub fn set_rest(&mut self, id: &TargetId, until: Option<Millis>) {
+        let candidates = self.candidates.iter_mut();
+        for candidate in candidates.filter(|candidate| candidate.id == *id) {
+            candidate.rests_until = until;
+        }
+    }
+
     /// Whether some target may take a request with these needs and is reachable.
     pub fn any_reachable(&self, now: Millis, needs: Needs<'_>) -> bool {
         let serves = |candidate: &Candidate| {
@@ -152,6 +187,7 @@
             .candidates
             .iter()
             .filter(|candidate| !candidate.switching && !candidate.evacuated)
+            .filter(|candidate| candidate.rests_until.is_none_or(|until| until <= now))
             .filter(|candidate| regions.contains(&candidate.region));
         usable.map(free).sum()
     }
--- a/crates/moleroad_dispatch/tests/cold_admission.rs
+++ b/crates/moleroad_dispatch/tests/cold_admission.rs
@@ -36,6 +36,7 @@
         agent: Some("127.0.0.1:2".parse().unwrap()),
         cold: cold.map(Arc::new),
         granted_until: None,
+        rests_until: None,
     }
 }
 
--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -20,6 +20,7 @@
         agent: None,
         cold: None,
         granted_until: None,
+        rests_until: None,
     }
 }
 
--- a/crates/moleroad_dispatch/tests/overdue.rs
+++ b/crates/moleroad_dispatch/tests/overdue.rs
@@ -83,6 +83,7 @@
         agent: None,
         cold: None,
         granted_until: None,
+        rests_until: None,
     }]);
     let overdue = Needs {
         spare: 1,
--- a/crates/moleroad_dispatch/tests/residency.rs
+++ b/crates/moleroad_dispatch/tests/residency.rs
@@ -33,6 +33,7 @@
         agent: Some("127.0.0.1:2".parse().unwrap()),
         cold: None,
         granted_until: None,
+        rests_until: None,
     }
 }
 
@@ -98,16 +99,21 @@
 
 #[test]
 fn each_target_is_counted_under_what_keeps_it_out_first() {
-    let mut candidates: Vec<Candidate> = [OWN, "r1", "r1", "r1", "r1", "r2"]
+    let mut candidates: Vec<Candidate> = [OWN, "r1", "r1", "r1", "r1", "r2", "r1"]
         .iter()
         .enumerate()
         .map(|(number, region)| target(number, region))
         .collect();
+    // What keeps a target out for longer goes first.
+    for resting in [1, 2, 6] {
+        candidates[resting].rests_until = Some(Millis(9));
+    }
     candidates[1].evacuated = true;
     candidates[2].version = Some(1);
-    let tried = [candidates[3].id.clone(), candidates[0].id.clone()];
+    let tried = [3, 0, 6].map(|number: usize| candidates[number].id.clone());
     let regions = only(&["r1"]);
     let needs = Needs {
+        now: Millis(8),
         tried: &tried,
         least: Some(2),
         regions: Some(&regions),
@@ -118,6 +124,7 @@
         evacuated: 1,
         old_weights: 1,
         tried: 1,
+        rests: 1,
         open: 1,
     };
     assert_eq!(tally(&candidates, needs), expected);
--- /dev/null
+++ b/crates/moleroad_dispatch/tests/rest.rs
@@ -0,0 +1,206 @@
+//! Targets that asked for rest: how the wish is read, whose it is, and that no
+//! choice goes by less.
+
+use moleroad_directory::prelude::{TargetId, TargetRecord};
+use moleroad_dispatch::prelude::*;
+use moleroad_types::prelude::{AllowedRegions, Millis, Region};
+use proptest::prelude::*;
+use std::net::SocketAddr;
+
+/// Unix time of the answers, in milliseconds.
+const ANSWERED: u64 = 5_000;
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn life(id: &str, born_ms: u64) -> Answerer {
+    Answerer {
+        address: address(1),
+        target: TargetId::new(id),
+        born_ms,
+    }
+}
+
+fn candidate(number: u16, rests_until: Option<Millis>) -> Candidate {
+    Candidate {
+        id: TargetId::new(format!("t{number}")),
+        address: address(number),
+        slots: 2,
+        most_own: 2,
+        share: 2,
+        distance: Distance::SameHall,
+        region: Region::new("r"),
+        evacuated: false,
+        version: None,
+        switching: false,
+        slowness: 1.0,
+        agent: None,
+        rests_until,
+        cold: None,
+        granted_until: None,
+    }
+}
+
+fn targets(rests: &[Option<u64>]) -> Targets {
+    let mut targets = Targets::default();
+    let rests = rests.iter().enumerate();
+    let candidates = rests.map(|(number, until)| candidate(number as u16 + 1, until.map(Millis)));
+    targets.set(candidates.collect());
+    targets
+}
+
+fn at(now: u64) -> Needs<'static> {
+    Needs {
+        now: Millis(now),
+        ..Needs::default()
+    }
+}
+
+#[test]
+fn a_rest_is_read_in_seconds_and_fractions() {
+    let read = [
+        ("3", Some(3_000)),
+        (" 3 ", Some(3_000)),
+        ("0", Some(0)),
+        ("0.25", Some(250)),
+        (".5", Some(500)),
+        ("2.", Some(2_000)),
+        // Never shorter than what was asked for.
+        ("0.0001", Some(1)),
+        ("3600", Some(LONGEST_REST_MS)),
+        ("3601", Some(LONGEST_REST_MS)),
+        ("99999999999999999999999999", Some(LONGEST_REST_MS)),
+        ("", None),
+        (".", None),
+        ("-1", None),
+        ("+1", None),
+        ("1e3", None),
+        ("0x3", None),
+        ("3 s", None),
+        ("3, 5", None),
+        ("1.2.3", None),
+        ("NaN", None),
+        ("inf", None),
+        ("soon", None),
+        ("Wed, 21 Oct 2026 07:28:00 GMT", None),
+    ];
+    for (text, expected) in read {
+        assert_eq!(read_rest_ms(text), expected, "{text:?}");
+    }
+    assert_eq!(read_rest_ms(&"9".repeat(400)), Some(LONGEST_REST_MS));
+}
+
+proptest! {
+    #[test]
+    fn no_value_gives_more_than_the_longest_rest(text in "\\PC*") {
+        prop_assert!(read_rest_ms(&text).is_none_or(|ms| ms <= LONGEST_REST_MS));
+    }
+}
+
+#[test]
+fn a_shorter_wish_takes_nothing_from_a_longer_one() {
+    let mut rests = Rests::default();
+    rests.ask(Millis(100), life("t", 7), ANSWERED, 3_000);
+    rests.ask(Millis(200), life("t", 7), ANSWERED, 50);
+    assert_eq!(rests.until(Millis(300), &life("t", 7)), Some(Millis(3_100)));
+    rests.ask(Millis(400), life("t", 7), ANSWERED, 5_000);
+    assert_eq!(rests.until(Millis(500), &life("t", 7)), Some(Millis(5_400)));
+    assert_eq!(rests.until(Millis(5_400), &life("t", 7)), None);
+}
+
+#[test]
+fn a_wish_ends_with_the_life_that_had_it() {
+    let mut rests = Rests::default();
+    rests.ask(Millis(100), life("t", 7), ANSWERED, 3_000);
+    assert_eq!(rests.until(Millis(200), &life("t", ANSWERED + 1)), None);
+    // Another target at the address, born since.
+    assert_eq!(rests.until(Millis(200), &life("u", ANSWERED + 1)), None);
+    // It rests from the address that it answered from alone.
+    let elsewhere = Answerer {
+        address: address(2),
+        ..life("t", 7)
+    };
+    assert_eq!(rests.until(Millis(200), &elsewhere), None);
+}
+
+#[test]
+fn a_life_that_answered_before_its_first_heartbeat_came_keeps_its_wish() {
+    let mut rests = Rests::default();
+    rests.ask(Millis(100), life("t", 7), ANSWERED, 3_000);
+    let until = Some(Millis(3_100));
+    assert_eq!(rests.until(Millis(200), &life("t", ANSWERED - 1)), until);
+    assert_eq!(rests.until(Millis(200), &life("u", ANSWERED - 1)), until);
+    // And what was asked under the former birth is not cut by a shorter wish.
+    rests.ask(Millis(300), life("t", ANSWERED - 1), ANSWERED + 200, 10);
+    assert_eq!(rests.until(Millis(400), &life("t", ANSWERED - 1)), until);
+}
+
+#[test]
+fn without_births_a_target_is_known_by_its_identity() {
+    let mut rests = Rests::default();
+    rests.ask(Millis(100), life("t", 0), ANSWERED, 3_000);
+    let until = Some(Millis(3_100));
+    assert_eq!(rests.until(Millis(200), &life("t", 0)), until);
+    assert_eq!(rests.until(Millis(200), &life("t", 9)), until);
+    assert_eq!(rests.until(Millis(200), &life("u", 9)), None);
+    let record = TargetRecord::new(TargetId::new("t"), "service", address(1));
+    assert_eq!(rests.until(Millis(200), &Answerer::of(&record)), until);
+}
+
+#[test]
+fn a_resting_target_is_chosen_by_no_way_until_it_has_rested() {
+    let targets = targets(&[Some(50)]);
+    let id = TargetId::new("t1");
+    let all = AllowedRegions::all();
+    for (now, rests) in [(49, true), (50, false)] {
+        let chosen = targets.choose(Millis(now), at(now), 1);
+        assert_eq!(matches!(chosen, Choice::Send(_)), !rests);
+        let listed = targets.shortlist(Millis(now), at(now), Reach::Near, 1);
+        assert_eq!(listed.is_empty(), rests);
+        let looked_at = [candidate(1, None)];
+        let best = targets.best_of(Millis(now), at(now), &looked_at);
+        assert_eq!(best.is_none(), rests, "what is known now counts");
+        assert_eq!(targets.is_open(&id, at(now)), !rests);
+        assert_eq!(targets.any_serves(at(now)), !rests);
+        let free = targets.free_places(Millis(now), &all);
+        assert_eq!(free, if rests { 0.0 } else { 2.0 });
+    }
+}
+
+#[test]
+fn the_first_to_have_rested_is_known_where_nobody_else_serves() {
+    let rested = |any, untried: Option<u64>| {
+        Some(Rested {
+            any: Millis(any),
+            untried: untried.map(Millis),
+        })
+    };
+    assert_eq!(
+        targets(&[Some(50), Some(40)]).rested_at(at(10)),
+        rested(40, Some(40))
+    );
+    assert_eq!(targets(&[Some(50), None]).rested_at(at(10)), None);
+    assert_eq!(targets(&[Some(50), Some(40)]).rested_at(at(45)), None);
+    // One that had the request takes it only when it comes again.
+    let tried = [TargetId::new("t2"), TargetId::new("t1")];
+    let needs = |count: usize| Needs {
+        tried: &tried[..count],
+        ..at(10)
+    };
+    let targets = targets(&[Some(50), Some(40)]);
+    assert_eq!(targets.rested_at(needs(1)), rested(40, Some(50)));
+    assert_eq!(targets.rested_at(needs(2)), rested(40, None));
+}
+
+#[test]
+fn a_wish_reaches_a_target_that_is_listed_already() {
+    let mut targets = targets(&[None, None]);
+    targets.set_rest(&TargetId::new("t1"), Some(Millis(50)));
+    for draw in 0..20 {
+        let chosen = targets.choose(Millis(10), at(10), draw);
+        assert!(matches!(chosen, Choice::Send(c) if c.id == TargetId::new("t2")));
+    }
+    targets.set_rest(&TargetId::new("t1"), None);
+    assert!(targets.is_open(&TargetId::new("t1"), at(10)));
+}
--- a/crates/moleroad_gateway/src/acquire.rs
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -48,8 +48,6 @@
     service: String,
     /// The target.
     pub candidate: Candidate,
-    /// When it was taken.
-    pub taken_at: Millis,
     /// Its life that gets the request.
     pub life: TargetLifeId,
     /// What the target was sent, and until when it works on that.
@@ -72,7 +70,6 @@
             node: node.clone(),
             service: ask.service.clone(),
             life: node.view().life_of(&candidate.id),
-            taken_at: node.clock.now(),
             sent: None,
             candidate,
             line: ask.line,
@@ -81,6 +78,15 @@
         }
     }
 
+    /// Whose answers come from there.
+    pub fn answerer(&self) -> Answerer {
+        Answerer {
+            address: self.candidate.address,
+            target: self.life.target.clone(),
+            born_ms: self.life.born_ms,
+        }
+    }
+
     /// Says that the target is sent a request with that deadline.
     pub fn sends(&mut self, request: RequestFingerprint, until: Millis) {
         self.sent = Some((request, until));
--- a/crates/moleroad_gateway/src/agent/calls.rs
+++ b/crates/moleroad_gateway/src/agent/calls.rs
@@ -13,13 +13,25 @@
 /// Largest answer that is taken, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
-/// Makes a call on a kept connection; `None` when no whole answer came in time.
+/// Longest pause between looks whether the other side has rested: timers stand
+/// still while the machine is suspended, and a new life of an engine ends the rest.
+const REST_LOOK: Duration = Duration::from_millis(100);
+
+/// Makes a call on a kept connection, once the other side has rested if it asked for
+/// that; `None` when no whole answer came in time.
 pub async fn call(
     node: &Node,
     address: SocketAddr,
     outside: OutsideCall,
     timeout: Duration,
 ) -> Option<(StatusCode, Bytes)> {
+    loop {
+        let left = Duration::from_millis(node.rest_left_ms(address));
+        if left.is_zero() {
+            break;
+        }
+        tokio::time::sleep(left.min(REST_LOOK)).await;
+    }
     let calling = async {
         let mut connection = match node.pool.take(address) {
             Some(connection) => connection,
@@ -40,7 +52,7 @@
 }
 
 /// Makes a call on a connection of its own and closes it; `None` when no whole
-/// answer came in time.
+/// answer came in time, or the other side asked for rest.
 ///
 /// The origin takes fewer connections than there are agents. One that is kept
 /// idle, or is left half open by an agent that lost power, keeps another
@@ -51,6 +63,9 @@
     outside: OutsideCall,
     timeout: Duration,
 ) -> Option<(StatusCode, Bytes)> {
+    if node.rest_left_ms(address) > 0 {
+        return None;
+    }
     let calling = async {
         let mut connection = node.pool.connect(address).await.ok()?;
         exchange(node, address, outside, &mut connection).await
@@ -85,8 +100,10 @@
         let kind = HeaderValue::from_static(node.interface.document_type());
         headers.insert(CONTENT_TYPE, kind);
     }
+    let answerer = node.answerer_at(address);
     let response = connection.sender.send_request(message).await.ok()?;
     let (head, body) = response.into_parts();
+    node.take_notice(answerer, "-", head.status, &head.headers);
     let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await.ok()?;
     let closing = head.headers.get(hyper::header::CONNECTION);
     Some(Answer {
--- a/crates/moleroad_gateway/src/agent/change.rs
+++ b/crates/moleroad_gateway/src/agent/change.rs
@@ -70,7 +70,7 @@
     store::put_all(node, target, &pieces::not_staged(node, target.version)).await;
     let staged_at = node.clock.now();
     loop {
-        while !is_turn(node, target, staged_at) {
+        while !is_turn(node, target, staged_at) || leaves(node) {
             if let Ok(newer) = newer.try_recv() {
                 return Changed::Overtaken(Box::new(newer));
             }
@@ -171,6 +171,15 @@
     plan.may_begin(&own.instance, others, elapsed_ms, staged_ms)
 }
 
+/// Whether the engine said that it leaves: an order would cut what still runs there
+/// for weights that nobody will use.
+fn leaves(node: &Node) -> bool {
+    let view = node.view();
+    let engine = node.settings.engine;
+    let heard = engine.and_then(|engine| view.directory.target_at(engine));
+    heard.is_some_and(|heard| heard.record.life != TargetLife::Ready)
+}
+
 /// Whether the engine's hall is evacuated and nothing runs there any more: its
 /// change takes no place from callers, so it needs no turn.
 fn serves_nobody(view: &View) -> bool {
--- a/crates/moleroad_gateway/src/agent/watch.rs
+++ b/crates/moleroad_gateway/src/agent/watch.rs
@@ -32,9 +32,15 @@
         } else {
             (FIRST_READ_TIMEOUT, FIRST_READ_EVERY)
         };
+        let rests = node
+            .settings
+            .engine
+            .is_some_and(|engine| node.rest_left_ms(engine) > 0);
         let read = read_within(&node, timeout).await;
         node.cold_engine.note_alive(node.clock.now());
         match read {
+            // It is not asked; what it said last holds.
+            None if rests => {}
             Some(state) => {
                 unanswered = 0;
                 tell(&node, Some(state.report));
@@ -91,6 +97,9 @@
 
 async fn read_within(node: &Node, timeout: Duration) -> Option<EngineState> {
     let engine = node.settings.engine?;
+    if node.rest_left_ms(engine) > 0 {
+        return None;
+    }
     let (status, body) = call(node, engine, node.interface.ask_state(), timeout).await?;
     if !status.is_success() {
         return None;
--- a/crates/moleroad_gateway/src/candidates.rs
+++ b/crates/moleroad_gateway/src/candidates.rs
@@ -59,6 +59,7 @@
             if let Some(mut candidate) = candidate {
                 candidate.agent = agent.map(|agent| agent.record.peer);
                 candidate.cold = colds.get(&record.id).cloned();
+                candidate.rests_until = self.rests.until(now, &Answerer::of(record));
                 if self.is_cold_by_grant(now, &service.name, &candidate) {
                     // Others may have heard of its agent before.
                     let agent = settings.peer_address_at(record.address.ip());
@@ -196,6 +197,7 @@
         agent: None,
         cold: None,
         granted_until: None,
+        rests_until: None,
     })
 }
 
--- a/crates/moleroad_gateway/src/front/answer.rs
+++ b/crates/moleroad_gateway/src/front/answer.rs
@@ -80,6 +80,8 @@
     NoAllowedTarget,
     /// Targets ended under it, and it is not sent any more; it did not run.
     Quarantined,
+    /// Every target that may get it asked for rest; it did not run.
+    AllRest,
     /// Its route and account allow no common region; it did not run.
     NoCommonRegion,
     /// It was sent and failed; it may have run.
@@ -160,6 +162,11 @@
                 "MR-6213",
                 "no region where it may be served has a target; not run",
             ),
+            AllRest => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "MR-6217",
+                "all its targets asked for rest; not run",
+            ),
             NoCommonRegion => (
                 StatusCode::SERVICE_UNAVAILABLE,
                 "MR-6214",
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -138,7 +138,12 @@
                         return Err(GiveUp::NotAgain);
                     }
                 }
-                Err(SendError::Barred) => self.node.metrics.count("place_barred"),
+                Err(SendError::Barred) => {
+                    self.node.metrics.count("place_barred");
+                    // It did not have the request, and may have rested when it is
+                    // looked at again.
+                    self.tried.pop();
+                }
                 Err(error) => {
                     self.sends.reached_target();
                     self.may_have_run = true;
@@ -204,6 +209,7 @@
         let entries = view.entry_count(now);
         let residency = view.residency(&self.request.residency);
         let needs = Needs {
+            now,
             tried: &self.tried,
             least,
             prompt_tokens: self.request.prompt_tokens,
--- a/crates/moleroad_gateway/src/front/attempt_log.rs
+++ b/crates/moleroad_gateway/src/front/attempt_log.rs
@@ -11,7 +11,10 @@
     /// Says why there is no place, and what was known of the targets.
     pub(super) fn log_no_place(&self, no_place: &NoPlace) {
         match no_place.cause {
-            NoPlaceCause::Busy | NoPlaceCause::Evacuated | NoPlaceCause::TurnedAway => {
+            NoPlaceCause::Busy
+            | NoPlaceCause::Evacuated
+            | NoPlaceCause::Resting
+            | NoPlaceCause::TurnedAway => {
                 self.log_no_room(no_place);
             }
             NoPlaceCause::Quarantined => self.log_quarantined(no_place),
--- a/crates/moleroad_gateway/src/front/exchange.rs
+++ b/crates/moleroad_gateway/src/front/exchange.rs
@@ -122,13 +122,18 @@
             return Err(SendError::Lapsed);
         }
         set_deadline(node, request, candidate, message.headers_mut());
-        node.note_send_in_rest(request, place);
         let sending = connection.sender.try_send_request(message);
         match tokio::time::timeout_at(limit, sending).await {
             Err(_) => return Err(SendError::TimedOut),
             Ok(Ok(response)) => {
                 // Also where the answer is another request's: the target made it.
-                node.take_notice(request, place, response.status(), response.headers());
+                let request_id = request.id.to_str().unwrap_or("-");
+                node.take_notice(
+                    place.answerer(),
+                    request_id,
+                    response.status(),
+                    response.headers(),
+                );
                 return judge(node, request, response, connection);
             }
             Ok(Err(mut error)) => match error.take_message() {
@@ -145,8 +150,8 @@
 
 /// Whether a target that was chosen may not get the request any more: while it
 /// waited or connected, a configuration may have taken the region away, the
-/// target may have left, its weights may have become too old, or other targets
-/// may have ended under the request.
+/// target may have left or asked for rest, its weights may have become too old, or
+/// other targets may have ended under the request.
 fn is_barred(node: &Node, request: &Accepted, chosen: &Candidate) -> bool {
     let view = node.view();
     if !request.is_trial && node.hold_left_ms(&view, &request.fingerprint).is_some() {
@@ -155,6 +160,7 @@
     let residency = view.residency(&request.residency);
     // `tried` is left out: this target was added to it when it was chosen.
     let needs = Needs {
+        now: node.clock.now(),
         least: node.least_version(&view, &request.service),
         regions: Some(residency.allowed()),
         ..Needs::default()
--- a/crates/moleroad_gateway/src/front/give_up.rs
+++ b/crates/moleroad_gateway/src/front/give_up.rs
@@ -6,7 +6,7 @@
 use crate::front::exchange::{Reply, is_promise};
 use crate::front::request::forwarded;
 use crate::front::waiting::LEAST_USEFUL_MS;
-use crate::no_place::{NoPlace, NoPlaceCause, TURNED_AWAY_RETRY_MS};
+use crate::no_place::{NoPlace, NoPlaceCause, turned_away_retry_ms};
 use bytes::Bytes;
 use hyper::Response;
 use hyper::header::HeaderMap;
@@ -44,13 +44,18 @@
                     NoPlaceCause::Evacuated => OwnAnswer::AllEvacuated,
                     NoPlaceCause::Quarantined => OwnAnswer::Quarantined,
                     NoPlaceCause::TurnedAway => OwnAnswer::TurnedAway,
+                    NoPlaceCause::Resting => OwnAnswer::AllRest,
                     NoPlaceCause::DisjointRegions => OwnAnswer::NoCommonRegion,
                     NoPlaceCause::EmptyRegions(_) => OwnAnswer::NoAllowedTarget,
                 };
                 own.response(Some(no_place.retry_after_ms))
             }
             GiveUp::TimeOver => OwnAnswer::TooLateNotRun.response(Some(0)),
-            GiveUp::NotAgain => OwnAnswer::TurnedAway.response(Some(TURNED_AWAY_RETRY_MS)),
+            GiveUp::NotAgain => {
+                let ask = self.ask();
+                let back_in_ms = turned_away_retry_ms(&self.node, &self.node.view(), &ask);
+                OwnAnswer::TurnedAway.response(Some(back_in_ms))
+            }
         }
     }
 
--- a/crates/moleroad_gateway/src/front/mod.rs
+++ b/crates/moleroad_gateway/src/front/mod.rs
@@ -3,8 +3,7 @@
 //! [`serve`] takes connections, [`request`] reads and checks a request,
 //! [`attempt`] sends it until it has an answer, [`sends`] counts that, `waiting` says how
 //! long it waits for a place, [`exchange`] is one send over
-//! a connection of the [`pool`], [`target_notice`] reads what an answer says of its target,
-//! `breaks` notes those that broke off, `give_up` answers when no target does, `patience` says how long
+//! a connection of the [`pool`], `breaks` notes those that broke off, `give_up` answers when no target does, `patience` says how long
 //! silence is borne, [`whole`] reads answers to their end, [`stream`] passes events on and resumes at
 //! another target, [`answer`] holds the answers of our own.
 
@@ -22,6 +21,5 @@
 pub mod sends;
 pub mod serve;
 pub mod stream;
-pub mod target_notice;
 mod waiting;
 pub mod whole;
--- a/crates/moleroad_gateway/src/front/waiting.rs
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -51,12 +51,14 @@
         let in_time = self.acquire_judged(&ask).await;
         let lacks_room = |no_place: &NoPlace| no_place.cause == NoPlaceCause::Busy;
         let is_about_room = in_time.as_ref().err().is_none_or(lacks_room);
+        let rest = |no_place: &NoPlace| no_place.cause == NoPlaceCause::Resting;
+        let may_be_late = is_about_room || in_time.as_ref().err().is_some_and(rest);
         if is_about_room && self.sends.claim_in_time_note() {
             self.note_in_time(in_time.is_ok());
         }
         let place = match in_time {
             Ok(place) => place,
-            Err(no_place) if is_first && is_about_room => self.overdue_place(ask, no_place).await?,
+            Err(no_place) if is_first && may_be_late => self.overdue_place(ask, no_place).await?,
             Err(no_place) => return Err(GiveUp::NoPlace(no_place)),
         };
         if self.sends.claim_first_note() {
@@ -82,7 +84,7 @@
     /// What the request asks of a place, in the hope of its wanted latency. One
     /// that a target has begun has cost that target's time: it is urgent, and
     /// waits as long as its caller does.
-    fn ask(&self) -> Ask {
+    pub(super) fn ask(&self) -> Ask {
         let request = &self.request;
         let is_first = self.sends.is_first();
         let latency_ms = request.route.target_latency_ms;
--- a/crates/moleroad_gateway/src/greeting/take.rs
+++ b/crates/moleroad_gateway/src/greeting/take.rs
@@ -74,10 +74,7 @@
         return;
     };
     let (running, queued) = (report.running, report.queued);
-    let is_current = |target: &&Heard<TargetRecord>| {
-        target.record.address == engine && target.record.life != TargetLife::Gone
-    };
-    let Some(target) = view.directory.targets().find(is_current) else {
+    let Some(target) = view.directory.target_at(engine) else {
         return;
     };
     let (id, service) = (target.record.id.clone(), target.record.service.clone());
--- a/crates/moleroad_gateway/src/lib.rs
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -48,5 +48,6 @@
 pub mod system_calls;
 mod target_ends;
 pub mod target_news;
+pub mod target_notice;
 pub mod trial;
 pub mod view;
--- a/crates/moleroad_gateway/src/no_place.rs
+++ b/crates/moleroad_gateway/src/no_place.rs
@@ -20,6 +20,8 @@
     Quarantined,
     /// All targets of the regions that they allow have had it and didn't run it.
     TurnedAway,
+    /// Every target that may get the request asked this daemon for rest.
+    Resting,
     /// No target of the regions that the route and the account allow may get it
     /// and is reachable; says how many targets each barrier keeps out.
     EmptyRegions(BarrierTally),
@@ -42,7 +44,7 @@
 
 /// When a request that targets turned away may come back, in milliseconds: a
 /// target that is full or not ready for a moment takes requests again soon.
-pub(crate) const TURNED_AWAY_RETRY_MS: u64 = 150;
+const TURNED_AWAY_RETRY_MS: u64 = 150;
 /// Shortest time after which a refused request may come back, in milliseconds.
 const RETRY_AFTER_LEAST_MS: u64 = 300;
 /// The same while no target can take requests and nothing tells when one will.
@@ -53,6 +55,32 @@
 /// this long before they are expected, in milliseconds, and is held from then on.
 const HELD_BEFORE_MS: u64 = 1_500;
 
+/// Time until the first of the targets that may get the request has rested, in
+/// milliseconds; `None` where one may get it now, or none rests.
+fn rested_in_ms(now: Millis, places: &ServicePlaces, needs: Needs<'_>) -> Option<u64> {
+    let rested = places.targets.rested_at(needs)?;
+    Some(rested.any.since(now).max(RETRY_AFTER_LEAST_MS))
+}
+
+/// When a request that its targets turned away may come back, in milliseconds. It
+/// comes under another id, so that it may go to any target that does not rest.
+pub(crate) fn turned_away_retry_ms(node: &Node, view: &View, ask: &Ask) -> u64 {
+    let now = node.clock.now();
+    let again = Ask {
+        tried: Vec::new(),
+        ..ask.clone()
+    };
+    let needs = again.needs(now, node.least_version(view, &ask.service));
+    let places = view.services.get(&ask.service);
+    let rested_in_ms = places.and_then(|places| rested_in_ms(now, places, needs));
+    rested_in_ms.map_or(TURNED_AWAY_RETRY_MS, |ms| ms + retry_spread_ms())
+}
+
+/// A part of the time over which refused requests come back, by chance.
+fn retry_spread_ms() -> u64 {
+    rand::random::<u64>() % RETRY_AFTER_SPREAD_MS
+}
+
 /// What is known of places for this request.
 pub(crate) fn no_place_for(node: &Node, view: &View, ask: &Ask) -> NoPlace {
     let least = node.least_version(view, &ask.service);
@@ -87,9 +115,11 @@
 ) -> NoPlace {
     let candidates = places.map_or(0, |places| places.targets.count_open());
     let is_outage = !places.is_some_and(|places| places.targets.any_reachable(now, needs));
-    let spread = rand::random::<u64>() % RETRY_AFTER_SPREAD_MS;
     let comes_in_ms = places.and_then(|places| places.expected_outage_ms(now));
+    let rested_in_ms = places.and_then(|places| rested_in_ms(now, places, needs));
     let wait_ms = match (is_outage, comes_in_ms) {
+        // Before that it would be refused again.
+        _ if rested_in_ms.is_some() => rested_in_ms.unwrap_or(0),
         (true, Some(ms)) => ms.saturating_sub(HELD_BEFORE_MS).max(RETRY_AFTER_LEAST_MS),
         (true, None) => RETRY_AFTER_OUTAGE_MS,
         (false, _) => cold_wait_ms(now, places, needs, entries)
@@ -99,7 +129,7 @@
     let regions = needs.regions.unwrap_or(&all);
     NoPlace {
         cause: NoPlaceCause::Busy,
-        retry_after_ms: wait_ms + spread,
+        retry_after_ms: wait_ms + retry_spread_ms(),
         waiting: places.map_or(0, |places| places.waiting()),
         candidates,
         free_places: places.map_or(0, |places| places.targets.free_places(now, regions) as u64),
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -50,6 +50,7 @@
     /// weights.
     pub fn needs(&self, now: Millis, least: Option<u64>) -> Needs<'_> {
         Needs {
+            now,
             tried: &self.tried,
             least,
             prompt_tokens: self.prompt_tokens,
@@ -219,7 +220,11 @@
     /// known when one will.
     pub fn expected_overdue_wait_ms(&self, now: Millis, needs: Needs<'_>) -> Option<u64> {
         if !self.targets.any_serves(needs) {
-            return self.expected_outage_ms(now);
+            let rested_at = self.targets.rested_at(needs);
+            let rested_at = rested_at.and_then(|rested| rested.untried);
+            let rested_in_ms = rested_at.map(|at| at.since(now));
+            let ways = [rested_in_ms, self.expected_outage_ms(now)];
+            return ways.into_iter().flatten().min();
         }
         let all = AllowedRegions::all();
         let regions = needs.regions.unwrap_or(&all);
--- a/crates/moleroad_gateway/src/refusal.rs
+++ b/crates/moleroad_gateway/src/refusal.rs
@@ -1,6 +1,6 @@
 //! Refusing a request at once where no target may ever get it.
 
-use crate::no_place::{NoPlace, NoPlaceCause, TURNED_AWAY_RETRY_MS, no_place};
+use crate::no_place::{NoPlace, NoPlaceCause, no_place, turned_away_retry_ms};
 use crate::node::Node;
 use crate::places::Ask;
 use crate::view::View;
@@ -17,7 +17,8 @@
 /// sent again it would end more of them, each with the sixteen requests that ran
 /// there (50 in 40 s on a played day, 4 in the test on four entries since). An
 /// unrestricted request is refused when all its targets stand in evacuated
-/// halls. A restricted one is refused when no target of its regions is open to it
+/// halls. Both kinds are refused when all that could serve them asked for rest that
+/// outlasts their wait: only the time of the first to have rested helps the caller. A restricted one is refused when no target of its regions is open to it
 /// and reachable, unless one only needs newer weights, or no target is known and
 /// weights are on their way.
 pub(crate) fn refused_at_once(node: &Node, view: &View, ask: &Ask) -> Option<NoPlace> {
@@ -34,11 +35,20 @@
             ..no_place(now, Some(places), needs, view.entry_count(now))
         });
     }
+    let rested = places.targets.rested_at(needs);
+    let refused_for = |cause| NoPlace {
+        cause,
+        ..no_place(now, Some(places), needs, view.entry_count(now))
+    };
     if allowed.is_all() {
-        let all_evacuated = places.targets.all_evacuated(needs);
-        return all_evacuated.then(|| NoPlace {
-            cause: NoPlaceCause::Evacuated,
-            ..no_place(now, Some(places), needs, view.entry_count(now))
+        if places.targets.all_evacuated(needs) {
+            return Some(refused_for(NoPlaceCause::Evacuated));
+        }
+        let kept_out = || tally(places.targets.candidates(), needs);
+        let all_rest = rested.is_some() && rests_too_long(kept_out(), rested, ask);
+        return all_rest.then(|| NoPlace {
+            retry_after_ms: turned_away_retry_ms(node, view, ask),
+            ..refused_for(NoPlaceCause::Resting)
         });
     }
     if places.targets.any_reachable(now, needs) {
@@ -49,28 +59,37 @@
     let weights_come = none_is_known && places.expected_outage_ms(now).is_some();
     let cause = if allowed.is_none() {
         NoPlaceCause::DisjointRegions
-    } else if kept_out.old_weights > 0 || weights_come {
+    } else if rests_too_long(kept_out, rested, ask) {
+        NoPlaceCause::Resting
+    } else if rested.is_some() || kept_out.old_weights > 0 || weights_come {
         return None;
     } else if ask.was_sent && only_tried(kept_out) {
         NoPlaceCause::TurnedAway
     } else {
         NoPlaceCause::EmptyRegions(kept_out)
     };
-    let refused = no_place(now, Some(places), needs, view.entry_count(now));
+    let refused = refused_for(cause);
     let retry_after_ms = match cause {
         NoPlaceCause::DisjointRegions => refused.retry_after_ms + CONFIGURATION_LATER_MS,
-        NoPlaceCause::TurnedAway => TURNED_AWAY_RETRY_MS,
+        NoPlaceCause::Resting | NoPlaceCause::TurnedAway => turned_away_retry_ms(node, view, ask),
         _ => refused.retry_after_ms,
     };
     Some(NoPlace {
-        cause,
         retry_after_ms,
         ..refused
     })
 }
 
+/// Whether all that could serve the request rest for longer than it waits; newer
+/// weights may come sooner to one that needs them.
+fn rests_too_long(kept_out: BarrierTally, rested: Option<Rested>, ask: &Ask) -> bool {
+    let outlasts = |rested: Rested| rested.untried.is_none_or(|at| at > ask.until);
+    kept_out.old_weights == 0 && rested.is_some_and(outlasts)
+}
+
 /// Whether targets of the allowed regions are kept out by nothing but that they
 /// had the request.
 fn only_tried(kept_out: BarrierTally) -> bool {
-    kept_out.tried > 0 && kept_out.evacuated + kept_out.old_weights + kept_out.open == 0
+    let others = kept_out.evacuated + kept_out.old_weights + kept_out.rests + kept_out.open;
+    kept_out.tried > 0 && others == 0
 }
--- a/crates/moleroad_gateway/src/target_news.rs
+++ b/crates/moleroad_gateway/src/target_news.rs
@@ -17,9 +17,7 @@
         let mut view = node.view();
         let id = record.id.clone();
         let change = view.directory.hear_target(now, record, 0);
-        view.calls += 1;
-        let number = view.calls;
-        view.called_here.insert(id.clone(), number);
+        view.tell_of(&id);
         let kept = view.directory.target(&id).map(|heard| heard.record.clone());
         (change, kept)
     };
--- /dev/null
+++ b/crates/moleroad_gateway/src/target_notice.rs
@@ -0,0 +1,152 @@
+//! What an answer says of its target beside the answer itself: that the target
+//! leaves, or for how long it wants nothing more from this daemon.
+//!
+//! Both bind every later choice of this daemon: first sends, repeats, resumed
+//! streams, requests that wait, and an agent's calls. That a target leaves is a fact
+//! of its life, kept in the directory and told to other daemons; the wish for rest
+//! is between the two and told to nobody.
+
+use crate::interface::HeaderNames;
+use crate::node::Node;
+use crate::target_news;
+use hyper::StatusCode;
+use hyper::header::{HeaderMap, RETRY_AFTER};
+use moleroad_directory::prelude::TargetId;
+use moleroad_dispatch::prelude::{Answerer, read_rest_ms};
+use std::net::SocketAddr;
+
+/// What the head of an answer says of its target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TargetNotice {
+    /// It leaves.
+    pub leaves: bool,
+    /// For how long it wants nothing more, in milliseconds.
+    pub rest_ms: Option<u64>,
+    /// Whether it asked for rest in a form that cannot be read.
+    pub has_unreadable_rest: bool,
+}
+
+impl TargetNotice {
+    /// Reads the head of an answer. Any value but `0` says that the target leaves:
+    /// to go on sending to one that does costs requests, to do without one that
+    /// does not costs a place. Only a target that is not available (503) asks for
+    /// rest; of several times the longest counts.
+    pub fn read(names: &HeaderNames, status: StatusCode, headers: &HeaderMap) -> Self {
+        let mut said = headers.get_all(&names.leaving).iter();
+        let mut notice = Self {
+            leaves: said.any(|value| value.as_bytes() != b"0"),
+            ..Self::default()
+        };
+        if status != StatusCode::SERVICE_UNAVAILABLE {
+            return notice;
+        }
+        for value in headers.get_all(RETRY_AFTER) {
+            match value.to_str().ok().and_then(read_rest_ms) {
+                Some(rest_ms) => notice.rest_ms = notice.rest_ms.max(Some(rest_ms)),
+                None => notice.has_unreadable_rest = true,
+            }
+        }
+        notice
+    }
+}
+
+impl Node {
+    /// Takes what the head of an answer says of the target that made it, whatever
+    /// becomes of the answer. `request` names the request or call in the log.
+    pub(crate) fn take_notice(
+        &self,
+        from: Answerer,
+        request: &str,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) {
+        let notice = TargetNotice::read(self.interface.headers(), status, headers);
+        if notice.has_unreadable_rest {
+            self.note_unreadable_rest(&from, request, headers);
+        }
+        if notice.leaves {
+            self.note_leaving(&from, request);
+        }
+        if let Some(rest_ms) = notice.rest_ms.filter(|rest_ms| *rest_ms > 0) {
+            self.note_rest(from, request, rest_ms);
+        }
+    }
+
+    fn note_unreadable_rest(&self, from: &Answerer, request: &str, headers: &HeaderMap) {
+        self.metrics.count("target_rest_unreadable");
+        let asked: Vec<_> = headers.get_all(RETRY_AFTER).iter().collect();
+        log::warn!(
+            event = "target_rest_unreadable",
+            request = request,
+            target:% = from.target,
+            asked:? = asked;
+            ""
+        );
+    }
+
+    fn note_leaving(&self, from: &Answerer, request: &str) {
+        let is_news = {
+            let now = self.clock.now();
+            let mut view = self.view();
+            let directory = &mut view.directory;
+            let is_news = directory.target_leaves(now, &from.target, from.born_ms);
+            if is_news {
+                view.tell_of(&from.target);
+            }
+            is_news
+        };
+        if !is_news {
+            return;
+        }
+        self.metrics.count("target_leaves");
+        log::info!(
+            event = "target_leaves",
+            request = request,
+            target:% = from.target;
+            ""
+        );
+        target_news::applied(self);
+    }
+
+    fn note_rest(&self, from: Answerer, request: &str, rest_ms: u64) {
+        let now = self.clock.now();
+        let target = from.target.clone();
+        let answered_unix_ms = self.clock.time_of_day().0;
+        let mut view = self.view();
+        let until = view.rest_target(now, from, answered_unix_ms, rest_ms);
+        drop(view);
+        self.metrics.count("target_rests");
+        log::info!(
+            event = "target_rests",
+            request = request,
+            target:% = target,
+            asked_ms = rest_ms,
+            left_ms = until.map_or(0, |until| until.since(now));
+            ""
+        );
+    }
+
+    /// What answers at `address`, as it is known here. The origin of weights is on no
+    /// list; it goes by its address.
+    pub(crate) fn answerer_at(&self, address: SocketAddr) -> Answerer {
+        let view = self.view();
+        let heard = view.directory.target_at(address);
+        heard.map_or_else(
+            || Answerer {
+                address,
+                target: TargetId::new(address.to_string()),
+                born_ms: 0,
+            },
+            |heard| Answerer::of(&heard.record),
+        )
+    }
+
+    /// How much longer what answers at `address` rests from this daemon, in
+    /// milliseconds; 0 when it does not.
+    pub(crate) fn rest_left_ms(&self, address: SocketAddr) -> u64 {
+        let now = self.clock.now();
+        let answerer = self.answerer_at(address);
+        let until = self.view().rests.until(now, &answerer);
+        until.map_or(0, |until| until.since(now))
+    }
+}
--- /dev/null
+++ b/crates/moleroad_gateway/tests/target_notices.rs
@@ -0,0 +1,201 @@
+//! What an answer says of its target: how it is read, and what it does to
+//! requests that wait for a place there.
+
+mod support;
+
+use hyper::StatusCode;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use moleroad_directory::prelude::TargetId;
+use moleroad_dispatch::prelude::Answerer;
+use moleroad_gateway::acquire::acquire;
+use moleroad_gateway::front::attempt::Attempts;
+use moleroad_gateway::no_place::NoPlaceCause;
+use moleroad_gateway::node::Node;
+use moleroad_gateway::target_notice::TargetNotice;
+use moleroad_types::prelude::Millis;
+use std::net::SocketAddr;
+use std::time::Duration;
+use support::{add_target, ask, entry, evacuate, in_flight, request};
+
+/// A rest that outlasts every wait here, in milliseconds.
+const LONG_MS: u64 = 60_000;
+/// A rest that ends while a request waits, in milliseconds.
+const SHORT_MS: u64 = 150;
+
+fn address_of(last: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 2], last))
+}
+
+/// Lets the target at that port ask this entry for rest.
+fn rest(node: &Node, id: &str, port: u16, rest_ms: u64) -> Option<Millis> {
+    let from = Answerer {
+        address: address_of(port),
+        target: TargetId::new(id),
+        born_ms: 0,
+    };
+    let now = node.clock.now();
+    node.view().rest_target(now, from, 1, rest_ms)
+}
+
+/// Looks at candidates and the queue until the request is done, as the process does.
+async fn keep_house(node: &Node) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        let now = node.clock.now();
+        node.view().refresh_candidates(now, &node.settings);
+        node.serve_waiting();
+    }
+}
+
+fn read(node: &Node, status: u16, headers: &[(HeaderName, &'static str)]) -> TargetNotice {
+    let mut map = HeaderMap::new();
+    for (name, value) in headers {
+        map.append(name, HeaderValue::from_static(value));
+    }
+    let status = StatusCode::from_u16(status).unwrap();
+    TargetNotice::read(node.interface.headers(), status, &map)
+}
+
+#[test]
+fn a_target_leaves_unless_it_says_no() {
+    let node = entry();
+    let name = node.interface.headers().leaving.clone();
+    let leaves = |values: &[&'static str]| {
+        let headers: Vec<_> = values.iter().map(|value| (name.clone(), *value)).collect();
+        read(&node, 200, &headers).leaves
+    };
+    assert!(!leaves(&[]) && !leaves(&["0"]) && !leaves(&["0", "0"]));
+    for odd in ["1", "true", "", "-1", "0.5", "99999999999999999999"] {
+        assert!(leaves(&[odd]), "{odd:?}");
+    }
+    assert!(leaves(&["0", "1"]), "one word that it leaves is enough");
+    for status in [200, 206, 400, 421, 429, 500, 503] {
+        assert!(read(&node, status, &[(name.clone(), "1")]).leaves);
+    }
+}
+
+#[test]
+fn only_a_target_that_is_not_available_asks_for_rest() {
+    let node = entry();
+    for status in [200, 202, 301, 408, 421, 429, 500, 502] {
+        let notice = read(&node, status, &[(RETRY_AFTER, "3")]);
+        assert_eq!(notice, TargetNotice::default(), "{status}");
+    }
+    let notice = read(&node, 503, &[(RETRY_AFTER, "3")]);
+    assert_eq!(
+        (notice.rest_ms, notice.has_unreadable_rest),
+        (Some(3_000), false)
+    );
+    assert_eq!(read(&node, 503, &[]), TargetNotice::default());
+    let both = [(RETRY_AFTER, "3"), (RETRY_AFTER, "-4"), (RETRY_AFTER, "2")];
+    let notice = read(&node, 503, &both);
+    assert_eq!(
+        (notice.rest_ms, notice.has_unreadable_rest),
+        (Some(3_000), true)
+    );
+}
+
+#[tokio::test]
+async fn what_all_targets_rest_from_is_refused_at_once_until_the_first_has_rested() {
+    let node = entry();
+    add_target(&node, "i-b", "hall-a", address_of(2));
+    rest(&node, "i-a", 1, 2 * LONG_MS);
+    rest(&node, "i-b", 2, LONG_MS);
+    for key in [None, Some("restricted")] {
+        let refused = acquire(&node, &ask(&node, key)).await.err();
+        let refused = refused.expect("both rest");
+        assert_eq!(refused.cause, NoPlaceCause::Resting);
+        assert!(refused.retry_after_ms > LONG_MS - 1_000);
+        assert!(refused.retry_after_ms < LONG_MS + 1_000);
+    }
+    assert_eq!(node.view().services["plain"].waiting(), 0);
+    let mut attempts = Attempts::new(node.clone(), request(&node, 1_500));
+    let reason = attempts.next_run(None).await.err().expect("both rest");
+    let answer = attempts.give_up(reason);
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let back_in_s = answer.headers()[RETRY_AFTER].to_str().unwrap();
+    assert!(back_in_s.parse::<f64>().unwrap() > (LONG_MS - 1_000) as f64 / 1_000.0);
+}
+
+#[tokio::test]
+async fn a_request_that_waits_is_refused_when_its_last_target_asks_for_rest() {
+    let node = entry();
+    let request = ask(&node, None);
+    let first = acquire(&node, &request).await.expect("a free place");
+    let waiting = tokio::spawn({
+        let node = node.clone();
+        async move { acquire(&node, &request).await.map(drop) }
+    });
+    tokio::task::yield_now().await;
+    assert_eq!(node.view().services["plain"].waiting(), 1);
+    rest(&node, "i-a", 1, LONG_MS);
+    // The place that comes free is not for it any more.
+    drop(first);
+    let refused = waiting.await.unwrap().expect_err("its target rests");
+    assert_eq!(refused.cause, NoPlaceCause::Resting);
+    assert_eq!(in_flight(&node, "i-a"), 0);
+    assert_eq!(node.view().services["plain"].waiting(), 0);
+}
+
+#[tokio::test]
+async fn a_place_that_was_granted_before_the_wish_is_given_back() {
+    let node = entry();
+    let request = ask(&node, None);
+    let first = acquire(&node, &request).await.expect("a free place");
+    let waiting = tokio::spawn({
+        let node = node.clone();
+        async move { acquire(&node, &request).await.map(drop) }
+    });
+    tokio::task::yield_now().await;
+    // Granted, and before the one that waits runs, the target asks for rest.
+    drop(first);
+    assert_eq!(in_flight(&node, "i-a"), 1);
+    rest(&node, "i-a", 1, LONG_MS);
+    let refused = waiting.await.unwrap().expect_err("its target rests");
+    assert_eq!(refused.cause, NoPlaceCause::Resting);
+    assert_eq!(in_flight(&node, "i-a"), 0);
+}
+
+#[tokio::test]
+async fn a_rest_that_ends_in_time_is_waited_for() {
+    let node = entry();
+    let until = rest(&node, "i-a", 1, SHORT_MS).expect("it rests");
+    let request = ask(&node, None);
+    let place = tokio::select! {
+        place = acquire(&node, &request) => place,
+        () = keep_house(&node) => unreachable!(),
+    };
+    assert!(place.is_ok());
+    assert!(node.clock.now() >= until);
+}
+
+#[tokio::test]
+async fn a_target_that_is_heard_of_again_rests_on() {
+    let node = entry();
+    rest(&node, "i-a", 1, LONG_MS);
+    let now = node.clock.now();
+    let mut record = node
+        .view()
+        .directory
+        .target_at(address_of(1))
+        .unwrap()
+        .record
+        .clone();
+    record.sequence += 1;
+    node.view().directory.hear_target(now, record, 0);
+    // Also when it was on no list for a while.
+    node.view().services.clear();
+    node.view().refresh_candidates(now, &node.settings);
+    let refused = acquire(&node, &ask(&node, None)).await.err();
+    assert_eq!(refused.expect("it rests").cause, NoPlaceCause::Resting);
+}
+
+#[tokio::test]
+async fn a_hall_that_is_evacuated_beside_one_that_rests_does_not_hide_the_rest() {
+    let node = entry();
+    add_target(&node, "i-b", "hall-b", address_of(2));
+    evacuate(&node, "hall-b");
+    rest(&node, "i-a", 1, LONG_MS);
+    let refused = acquire(&node, &ask(&node, None)).await.err();
+    assert_eq!(refused.expect("nobody serves").cause, NoPlaceCause::Resting);
+}
