Give the naming of entries to callers a file of its own

Cause: the directory's file held the merging of what is heard and the choice of the entries that a caller is named; the view had grown by what targets say. Ruled out: nothing to rule out, code moved only. Change: naming.rs in the directory crate; the view's part of target notices stands with them; two tests share their stand-ins.

--- a/crates/moleroad_directory/src/directory.rs
+++ b/crates/moleroad_directory/src/directory.rs
@@ -3,7 +3,7 @@
 use crate::changes::{Changes, Difference};
 use crate::daemon::{DaemonRecord, DaemonRole, DaemonState};
 use crate::target::{TargetId, TargetLife, TargetRecord};
-use moleroad_types::prelude::{AllowedRegions, InstanceId, Millis, Region};
+use moleroad_types::prelude::{InstanceId, Millis};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
@@ -26,11 +26,6 @@
 pub const MAX_TARGETS: usize = 8_192;
 /// Most daemons that are kept; further ones are not taken.
 pub const MAX_DAEMONS: usize = 4_096;
-/// Fewest entries named to a caller, if there are that many.
-const FEWEST_NAMED: usize = 2;
-/// Most entries named to a caller.
-const MOST_NAMED: usize = 64;
-
 /// A record and when its subject last spoke, by this process's clock.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Heard<T> {
@@ -302,40 +297,6 @@
             .filter(ready)
             .map(|heard| &heard.record)
     }
-
-    /// Addresses for a caller in `hall` and `region` whose requests `allowed`
-    /// regions may serve: those of its own data hall, with its region's and then
-    /// those of allowed regions where there are too few. Others are named only
-    /// when there is none of these: an entry there would hold a body where it
-    /// may not be.
-    pub fn addresses_for(
-        &self,
-        now: Millis,
-        hall: &str,
-        region: &str,
-        allowed: &AllowedRegions,
-    ) -> Vec<SocketAddr> {
-        let mut ranked: Vec<(Nearness, SocketAddr)> = self
-            .ready_entries(now)
-            .filter_map(|entry| Some((nearness(entry, hall, region, allowed), entry.frontend?)))
-            .collect();
-        ranked.sort();
-        let count = |least: Nearness| ranked.iter().filter(|(near, _)| *near <= least).count();
-        let limit = if count(Nearness::Hall) >= FEWEST_NAMED {
-            Nearness::Hall
-        } else if count(Nearness::Region) >= FEWEST_NAMED {
-            Nearness::Region
-        } else if count(Nearness::AllowedRegion) > 0 {
-            Nearness::AllowedRegion
-        } else {
-            Nearness::Elsewhere
-        };
-        let named = ranked.iter().filter(|(near, _)| *near <= limit);
-        named
-            .map(|(_, address)| *address)
-            .take(MOST_NAMED)
-            .collect()
-    }
 }
 
 /// Which life of a target a record is of, seen from another record.
@@ -364,24 +325,3 @@
     let known_until = known.at + known.record.cold_left_ms;
     next.cold_left_ms > 0 && at + next.cold_left_ms > known_until + COLD_NEWS_MS
 }
-
-/// Where an entry stands for a caller, the best first.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Nearness {
-    Hall,
-    Region,
-    AllowedRegion,
-    Elsewhere,
-}
-
-fn nearness(entry: &DaemonRecord, hall: &str, region: &str, allowed: &AllowedRegions) -> Nearness {
-    if entry.hall == hall {
-        Nearness::Hall
-    } else if entry.region == region {
-        Nearness::Region
-    } else if allowed.contains(&Region::new(entry.region.as_str())) {
-        Nearness::AllowedRegion
-    } else {
-        Nearness::Elsewhere
-    }
-}
--- a/crates/moleroad_directory/src/lib.rs
+++ b/crates/moleroad_directory/src/lib.rs
@@ -3,7 +3,8 @@
 //! Soft state: targets and daemons tell of themselves, daemons pass on what
 //! they heard together with its age, and what is not renewed expires. Merging
 //! two views gives the same result in any order. [`relays`] says who passes on
-//! what, [`changes`] that only differences are passed on.
+//! what, [`changes`] that only differences are passed on,
+//! and `naming` which entries callers are sent to.
 //!
 //! ```
 //! use moleroad_directory::prelude::*;
@@ -19,6 +20,7 @@
 pub mod changes;
 pub mod daemon;
 pub mod directory;
+mod naming;
 pub mod relays;
 pub mod target;
 
--- a/crates/moleroad_gateway/src/target_news.rs
+++ b/crates/moleroad_gateway/src/target_news.rs
@@ -2,6 +2,7 @@
 
 use crate::node::Node;
 use crate::peer::TargetNews;
+use crate::view::View;
 use moleroad_directory::prelude::*;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,6 +11,14 @@
 /// How long an acknowledgement waits for entries that do not confirm news.
 const SPREAD_TIMEOUT: Duration = Duration::from_millis(400);
 
+impl View {
+    /// Notes that a target told this daemon something that others are to know.
+    pub fn tell_of(&mut self, target: &TargetId) {
+        self.calls += 1;
+        self.told_of.insert(target.clone(), self.calls);
+    }
+}
+
 /// Takes a heartbeat that was called in here.
 pub async fn heartbeat(node: &Arc<Node>, record: TargetRecord) {
     let now = node.clock.now();
--- a/crates/moleroad_gateway/src/target_notice.rs
+++ b/crates/moleroad_gateway/src/target_notice.rs
@@ -9,10 +9,12 @@
 use crate::interface::HeaderNames;
 use crate::node::Node;
 use crate::target_news;
+use crate::view::View;
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, RETRY_AFTER};
 use moleroad_directory::prelude::TargetId;
 use moleroad_dispatch::prelude::{Answerer, read_rest_ms};
+use moleroad_types::prelude::Millis;
 use std::net::SocketAddr;
 
 /// What the head of an answer says of its target.
@@ -50,6 +52,27 @@
     }
 }
 
+impl View {
+    /// Takes how long a target wants nothing from this daemon; returns until when it
+    /// rests, if the life that is known there is the one that asked.
+    pub fn rest_target(
+        &mut self,
+        now: Millis,
+        from: Answerer,
+        answered_unix_ms: u64,
+        rest_ms: u64,
+    ) -> Option<Millis> {
+        let address = from.address;
+        self.rests.ask(now, from, answered_unix_ms, rest_ms);
+        let record = &self.directory.target_at(address)?.record;
+        let until = self.rests.until(now, &Answerer::of(record));
+        if let Some(places) = self.services.get_mut(&record.service) {
+            places.targets.set_rest(&record.id, until);
+        }
+        until
+    }
+}
+
 impl Node {
     /// Takes what the head of an answer says of the target that made it, whatever
     /// becomes of the answer. `request` names the request or call in the log.
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -12,7 +12,7 @@
     Configuration, ConfigurationError, Residency, RouteTable, Service, check,
 };
 use moleroad_directory::prelude::*;
-use moleroad_dispatch::prelude::{Answerer, Rests};
+use moleroad_dispatch::prelude::Rests;
 use moleroad_rollout::prelude::OldWeights;
 use moleroad_types::prelude::Millis;
 use std::collections::{BTreeMap, HashMap};
@@ -235,31 +235,6 @@
         Some(OldWeights::new(newer_named_at, version_ms))
     }
 
-    /// Notes that a target told this daemon something that others are to know.
-    pub fn tell_of(&mut self, target: &TargetId) {
-        self.calls += 1;
-        self.told_of.insert(target.clone(), self.calls);
-    }
-
-    /// Takes how long a target wants nothing from this daemon; returns until when it
-    /// rests, if the life that is known there is the one that asked.
-    pub fn rest_target(
-        &mut self,
-        now: Millis,
-        from: Answerer,
-        answered_unix_ms: u64,
-        rest_ms: u64,
-    ) -> Option<Millis> {
-        let address = from.address;
-        self.rests.ask(now, from, answered_unix_ms, rest_ms);
-        let record = &self.directory.target_at(address)?.record;
-        let until = self.rests.until(now, &Answerer::of(record));
-        if let Some(places) = self.services.get_mut(&record.service) {
-            places.targets.set_rest(&record.id, until);
-        }
-        until
-    }
-
     /// Number of entries that share the targets.
     pub fn entry_count(&self, now: Millis) -> usize {
         self.directory.ready_entries(now).count().max(1)
--- a/crates/moleroad_gateway/tests/target_notices.rs
+++ b/crates/moleroad_gateway/tests/target_notices.rs
@@ -7,15 +7,17 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use moleroad_directory::prelude::TargetId;
 use moleroad_dispatch::prelude::Answerer;
-use moleroad_gateway::acquire::acquire;
+use moleroad_gateway::acquire::{Place, acquire};
 use moleroad_gateway::front::attempt::Attempts;
-use moleroad_gateway::no_place::NoPlaceCause;
+use moleroad_gateway::no_place::{NoPlace, NoPlaceCause};
 use moleroad_gateway::node::Node;
 use moleroad_gateway::target_notice::TargetNotice;
 use moleroad_types::prelude::Millis;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use support::{add_target, ask, entry, evacuate, in_flight, request};
+use tokio::task::JoinHandle;
 
 /// A rest that outlasts every wait here, in milliseconds.
 const LONG_MS: u64 = 60_000;
@@ -47,6 +49,19 @@
     }
 }
 
+/// The place of a request at the only target, and another that waits for it.
+async fn one_sent_and_one_that_waits(node: &Arc<Node>) -> (Place, JoinHandle<Result<(), NoPlace>>) {
+    let request = ask(node, None);
+    let first = acquire(node, &request).await.expect("a free place");
+    let waiting = tokio::spawn({
+        let node = node.clone();
+        async move { acquire(&node, &request).await.map(drop) }
+    });
+    tokio::task::yield_now().await;
+    assert_eq!(node.view().services["plain"].waiting(), 1);
+    (first, waiting)
+}
+
 fn read(node: &Node, status: u16, headers: &[(HeaderName, &'static str)]) -> TargetNotice {
     let mut map = HeaderMap::new();
     for (name, value) in headers {
@@ -120,14 +135,7 @@
 #[tokio::test]
 async fn a_request_that_waits_is_refused_when_its_last_target_asks_for_rest() {
     let node = entry();
-    let request = ask(&node, None);
-    let first = acquire(&node, &request).await.expect("a free place");
-    let waiting = tokio::spawn({
-        let node = node.clone();
-        async move { acquire(&node, &request).await.map(drop) }
-    });
-    tokio::task::yield_now().await;
-    assert_eq!(node.view().services["plain"].waiting(), 1);
+    let (first, waiting) = one_sent_and_one_that_waits(&node).await;
     rest(&node, "i-a", 1, LONG_MS);
     // The place that comes free is not for it any more.
     drop(first);
@@ -140,13 +148,7 @@
 #[tokio::test]
 async fn a_place_that_was_granted_before_the_wish_is_given_back() {
     let node = entry();
-    let request = ask(&node, None);
-    let first = acquire(&node, &request).await.expect("a free place");
-    let waiting = tokio::spawn({
-        let node = node.clone();
-        async move { acquire(&node, &request).await.map(drop) }
-    });
-    tokio::task::yield_now().await;
+    let (first, waiting) = one_sent_and_one_that_waits(&node).await;
     // Granted, and before the one that waits runs, the target asks for rest.
     drop(first);
     assert_eq!(in_flight(&node, "i-a"), 1);
