Refuse a request at once that all known targets turned away

Cause: found by the tests of resting targets. One that may be served anywhere and whose only target turned it away waited for another one until its time was over (3 s) and was then refused as for lack of room, while its target might take it in 150 ms. Restricted requests were told that at once. Ruled out: streams that began, which cannot come back, and services whose weights are on their way: both wait as before (a test each for the first; the second by reading).

--- a/crates/moleroad_gateway/src/front/waiting.rs
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -97,6 +97,7 @@
             service: request.service.clone(),
             tried: self.tried.clone(),
             was_sent: !is_first,
+            may_have_run: self.may_have_run,
             prompt_tokens: request.prompt_tokens,
             priority: if is_first {
                 request.priority
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -20,6 +20,8 @@
     pub tried: Vec<TargetId>,
     /// Whether one of them got it.
     pub was_sent: bool,
+    /// Whether one of them may have begun it; without, all turned it away.
+    pub may_have_run: bool,
     /// Tokens of its prompt.
     pub prompt_tokens: u64,
     /// Rank; 0 is the most urgent.
--- a/crates/moleroad_gateway/tests/support/mod.rs
+++ b/crates/moleroad_gateway/tests/support/mod.rs
@@ -164,6 +164,7 @@
         service: SERVICE.into(),
         tried: Vec::new(),
         was_sent: false,
+        may_have_run: false,
         prompt_tokens: 0,
         priority: 1,
         wanted_by: None,
--- a/crates/moleroad_gateway/tests/target_notices.rs
+++ b/crates/moleroad_gateway/tests/target_notices.rs
@@ -192,6 +192,40 @@
     assert_eq!(refused.expect("it rests").cause, NoPlaceCause::Resting);
 }
 
+#[tokio::test]
+async fn a_request_that_all_known_targets_turned_away_may_come_back_soon() {
+    let node = entry();
+    let mut request = ask(&node, None);
+    request.tried = vec![TargetId::new("i-a")];
+    request.was_sent = true;
+    let refused = acquire(&node, &request)
+        .await
+        .err()
+        .expect("no other target");
+    assert_eq!(refused.cause, NoPlaceCause::TurnedAway);
+    assert_eq!(refused.retry_after_ms, 150);
+    // Another target may still take it.
+    add_target(&node, "i-b", "hall-a", address_of(2));
+    assert!(acquire(&node, &request).await.is_ok());
+}
+
+#[tokio::test]
+async fn a_stream_that_began_waits_for_another_target() {
+    let node = entry();
+    let mut request = ask(&node, None);
+    request.tried = vec![TargetId::new("i-a")];
+    (request.was_sent, request.may_have_run) = (true, true);
+    let waiting = tokio::spawn({
+        let node = node.clone();
+        async move { acquire(&node, &request).await.map(drop) }
+    });
+    tokio::task::yield_now().await;
+    assert_eq!(node.view().services["plain"].waiting(), 1);
+    add_target(&node, "i-b", "hall-a", address_of(2));
+    node.serve_waiting();
+    assert!(waiting.await.unwrap().is_ok());
+}
+
 #[tokio::test]
 async fn a_hall_that_is_evacuated_beside_one_that_rests_does_not_hide_the_rest() {
     let node = entry();
