Let a stream that began wait also where its only target rests, and use plainer names

Ruled out: a change to requests that have not begun: they are refused as before. Tests of what was touched pass.

--- a/crates/moleroad_directory/src/directory.rs
+++ b/crates/moleroad_directory/src/directory.rs
@@ -75,7 +75,7 @@
         let Some(known) = self.targets.get_mut(&record.id) else {
             return self.add_target(at, record);
         };
-        match born(&known.record, record.born_ms) {
+        match begins(&known.record, record.born_ms) {
             Begins::Later => {
                 self.targets.remove(&record.id);
                 return self.add_target(at, record);
@@ -175,7 +175,7 @@
         let Some(known) = self.targets.get_mut(id) else {
             return false;
         };
-        let is_same_life = matches!(born(&known.record, born_ms), Begins::Same);
+        let is_same_life = matches!(begins(&known.record, born_ms), Begins::Same);
         if !is_same_life || known.record.life != TargetLife::Ready {
             return false;
         }
@@ -299,7 +299,7 @@
     }
 }
 
-/// Which life of a target a record is of, seen from another record.
+/// Which life of a target a birth is of, seen from a record of it.
 enum Begins {
     Earlier,
     Same,
@@ -309,7 +309,7 @@
 /// Of two records under one identity the one that was born later is of a new life,
 /// which knows and holds nothing of the former. Without both births they are of
 /// the same.
-fn born(known: &TargetRecord, born_ms: u64) -> Begins {
+fn begins(known: &TargetRecord, born_ms: u64) -> Begins {
     if known.born_ms == 0 || born_ms == 0 || known.born_ms == born_ms {
         Begins::Same
     } else if born_ms > known.born_ms {
--- a/crates/moleroad_dispatch/src/lib.rs
+++ b/crates/moleroad_dispatch/src/lib.rs
@@ -9,8 +9,8 @@
 //! that costs, [`choice`] picks the cheapest of them, [`queue`] orders
 //! those that wait for a place, [`pace`] tells how soon late ones get one and
 //! [`overdue_share`] how many they may take, [`share`] says whose the last
-//! places are, [`health`] remembers what failed, [`rest`] who
-//! asked for rest, and [`budget`] holds the
+//! places are, [`health`] remembers what failed, [`rest`] who asked for rest,
+//! and [`budget`] holds the
 //! entry's share of the repeats that all entries may send.
 //!
 //! A target that is cold takes few requests a second: [`cold`] says whether it
--- a/crates/moleroad_gateway/src/front/waiting.rs
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -51,8 +51,8 @@
         let in_time = self.acquire_judged(&ask).await;
         let lacks_room = |no_place: &NoPlace| no_place.cause == NoPlaceCause::Busy;
         let is_about_room = in_time.as_ref().err().is_none_or(lacks_room);
-        let rest = |no_place: &NoPlace| no_place.cause == NoPlaceCause::Resting;
-        let may_be_late = is_about_room || in_time.as_ref().err().is_some_and(rest);
+        let rests = |no_place: &NoPlace| no_place.cause == NoPlaceCause::Resting;
+        let may_be_late = is_about_room || in_time.as_ref().err().is_some_and(rests);
         if is_about_room && self.sends.claim_in_time_note() {
             self.note_in_time(in_time.is_ok());
         }
--- a/crates/moleroad_gateway/src/greeting/hello.rs
+++ b/crates/moleroad_gateway/src/greeting/hello.rs
@@ -16,7 +16,7 @@
     let own = view.own.clone();
     view.directory.hear_daemon(now, own, 0);
     let called = |heard: &&Heard<TargetRecord>| {
-        let call = view.told_of.get(&heard.record.id);
+        let call = view.to_tell.get(&heard.record.id);
         call.is_some_and(|call| *call > told.calls)
     };
     let targets = view.directory.targets().filter(called);
--- a/crates/moleroad_gateway/src/no_place.rs
+++ b/crates/moleroad_gateway/src/no_place.rs
@@ -117,12 +117,12 @@
     let is_outage = !places.is_some_and(|places| places.targets.any_reachable(now, needs));
     let comes_in_ms = places.and_then(|places| places.expected_outage_ms(now));
     let rested_in_ms = places.and_then(|places| rested_in_ms(now, places, needs));
-    let wait_ms = match (is_outage, comes_in_ms) {
+    let wait_ms = match (rested_in_ms, is_outage, comes_in_ms) {
         // Before that it would be refused again.
-        _ if rested_in_ms.is_some() => rested_in_ms.unwrap_or(0),
-        (true, Some(ms)) => ms.saturating_sub(HELD_BEFORE_MS).max(RETRY_AFTER_LEAST_MS),
-        (true, None) => RETRY_AFTER_OUTAGE_MS,
-        (false, _) => cold_wait_ms(now, places, needs, entries)
+        (Some(ms), _, _) => ms,
+        (None, true, Some(ms)) => ms.saturating_sub(HELD_BEFORE_MS).max(RETRY_AFTER_LEAST_MS),
+        (None, true, None) => RETRY_AFTER_OUTAGE_MS,
+        (None, false, _) => cold_wait_ms(now, places, needs, entries)
             .clamp(RETRY_AFTER_LEAST_MS, RETRY_AFTER_OUTAGE_MS),
     };
     let all = AllowedRegions::all();
--- a/crates/moleroad_gateway/src/refusal.rs
+++ b/crates/moleroad_gateway/src/refusal.rs
@@ -109,9 +109,13 @@
 }
 
 /// Whether all that could serve the request rest for longer than it waits; newer
-/// weights may come sooner to one that needs them.
+/// weights may come sooner to one that needs them, and a stream that began waits
+/// for a target that is not known yet.
 fn rests_too_long(kept_out: BarrierTally, rested: Option<Rested>, ask: &Ask) -> bool {
-    let outlasts = |rested: Rested| rested.untried.is_none_or(|at| at > ask.until);
+    let outlasts = |rested: Rested| {
+        let untried = rested.untried;
+        untried.map_or(!ask.may_have_run, |at| at > ask.until)
+    };
     kept_out.old_weights == 0 && rested.is_some_and(outlasts)
 }
 
--- a/crates/moleroad_gateway/src/target_news.rs
+++ b/crates/moleroad_gateway/src/target_news.rs
@@ -15,7 +15,7 @@
     /// Notes that a target told this daemon something that others are to know.
     pub fn tell_of(&mut self, target: &TargetId) {
         self.calls += 1;
-        self.told_of.insert(target.clone(), self.calls);
+        self.to_tell.insert(target.clone(), self.calls);
     }
 }
 
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -58,7 +58,7 @@
     pub leader: Option<LeaderHint>,
     /// Targets of which this daemon is to tell others, since they called it or told
     /// it something in an answer, with the number of the word.
-    pub told_of: HashMap<TargetId, u64>,
+    pub to_tell: HashMap<TargetId, u64>,
     /// Number of such words so far.
     pub calls: u64,
     /// Which targets are cold.
@@ -85,7 +85,7 @@
             engine_was_read: false,
             demand_per_s: 0.0,
             leader: None,
-            told_of: HashMap::new(),
+            to_tell: HashMap::new(),
             calls: 0,
             cold: ColdMemory::default(),
             rests: Rests::default(),
--- a/crates/moleroad_gateway/tests/target_notices.rs
+++ b/crates/moleroad_gateway/tests/target_notices.rs
@@ -215,6 +215,7 @@
     let mut request = ask(&node, None);
     request.tried = vec![TargetId::new("i-a")];
     (request.was_sent, request.may_have_run) = (true, true);
+    rest(&node, "i-a", 1, LONG_MS);
     let waiting = tokio::spawn({
         let node = node.clone();
         async move { acquire(&node, &request).await.map(drop) }
