Give the tests of the choice one target to begin with, and engines a file of their own

Change: tests/support of the dispatch crate, and tests/engines.rs. Measured: all tests of the crate pass. Conclusion: no product code is touched.

--- a/crates/moleroad_dispatch/tests/cold_admission.rs
+++ b/crates/moleroad_dispatch/tests/cold_admission.rs
@@ -1,9 +1,10 @@
 //! The last look at a target that may be cold, before a send begins.
 
-use moleroad_directory::prelude::TargetId;
+mod support;
+
 use moleroad_dispatch::division::SPAN_MS;
 use moleroad_dispatch::prelude::*;
-use moleroad_types::prelude::{Millis, Region};
+use moleroad_types::prelude::Millis;
 use std::sync::Arc;
 
 /// A bound that holds until 5,000 ms.
@@ -22,21 +23,9 @@
 
 fn target(cold: Option<ColdTarget>) -> Candidate {
     Candidate {
-        id: TargetId::new("t"),
-        address: "127.0.0.1:1".parse().unwrap(),
-        slots: 12,
-        most_own: 12,
-        share: 12,
-        distance: Distance::SameHall,
-        region: Region::new("r"),
-        evacuated: false,
-        version: Some(1),
-        switching: false,
-        slowness: 1.0,
         agent: Some("127.0.0.1:2".parse().unwrap()),
         cold: cold.map(Arc::new),
-        granted_until: None,
-        rests_until: None,
+        ..support::target("t", 12)
     }
 }
 
--- /dev/null
+++ b/crates/moleroad_dispatch/tests/engines.rs
@@ -0,0 +1,240 @@
+//! Choosing among engines, whose agents are asked, and health of connections.
+
+mod support;
+
+use moleroad_directory::prelude::TargetId;
+use moleroad_dispatch::prelude::*;
+use moleroad_types::prelude::Millis;
+
+const READING: ReadingSpeed = ReadingSpeed {
+    tokens_per_ms: 30.0,
+    usual_prompt: 900.0,
+    steps_ms: 40.0,
+    tokens_per_pass: 2_048.0,
+};
+
+fn candidate(name: &str, distance: Distance) -> Candidate {
+    Candidate {
+        distance,
+        ..support::target(name, 4)
+    }
+}
+
+fn engine(name: &str, distance: Distance) -> Candidate {
+    Candidate {
+        slots: 16,
+        most_own: 16,
+        share: 2,
+        agent: Some("127.0.0.1:2".parse().unwrap()),
+        ..candidate(name, distance)
+    }
+}
+
+/// Six engines near and four far, whose agents can be asked.
+fn engines() -> Targets {
+    let near = (0..6).map(|index| engine(&format!("near-{index}"), Distance::SameHall));
+    let far = (0..4).map(|index| engine(&format!("far-{index}"), Distance::OtherRegion));
+    let mut targets = Targets::default();
+    targets.reading = Some(READING);
+    targets.set(near.chain(far).collect());
+    targets
+}
+
+#[test]
+fn a_few_engines_of_one_reach_are_looked_at() {
+    let targets = engines();
+    assert!(targets.have_agents());
+    let mut seen = std::collections::BTreeSet::new();
+    for draw in 0..200_u64 {
+        let draw = draw.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let near = targets.shortlist(Millis(0), Needs::default(), Reach::Near, draw);
+        let far = targets.shortlist(Millis(0), Needs::default(), Reach::Far, draw);
+        assert_eq!((near.len(), far.len()), (3, 2));
+        assert!(near.iter().all(|c| c.id.as_str().starts_with("near")));
+        assert!(far.iter().all(|c| c.id.as_str().starts_with("far")));
+        seen.extend(near.into_iter().chain(far).map(|c| c.id));
+    }
+    assert_eq!(seen.len(), 10, "every engine has its turn");
+}
+
+#[test]
+fn a_new_report_goes_before_shares_and_an_old_one_does_not() {
+    let mut targets = engines();
+    let only = [engine("near-0", Distance::SameHall)];
+    let id = &only[0].id;
+    targets.reported(Millis(0), id, 14, 0);
+    // Beyond its own two places an entry sends only by what is new.
+    targets.started(Millis(0), id, 100);
+    targets.started(Millis(0), id, 100);
+    targets.reported(Millis(10), id, 14, 0);
+    let best = |targets: &Targets, now| targets.best_of(Millis(now), Needs::default(), &only);
+    assert!(best(&targets, 20).is_some());
+    assert!(best(&targets, 200).is_none());
+    targets.reported(Millis(300), id, 16, 0);
+    assert!(best(&targets, 301).is_none(), "no place is free");
+}
+
+#[test]
+fn the_engine_with_the_fewest_unread_prompts_is_the_best() {
+    let mut targets = engines();
+    let looked_at: Vec<Candidate> = (0..3)
+        .map(|index| engine(&format!("near-{index}"), Distance::SameHall))
+        .collect();
+    for (candidate, queued) in looked_at.iter().zip([2, 0, 1]) {
+        targets.reported(Millis(0), &candidate.id, 8, queued);
+    }
+    let best = targets.best_of(Millis(1), Needs::default(), &looked_at);
+    let best = best.expect("places are free");
+    assert_eq!(best.id.as_str(), "near-1");
+    assert!(targets.is_good_enough(Millis(1), &best));
+    assert!(!targets.is_good_enough(Millis(1), &looked_at[0]));
+}
+
+#[test]
+fn an_agent_that_was_silent_rests_until_it_is_heard() {
+    let mut targets = engines();
+    let id = TargetId::new("near-0");
+    targets.agent_was_silent(Millis(0), &id);
+    assert!(targets.load(&id).agent_rests(Millis(299)));
+    assert!(!targets.load(&id).agent_rests(Millis(300)));
+    targets.agent_was_silent(Millis(400), &id);
+    targets.reported(Millis(410), &id, 0, 0);
+    assert!(!targets.load(&id).agent_rests(Millis(420)));
+}
+
+/// Whether the one target is reachable at `now`, after these ends of sends.
+fn is_reachable(ends: &[(u64, Outcome)], now: u64) -> bool {
+    let mut targets = Targets::default();
+    targets.set(vec![candidate("a", Distance::SameHall)]);
+    for (at, outcome) in ends {
+        targets.started(Millis(*at), &TargetId::new("a"), 0);
+        targets.finished(Millis(*at), &TargetId::new("a"), *outcome);
+    }
+    targets.any_reachable(Millis(now), Needs::default())
+}
+
+#[test]
+fn a_target_is_unreachable_while_connections_fail_and_is_tried_again_soon() {
+    use Outcome::*;
+    // Several connections that fail together are one sign.
+    assert!(is_reachable(&[(0, Unreachable), (10, Unreachable)], 20));
+    let failing = [(0, Unreachable), (450, Unreachable)];
+    assert!(!is_reachable(&failing, 460));
+    assert!(!is_reachable(&failing, 1_249));
+    assert!(is_reachable(&failing, 1_250));
+    assert!(!is_reachable(
+        &[failing[0], failing[1], (1_300, Unreachable)],
+        1_310
+    ));
+    // What answers, if only with a failure, is reachable.
+    for outcome in [Answered, Failed, Broken, TurnedAway] {
+        assert!(is_reachable(&[failing[0], failing[1], (455, outcome)], 460));
+    }
+    assert!(!is_reachable(
+        &[failing[0], failing[1], (455, Abandoned)],
+        460
+    ));
+}
+
+#[test]
+fn a_target_whose_agent_is_silent_is_not_taken_for_an_idle_one() {
+    let mut targets = engines();
+    let looked_at = [0, 1].map(|index| engine(&format!("near-{index}"), Distance::SameHall));
+    let [silent, busy] = [&looked_at[0].id, &looked_at[1].id];
+    targets.reported(Millis(0), silent, 4, 0);
+    // Its report has faded; an engine with some work in hand answers.
+    for at in [5_000, 5_300, 5_600] {
+        targets.agent_was_silent(Millis(at), silent);
+    }
+    targets.reported(Millis(5_600), busy, 8, 1);
+    let best = |targets: &Targets| {
+        let best = targets.best_of(Millis(5_601), Needs::default(), &looked_at);
+        best.map(|candidate| candidate.id)
+    };
+    assert_eq!(best(&targets).as_ref(), Some(busy));
+    targets.reported(Millis(5_601), silent, 4, 0);
+    assert_eq!(best(&targets).as_ref(), Some(silent), "it is heard again");
+    assert!(
+        targets
+            .best_of(Millis(5_601), Needs::default(), &looked_at[..1])
+            .is_some(),
+        "better than none"
+    );
+}
+
+#[test]
+fn a_target_out_of_reach_is_no_way_out_when_the_others_are_full() {
+    let mut targets = engines();
+    let looked_at = [0, 1].map(|index| engine(&format!("near-{index}"), Distance::SameHall));
+    let [silent, full] = [&looked_at[0].id, &looked_at[1].id];
+    targets.reported(Millis(300), full, 16, 4);
+    let sent = |targets: &Targets, looked_at: &[Candidate]| {
+        let best = targets.best_of(Millis(301), Needs::default(), looked_at);
+        best.map(|candidate| candidate.id)
+    };
+    targets.agent_was_silent(Millis(0), silent);
+    assert_eq!(
+        sent(&targets, &looked_at).as_ref(),
+        Some(silent),
+        "one may be lost"
+    );
+    targets.agent_was_silent(Millis(10), silent);
+    assert_eq!(
+        sent(&targets, &looked_at).as_ref(),
+        Some(silent),
+        "side by side"
+    );
+    targets.agent_was_silent(Millis(300), silent);
+    assert_eq!(sent(&targets, &looked_at), None);
+    assert_eq!(
+        sent(&targets, &looked_at[..1]).as_ref(),
+        Some(silent),
+        "no agent can be asked"
+    );
+    targets.reported(Millis(301), silent, 0, 0);
+    assert_eq!(
+        sent(&targets, &looked_at).as_ref(),
+        Some(silent),
+        "it is heard again"
+    );
+}
+
+#[test]
+fn a_target_out_of_reach_is_drawn_again_when_its_agent_may_be_asked() {
+    let mut targets = engines();
+    let id = TargetId::new("near-0");
+    let is_drawn = |targets: &Targets, now| {
+        (0..200).any(|draw| {
+            let drawn = targets.shortlist(Millis(now), Needs::default(), Reach::Near, draw);
+            drawn.iter().any(|candidate| candidate.id == id)
+        })
+    };
+    targets.agent_refused(Millis(0), &id);
+    targets.agent_refused(Millis(300), &id);
+    assert!(is_drawn(&targets, 301), "its agent is being started");
+    targets.agent_was_silent(Millis(600), &id);
+    assert!(is_drawn(&targets, 601));
+    targets.agent_was_silent(Millis(900), &id);
+    assert!(!is_drawn(&targets, 901));
+    assert!(is_drawn(&targets, 1_200));
+}
+
+#[test]
+fn a_target_whose_agent_nobody_asks_any_more_is_in_reach_again() {
+    let mut targets = engines();
+    let looked_at = [0, 1].map(|index| engine(&format!("near-{index}"), Distance::SameHall));
+    let [silent, full] = [&looked_at[0].id, &looked_at[1].id];
+    for at in [0, 300] {
+        targets.agent_was_silent(Millis(at), silent);
+    }
+    let sent = |targets: &mut Targets, now| {
+        targets.reported(Millis(now), full, 16, 4);
+        let best = targets.best_of(Millis(now), Needs::default(), &looked_at);
+        best.map(|candidate| candidate.id)
+    };
+    assert_eq!(sent(&mut targets, 3_299), None);
+    assert_eq!(sent(&mut targets, 3_300).as_ref(), Some(silent));
+    // What is over does not add to a new silence.
+    targets.agent_was_silent(Millis(3_400), silent);
+    assert_eq!(sent(&mut targets, 3_401).as_ref(), Some(silent));
+}
--- a/crates/moleroad_dispatch/tests/overdue.rs
+++ b/crates/moleroad_dispatch/tests/overdue.rs
@@ -1,6 +1,8 @@
 //! Requests that wait though their wanted latency cannot be met: who goes
 //! first, how soon they get a place, what they leave to others.
 
+mod support;
+
 use moleroad_directory::prelude::TargetId;
 use moleroad_dispatch::prelude::*;
 use moleroad_types::prelude::{AllowedRegions, Millis, Region};
@@ -69,21 +71,8 @@
 fn a_request_without_hope_leaves_a_place_to_others() {
     let mut targets = Targets::default();
     targets.set(vec![Candidate {
-        id: TargetId::new("engine"),
-        address: "10.0.0.1:80".parse().unwrap(),
-        slots: 3,
-        most_own: 3,
-        share: 3,
-        distance: Distance::SameHall,
-        region: Region::new("r"),
-        evacuated: false,
         version: Some(4),
-        switching: false,
-        slowness: 1.0,
-        agent: None,
-        cold: None,
-        granted_until: None,
-        rests_until: None,
+        ..support::target("engine", 3)
     }]);
     let overdue = Needs {
         spare: 1,
--- a/crates/moleroad_dispatch/tests/residency.rs
+++ b/crates/moleroad_dispatch/tests/residency.rs
@@ -1,5 +1,7 @@
 //! No request reaches a target outside the regions where it may be served.
 
+mod support;
+
 use moleroad_directory::prelude::TargetId;
 use moleroad_dispatch::prelude::*;
 use moleroad_types::prelude::{AllowedRegions, Millis, Region};
@@ -15,25 +17,15 @@
 
 fn target(number: usize, region: &str) -> Candidate {
     Candidate {
-        id: TargetId::new(format!("t{number}")),
-        address: "127.0.0.1:1".parse().unwrap(),
-        slots: 2,
-        most_own: 2,
-        share: 2,
         distance: if region == OWN {
             Distance::SameRegion
         } else {
             Distance::OtherRegion
         },
         region: Region::new(region),
-        evacuated: false,
         version: Some(2),
-        switching: false,
-        slowness: 1.0,
         agent: Some("127.0.0.1:2".parse().unwrap()),
-        cold: None,
-        granted_until: None,
-        rests_until: None,
+        ..support::target(&format!("t{number}"), 2)
     }
 }
 
--- a/crates/moleroad_dispatch/tests/rest.rs
+++ b/crates/moleroad_dispatch/tests/rest.rs
@@ -1,9 +1,11 @@
 //! Targets that asked for rest: how the wish is read, whose it is, and that no
 //! choice goes by less.
 
+mod support;
+
 use moleroad_directory::prelude::{TargetId, TargetRecord};
 use moleroad_dispatch::prelude::*;
-use moleroad_types::prelude::{AllowedRegions, Millis, Region};
+use moleroad_types::prelude::{AllowedRegions, Millis};
 use proptest::prelude::*;
 use std::net::SocketAddr;
 
@@ -24,21 +26,10 @@
 
 fn candidate(number: u16, rests_until: Option<Millis>) -> Candidate {
     Candidate {
-        id: TargetId::new(format!("t{number}")),
         address: address(number),
-        slots: 2,
-        most_own: 2,
-        share: 2,
-        distance: Distance::SameHall,
-        region: Region::new("r"),
-        evacuated: false,
         version: None,
-        switching: false,
-        slowness: 1.0,
-        agent: None,
         rests_until,
-        cold: None,
-        granted_until: None,
+        ..support::target(&format!("t{number}"), 2)
     }
 }
 
--- /dev/null
+++ b/crates/moleroad_dispatch/tests/support/mod.rs
@@ -0,0 +1,29 @@
+//! A target for tests of the choice; each test changes what it is about.
+
+#![allow(dead_code)]
+
+use moleroad_directory::prelude::TargetId;
+use moleroad_dispatch::prelude::{Candidate, Distance};
+use moleroad_types::prelude::Region;
+
+/// A target in the entry's hall with so many places, all of them the entry's, that
+/// may get requests now.
+pub fn target(name: &str, slots: u32) -> Candidate {
+    Candidate {
+        id: TargetId::new(name),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        slots,
+        most_own: slots,
+        share: slots,
+        distance: Distance::SameHall,
+        region: Region::new("r"),
+        evacuated: false,
+        version: Some(1),
+        switching: false,
+        slowness: 1.0,
+        agent: None,
+        cold: None,
+        granted_until: None,
+        rests_until: None,
+    }
+}
