Read what targets say of the requests they take, and tell all entries

Cause: the timeline of the incident of limits could not say who knew of a limit, from when on: no line was written and no entry read the header.

Change: the limit in the head of each answer is kept with the life of its target. Each change gets the next revision and is told like other news of targets. A limit ends with an answer of success that lacks it and whose request was sent after it was heard of; an older answer counts only where it is stricter.

Ruled out: ordering words by time of day, which may step on any machine; and letting a limit lapse by itself, which would let entries press until the next answer. Nothing acts on the limit yet.

Tests: moleroad_directory (limits) and moleroad_gateway (target_notices) pass.

--- a/crates/moleroad_directory/src/directory.rs
+++ b/crates/moleroad_directory/src/directory.rs
@@ -2,6 +2,7 @@
 
 use crate::changes::{Changes, Difference};
 use crate::daemon::{DaemonRecord, DaemonRole, DaemonState};
+use crate::limit::WordsHeard;
 use crate::slots::Slots;
 use crate::target::{TargetId, TargetLife, TargetRecord};
 use moleroad_types::prelude::{InstanceId, Millis};
@@ -57,6 +58,7 @@
     /// Number of the last change; each change gets the next one.
     pub(crate) position: u64,
     pub(crate) slots: Slots,
+    pub(crate) limits_heard: WordsHeard,
 }
 
 impl Directory {
@@ -73,18 +75,33 @@
     /// Takes what a target said `age_ms` ago.
     pub fn hear_target(&mut self, now: Millis, record: TargetRecord, age_ms: u64) -> TargetChange {
         let at = Millis(now.0.saturating_sub(age_ms));
-        let position = self.position + 1;
-        let Some(known) = self.targets.get_mut(&record.id) else {
+        let Some(known) = self.targets.get(&record.id) else {
             return self.add_target(at, record);
         };
         match begins(&known.record, record.born_ms) {
             Begins::Later => {
                 self.targets.remove(&record.id);
+                self.limits_heard.remove(&record.id);
                 return self.add_target(at, record);
             }
             Begins::Earlier => return TargetChange::Stale,
             Begins::Same => {}
         }
+        let has_limit_changed = self.take_limit(now, &record);
+        let change = self.hear_same_life(at, record);
+        if has_limit_changed {
+            TargetChange::Changed
+        } else {
+            change
+        }
+    }
+
+    /// Takes what the known life of a target said, apart from its limit.
+    fn hear_same_life(&mut self, at: Millis, record: TargetRecord) -> TargetChange {
+        let position = self.position + 1;
+        let Some(known) = self.targets.get_mut(&record.id) else {
+            return TargetChange::Stale;
+        };
         let life = known.record.life.max(record.life);
         if record.sequence < known.record.sequence {
             // A late call can still tell that the target leaves.
@@ -104,6 +121,7 @@
         let next = TargetRecord {
             life,
             born_ms,
+            limit: known.record.limit,
             ..record
         };
         let mut renewed = next.clone();
@@ -177,8 +195,7 @@
         let Some(known) = self.targets.get_mut(id) else {
             return false;
         };
-        let is_same_life = matches!(begins(&known.record, born_ms), Begins::Same);
-        if !is_same_life || known.record.life != TargetLife::Ready {
+        if !begins_same(&known.record, born_ms) || known.record.life != TargetLife::Ready {
             return false;
         }
         known.record.life = TargetLife::Draining;
@@ -258,6 +275,7 @@
             };
             now.since(target.at) < limit
         });
+        self.expire_limits();
     }
 
     /// All targets, also those that are gone.
@@ -340,6 +358,11 @@
     }
 }
 
+/// Whether a word of the life that began at `born_ms` is of the known one.
+pub(crate) fn begins_same(known: &TargetRecord, born_ms: u64) -> bool {
+    matches!(begins(known, born_ms), Begins::Same)
+}
+
 /// Whether a target says that it is cold for longer than was known. That the
 /// time passes is no news.
 fn turned_cold(known: &Heard<TargetRecord>, next: &TargetRecord, at: Millis) -> bool {
--- a/crates/moleroad_directory/src/lib.rs
+++ b/crates/moleroad_directory/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod changes;
 pub mod daemon;
 pub mod directory;
+pub mod limit;
 mod naming;
 pub mod news;
 pub mod relays;
@@ -32,6 +33,7 @@
     pub use crate::changes::{Aged, Life, LoadNews};
     pub use crate::daemon::{DaemonRecord, DaemonRole, DaemonState, EngineReport, PieceMap};
     pub use crate::directory::{Directory, Heard, TargetChange};
+    pub use crate::limit::{NamedLimit, RequestRate};
     pub use crate::news::{Cursor, DaemonNews, Interest, News, Question, Scope, SlotLoad};
     pub use crate::slots::{KnownSlots, Slot, SlotAges};
     pub use crate::take::Taken;
--- a/crates/moleroad_directory/src/target.rs
+++ b/crates/moleroad_directory/src/target.rs
@@ -1,5 +1,6 @@
 //! What a target says of itself.
 
+use crate::limit::NamedLimit;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::net::SocketAddr;
@@ -79,6 +80,10 @@
     /// target may begin again under the same identity.
     #[serde(default)]
     pub born_ms: u64,
+    /// What it says in its answers of the requests that it takes; its own calls do
+    /// not tell.
+    #[serde(default)]
+    pub limit: NamedLimit,
 }
 
 impl TargetRecord {
@@ -95,6 +100,7 @@
             cold_left_ms: 0,
             holdings: None,
             born_ms: 0,
+            limit: NamedLimit::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/moleroad_directory/tests/limits.rs
@@ -0,0 +1,136 @@
+//! What targets say of the requests that they take, as it is kept and merged.
+
+use moleroad_directory::prelude::*;
+use moleroad_types::prelude::Millis;
+
+fn id() -> TargetId {
+    TargetId::new("i-0")
+}
+
+fn record(sequence: u64, born_ms: u64) -> TargetRecord {
+    TargetRecord {
+        sequence,
+        born_ms,
+        ..TargetRecord::new(id(), "plain", "127.0.0.1:80".parse().unwrap())
+    }
+}
+
+/// A directory that has heard of the target.
+fn knows_it() -> Directory {
+    let mut directory = Directory::new();
+    directory.hear_target(Millis(10), record(1, 1_000), 0);
+    directory
+}
+
+fn rate(per_s: f64) -> Option<RequestRate> {
+    Some(RequestRate::per_s(per_s))
+}
+
+fn limit(directory: &Directory) -> NamedLimit {
+    directory.target(&id()).unwrap().record.limit
+}
+
+/// Says at `now` what an answer to a request of `sent_at` named.
+fn name(directory: &mut Directory, now: u64, sent_at: u64, rate: Option<RequestRate>) -> bool {
+    let sent_at = Some(Millis(sent_at));
+    directory.target_named_limit(Millis(now), &id(), 1_000, sent_at, rate)
+}
+
+#[test]
+fn a_rate_is_a_decimal_number() {
+    for (text, per_s) in [("1", 1.0), (" 2.25 ", 2.25), ("0", 0.0), (".5", 0.5)] {
+        assert_eq!(RequestRate::read(text), rate(per_s), "{text:?}");
+    }
+    assert_eq!(RequestRate::read("0.0004"), rate(0.0));
+    for odd in [
+        "", ".", "-1", "+1", "1e3", "NaN", "inf", "1,5", "1/s", "many",
+    ] {
+        assert_eq!(RequestRate::read(odd), None, "{odd:?}");
+    }
+    let huge = RequestRate::read(&"9".repeat(400)).unwrap();
+    assert!(huge > RequestRate::per_s(1e12));
+}
+
+#[test]
+fn a_limit_holds_until_an_answer_to_a_later_request_lacks_it() {
+    let mut directory = knows_it();
+    assert!(name(&mut directory, 100, 90, rate(2.0)));
+    assert!(!name(&mut directory, 110, 100, rate(2.0)), "no news");
+    // Sent before the limit was heard of: the answer may be older than it.
+    assert!(!name(&mut directory, 120, 99, None));
+    assert!(!name(&mut directory, 120, 99, rate(3.0)));
+    assert!(name(&mut directory, 120, 99, rate(1.0)), "it is stricter");
+    assert_eq!(limit(&directory).rate, rate(1.0));
+    let unknown = directory.target_named_limit(Millis(130), &id(), 1_000, None, None);
+    assert!(!unknown, "when it was sent is not known");
+    assert!(name(&mut directory, 130, 120, None));
+    assert_eq!(limit(&directory).rate, None);
+}
+
+#[test]
+fn its_own_calls_leave_the_limit_of_a_target_as_it_is() {
+    let mut directory = knows_it();
+    name(&mut directory, 100, 90, rate(2.0));
+    for sequence in [2, 1] {
+        directory.hear_target(Millis(200), record(sequence, 1_000), 0);
+        assert_eq!(limit(&directory).rate, rate(2.0));
+    }
+    directory.hear_target(Millis(300), record(3, 0), 0);
+    assert_eq!(limit(&directory).rate, rate(2.0));
+}
+
+#[test]
+fn a_new_life_has_no_limit_and_gets_none_from_the_former() {
+    let mut directory = knows_it();
+    name(&mut directory, 100, 90, rate(2.0));
+    let former = directory.target(&id()).unwrap().record.clone();
+    directory.hear_target(Millis(200), record(1, 2_000), 0);
+    assert_eq!(limit(&directory), NamedLimit::default());
+    // Said by the former life, heard of later.
+    assert!(!name(&mut directory, 210, 205, rate(1.0)));
+    directory.hear_target(Millis(220), former, 0);
+    assert_eq!(limit(&directory), NamedLimit::default());
+}
+
+#[test]
+fn all_directories_come_to_one_limit_in_any_order_of_news() {
+    let word = |revision, per_s: Option<f64>| TargetRecord {
+        limit: NamedLimit {
+            revision,
+            rate: per_s.map(RequestRate::per_s),
+        },
+        ..record(1, 1_000)
+    };
+    let words = [
+        word(1, Some(2.0)),
+        word(2, None),
+        word(2, Some(3.0)),
+        word(2, Some(1.5)),
+    ];
+    for first in 0..words.len() {
+        let mut directory = knows_it();
+        for at in 0..words.len() {
+            let heard = words[(first + at) % words.len()].clone();
+            directory.hear_target(Millis(100 + at as u64), heard, 0);
+        }
+        let known = limit(&directory);
+        assert_eq!((known.revision, known.rate), (2, rate(1.5)), "{first}");
+    }
+}
+
+#[test]
+fn a_limit_that_changed_is_news_for_others() {
+    let mut directory = knows_it();
+    let before = directory.position();
+    name(&mut directory, 100, 90, rate(2.0));
+    assert!(directory.position() > before);
+    let told = directory.target(&id()).unwrap().record.clone();
+    let mut other = knows_it();
+    let change = other.hear_target(Millis(500), told.clone(), 0);
+    assert_eq!(change, TargetChange::Changed);
+    assert_eq!(
+        other.hear_target(Millis(600), told, 0),
+        TargetChange::Renewed
+    );
+    assert_eq!(limit(&other).rate, rate(2.0));
+}
--- a/crates/moleroad_gateway/src/agent/calls.rs
+++ b/crates/moleroad_gateway/src/agent/calls.rs
@@ -3,6 +3,7 @@
 use crate::front::pool::Connection;
 use crate::interface::OutsideCall;
 use crate::node::Node;
+use crate::target_notice::AnswerHead;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
@@ -103,7 +104,13 @@
     let answerer = node.answerer_at(address);
     let response = connection.sender.send_request(message).await.ok()?;
     let (head, body) = response.into_parts();
-    node.take_notice(answerer, "-", head.status, &head.headers);
+    node.take_notice(AnswerHead {
+        from: answerer,
+        request: "-",
+        sent_at: None,
+        status: head.status,
+        headers: &head.headers,
+    });
     let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await.ok()?;
     let closing = head.headers.get(hyper::header::CONNECTION);
     Some(Answer {
--- a/crates/moleroad_gateway/src/candidates.rs
+++ b/crates/moleroad_gateway/src/candidates.rs
@@ -31,6 +31,7 @@
             return;
         };
         let colds = self.cold_targets(now, settings, &table);
+        self.note_limits(now);
         let entries = || self.directory.ready_entries(now);
         let demands = entries().map(|entry| EntryDemand {
             entry: entry.instance.as_str(),
--- a/crates/moleroad_gateway/src/front/exchange.rs
+++ b/crates/moleroad_gateway/src/front/exchange.rs
@@ -5,6 +5,7 @@
 use crate::front::request::Accepted;
 use crate::grants;
 use crate::node::Node;
+use crate::target_notice::AnswerHead;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -122,18 +123,19 @@
             return Err(SendError::Lapsed);
         }
         set_deadline(node, request, candidate, message.headers_mut());
+        let sent_at = node.clock.now();
         let sending = connection.sender.try_send_request(message);
         match tokio::time::timeout_at(limit, sending).await {
             Err(_) => return Err(SendError::TimedOut),
             Ok(Ok(response)) => {
                 // Also where the answer is another request's: the target made it.
-                let request_id = request.id.to_str().unwrap_or("-");
-                node.take_notice(
-                    place.answerer(),
-                    request_id,
-                    response.status(),
-                    response.headers(),
-                );
+                node.take_notice(AnswerHead {
+                    from: place.answerer(),
+                    request: request.id.to_str().unwrap_or("-"),
+                    sent_at: is_answer_to(node, request, response.headers()).then_some(sent_at),
+                    status: response.status(),
+                    headers: response.headers(),
+                });
                 return judge(node, request, response, connection);
             }
             Ok(Err(mut error)) => match error.take_message() {
@@ -208,6 +210,12 @@
     headers.insert(&names.deadline_ms, HeaderValue::from(left));
 }
 
+/// Whether the answer names the request as the one that it is to.
+fn is_answer_to(node: &Node, request: &Accepted, headers: &HeaderMap) -> bool {
+    let names = node.interface.headers();
+    headers.get(&names.request_id) == Some(&request.id)
+}
+
 fn judge(
     node: &Node,
     request: &Accepted,
@@ -216,7 +224,7 @@
 ) -> Result<Reply, SendError> {
     let names = node.interface.headers();
     let (head, body) = response.into_parts();
-    let same = head.headers.get(&names.request_id) == Some(&request.id);
+    let same = is_answer_to(node, request, &head.headers);
     let not_executed = head.headers.contains_key(&names.not_executed)
         || head.status == StatusCode::MISDIRECTED_REQUEST;
     // A target that runs nothing may answer before it has read the identity.
--- a/crates/moleroad_gateway/src/interface.rs
+++ b/crates/moleroad_gateway/src/interface.rs
@@ -32,6 +32,8 @@
     pub not_executed: HeaderName,
     /// Says in an answer that its target leaves.
     pub leaving: HeaderName,
+    /// Says in an answer how many requests a second its target takes.
+    pub limit: HeaderName,
     /// Last event that a resumed stream has brought.
     pub last_event: HeaderName,
     /// Model that the request names.
--- a/crates/moleroad_gateway/src/target_notice.rs
+++ b/crates/moleroad_gateway/src/target_notice.rs
@@ -1,22 +1,64 @@
 //! What an answer says of its target beside the answer itself: that the target
-//! leaves, or for how long it wants nothing more from this daemon.
+//! leaves, how many requests a second it takes from all entries, or for how long it
+//! wants nothing more from this daemon.
 //!
-//! Both bind every later choice of this daemon: first sends, repeats, resumed
-//! streams, requests that wait, and an agent's calls. That a target leaves is a fact
-//! of its life, kept in the directory and told to other daemons; the wish for rest
-//! is between the two and told to nobody.
+//! All bind every later choice of this daemon: first sends, repeats, resumed
+//! streams, requests that wait, and an agent's calls. That a target leaves and its
+//! limit are facts of its life, kept in the directory and told to other daemons; the
+//! wish for rest is between the two and told to nobody.
 
 use crate::interface::HeaderNames;
 use crate::node::Node;
 use crate::target_news;
 use crate::view::View;
 use hyper::StatusCode;
-use hyper::header::{HeaderMap, RETRY_AFTER};
-use moleroad_directory::prelude::TargetId;
+use hyper::header::{HeaderMap, HeaderValue, RETRY_AFTER};
+use moleroad_directory::prelude::{RequestRate, TargetId};
 use moleroad_dispatch::prelude::{Answerer, read_rest_ms};
 use moleroad_types::prelude::Millis;
 use std::net::SocketAddr;
 
+/// What the head of an answer says of the requests that its target takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LimitNotice {
+    /// Nothing.
+    #[default]
+    NotNamed,
+    /// So many, from all entries together.
+    Named(RequestRate),
+    /// A limit in a form that cannot be read.
+    Unreadable,
+}
+
+impl LimitNotice {
+    /// Reads the head of an answer; of several limits the strictest counts.
+    fn read(names: &HeaderNames, headers: &HeaderMap) -> Self {
+        let values = headers.get_all(&names.limit);
+        let read = |value: &HeaderValue| value.to_str().ok().and_then(RequestRate::read);
+        match values.iter().filter_map(read).min() {
+            Some(rate) => Self::Named(rate),
+            None if values.iter().next().is_some() => Self::Unreadable,
+            None => Self::NotNamed,
+        }
+    }
+}
+
+/// The head of an answer, as it came here.
+#[derive(Clone, Debug)]
+pub(crate) struct AnswerHead<'a> {
+    /// What made it.
+    pub(crate) from: Answerer,
+    /// The request or call in the log.
+    pub(crate) request: &'a str,
+    /// When the request that it answers was sent; `None` for calls, whose answers
+    /// need not tell all, and where it answers another request.
+    pub(crate) sent_at: Option<Millis>,
+    /// Status.
+    pub(crate) status: StatusCode,
+    /// Headers.
+    pub(crate) headers: &'a HeaderMap,
+}
+
 /// What the head of an answer says of its target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TargetNotice {
@@ -26,6 +68,8 @@
     pub rest_ms: Option<u64>,
     /// Whether it asked for rest in a form that cannot be read.
     pub has_unreadable_rest: bool,
+    /// The requests that it takes.
+    pub limit: LimitNotice,
 }
 
 impl TargetNotice {
@@ -37,6 +81,7 @@
         let mut said = headers.get_all(&names.leaving).iter();
         let mut notice = Self {
             leaves: said.any(|value| value.as_bytes() != b"0"),
+            limit: LimitNotice::read(names, headers),
             ..Self::default()
         };
         if status != StatusCode::SERVICE_UNAVAILABLE {
@@ -75,24 +120,74 @@
 
 impl Node {
     /// Takes what the head of an answer says of the target that made it, whatever
-    /// becomes of the answer. `request` names the request or call in the log.
-    pub(crate) fn take_notice(
-        &self,
-        from: Answerer,
-        request: &str,
-        status: StatusCode,
-        headers: &HeaderMap,
-    ) {
-        let notice = TargetNotice::read(self.interface.headers(), status, headers);
+    /// becomes of the answer.
+    pub(crate) fn take_notice(&self, head: AnswerHead<'_>) {
+        let notice = TargetNotice::read(self.interface.headers(), head.status, head.headers);
         if notice.has_unreadable_rest {
-            self.note_unreadable_rest(&from, request, headers);
+            self.note_unreadable_rest(&head.from, head.request, head.headers);
         }
         if notice.leaves {
-            self.note_leaving(&from, request);
+            self.note_leaving(&head.from, head.request);
         }
+        self.take_limit_notice(&head, notice.limit);
         if let Some(rest_ms) = notice.rest_ms.filter(|rest_ms| *rest_ms > 0) {
-            self.note_rest(from, request, rest_ms);
+            self.note_rest(head.from, head.request, rest_ms);
+        }
+    }
+
+    /// Takes what a target says of the requests that it takes. That it names no limit
+    /// any more is only taken from an answer with success: one that it turned away or
+    /// failed may lack any header.
+    fn take_limit_notice(&self, head: &AnswerHead<'_>, notice: LimitNotice) {
+        match notice {
+            LimitNotice::Named(rate) => self.note_limit(head, Some(rate)),
+            LimitNotice::NotNamed if head.status.is_success() => self.note_limit(head, None),
+            LimitNotice::NotNamed => {}
+            LimitNotice::Unreadable => self.note_unreadable_limit(head),
+        }
+    }
+
+    fn note_limit(&self, head: &AnswerHead<'_>, rate: Option<RequestRate>) {
+        let Answerer {
+            target, born_ms, ..
+        } = &head.from;
+        let is_news = {
+            let now = self.clock.now();
+            let mut view = self.view();
+            let directory = &mut view.directory;
+            let sent_at = head.sent_at;
+            let is_news = directory.target_named_limit(now, target, *born_ms, sent_at, rate);
+            if is_news {
+                view.tell_of(target);
+            }
+            is_news
+        };
+        if !is_news {
+            return;
         }
+        self.metrics.count("target_named_limit");
+        log::info!(
+            event = "target_named_limit",
+            request = head.request,
+            target:% = target,
+            is_limited = rate.is_some(),
+            per_s = rate.map_or(0.0, RequestRate::as_per_s);
+            ""
+        );
+        target_news::applied(self);
+    }
+
+    fn note_unreadable_limit(&self, head: &AnswerHead<'_>) {
+        self.metrics.count("target_limit_unreadable");
+        let names = self.interface.headers();
+        let named: Vec<_> = head.headers.get_all(&names.limit).iter().collect();
+        log::warn!(
+            event = "target_limit_unreadable",
+            request = head.request,
+            target:% = head.from.target,
+            named:? = named;
+            ""
+        );
     }
 
     fn note_unreadable_rest(&self, from: &Answerer, request: &str, headers: &HeaderMap) {
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -4,6 +4,7 @@
 use crate::control_state::{ConfigDocument, ControlState};
 use crate::halls::KnownHalls;
 use crate::interface::Interface;
+use crate::limit_news::LimitMemory;
 use crate::named_versions::NamedVersions;
 use crate::peer::{Catalog, CatalogModel, CatalogOrigin, LeaderHint, VersionAge};
 use crate::places::ServicePlaces;
@@ -63,6 +64,8 @@
     pub calls: u64,
     /// Which targets are cold.
     pub cold: ColdMemory,
+    /// Which targets name a limit.
+    pub limits: LimitMemory,
     /// Targets that asked this daemon for rest.
     pub rests: Rests,
     /// Requests that end targets.
@@ -88,6 +91,7 @@
             to_tell: HashMap::new(),
             calls: 0,
             cold: ColdMemory::default(),
+            limits: LimitMemory::default(),
             rests: Rests::default(),
             quarantine: Quarantine::default(),
         }
--- a/crates/moleroad_gateway/tests/halls.rs
+++ b/crates/moleroad_gateway/tests/halls.rs
@@ -41,6 +41,7 @@
         sequence: 1,
         holdings: None,
         born_ms: 0,
+        limit: NamedLimit::default(),
     }
 }
 
--- a/crates/moleroad_gateway/tests/support/mod.rs
+++ b/crates/moleroad_gateway/tests/support/mod.rs
@@ -149,6 +149,7 @@
         sequence: 1,
         holdings: None,
         born_ms: 0,
+        limit: NamedLimit::default(),
     };
     let now = node.clock.now();
     let mut view = node.view();
--- a/crates/moleroad_gateway/tests/support/outside.rs
+++ b/crates/moleroad_gateway/tests/support/outside.rs
@@ -27,6 +27,7 @@
             expected_version: name("x-version"),
             not_executed: name("x-unrun"),
             leaving: name("x-leaving"),
+            limit: name("x-limit"),
             last_event: name("x-last-event"),
             model: name("x-model"),
             priority: name("x-priority"),
--- a/crates/moleroad_gateway/tests/target_notices.rs
+++ b/crates/moleroad_gateway/tests/target_notices.rs
@@ -5,13 +5,13 @@
 
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
-use moleroad_directory::prelude::TargetId;
+use moleroad_directory::prelude::{RequestRate, TargetId};
 use moleroad_dispatch::prelude::Answerer;
 use moleroad_gateway::acquire::{Place, acquire};
 use moleroad_gateway::front::attempt::Attempts;
 use moleroad_gateway::no_place::{NoPlace, NoPlaceCause};
 use moleroad_gateway::node::Node;
-use moleroad_gateway::target_notice::TargetNotice;
+use moleroad_gateway::target_notice::{LimitNotice, TargetNotice};
 use moleroad_types::prelude::Millis;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -89,6 +89,24 @@
     }
 }
 
+#[test]
+fn the_strictest_limit_of_an_answer_counts_whatever_its_status() {
+    let node = entry();
+    let name = node.interface.headers().limit.clone();
+    let limit = |status, values: &[&'static str]| {
+        let headers: Vec<_> = values.iter().map(|value| (name.clone(), *value)).collect();
+        read(&node, status, &headers).limit
+    };
+    let named = |per_s| LimitNotice::Named(RequestRate::per_s(per_s));
+    for status in [200, 206, 400, 421, 429, 500, 503] {
+        assert_eq!(limit(status, &["2.5"]), named(2.5), "{status}");
+    }
+    assert_eq!(limit(200, &["3", "soon", "1.5"]), named(1.5));
+    assert_eq!(limit(200, &[]), LimitNotice::NotNamed);
+    assert_eq!(limit(200, &["soon"]), LimitNotice::Unreadable);
+    assert_eq!(limit(200, &[""]), LimitNotice::Unreadable);
+}
+
 #[test]
 fn only_a_target_that_is_not_available_asks_for_rest() {
     let node = entry();
