Keep the limit that a target named, summed over all entries

What callers saw: nothing at once.

Cause: nothing read the limit, and nobody counted for all entries.

Ruled out: each entry counting for itself (one alone sent 11 in 4 s where 1 a second was named), places chosen before the word and second sends (all were first sends, over 4 s; in the test all began after the word was known).

Change: each send to such a target needs a grant of the target's owner, the agent beside an engine or the entry that ranks highest for it, looked at again right before the first byte.

Why it works: what arrives in a span was granted in it, or up to 0.25 s before, by one bucket at the named rate; 4.25 x limit + max(1, limit / 5) is below what is borne for each limit.

--- a/crates/moleroad_dispatch/benches/choose.rs
+++ b/crates/moleroad_dispatch/benches/choose.rs
@@ -29,6 +29,7 @@
         slowness: 1.0,
         agent: None,
         cold: None,
+        limit: None,
         granted_until: None,
         rests_until: None,
     }
--- a/crates/moleroad_dispatch/src/admission.rs
+++ b/crates/moleroad_dispatch/src/admission.rs
@@ -1,8 +1,9 @@
-//! How a request may go to a target that may be cold.
+//! How a request may go to a target that may be cold, or that named a limit.
 
 use crate::candidate::{Candidate, Needs};
 use crate::cold::Admission;
 use crate::eligibility::barrier;
+use crate::limit::limit_terms;
 use crate::targets::Targets;
 use moleroad_directory::prelude::TargetId;
 use moleroad_types::prelude::Millis;
@@ -27,6 +28,14 @@
 
     /// How a request may go to a target now.
     pub fn admission(&self, now: Millis, candidate: &Candidate) -> Admission {
+        let while_cold = self.admission_while_cold(now, candidate);
+        match &candidate.limit {
+            Some(_) => while_cold.max(Admission::Grant),
+            None => while_cold,
+        }
+    }
+
+    fn admission_while_cold(&self, now: Millis, candidate: &Candidate) -> Admission {
         let Some(cold) = candidate.cold.as_deref() else {
             return Admission::Free;
         };
@@ -50,8 +59,8 @@
     }
 
     /// Whether a send to a target that was chosen may begin now, by what is known
-    /// now: its grant or part has not lapsed, and one that turned cold since it
-    /// was chosen has one.
+    /// now: its grant or part has not lapsed, and one that turned cold or named a
+    /// limit since it was chosen has one.
     pub fn may_begin(&self, now: Millis, chosen: &Candidate) -> bool {
         // `None`: it was chosen without a grant or a part.
         let in_time = chosen.granted_until.map(|until| now <= until);
@@ -61,6 +70,12 @@
         if in_time == Some(false) {
             return false;
         }
+        if !self.is_bounded(now, known) {
+            return true;
+        }
+        if in_time.is_none() || (known.limit.is_some() && chosen.limit.is_none()) {
+            return false;
+        }
         if self.cold_until(now, known).is_none() {
             return true;
         }
@@ -71,22 +86,40 @@
             Some(cold) if !cold.by_grant => cold.part > 0 && now >= cold.part_from,
             _ => self.admission(now, known) == Admission::Grant,
         };
-        in_time == Some(true) && is_by_grant(chosen) == is_by_grant(known) && is_open
+        is_by_grant(chosen) == is_by_grant(known) && is_open
+    }
+
+    /// Whether the target takes so many requests a second now, as it is cold or named
+    /// a limit.
+    pub fn is_bounded(&self, now: Millis, candidate: &Candidate) -> bool {
+        self.rate_now(now, candidate).is_some()
+    }
+
+    /// Requests a second that the target takes now; `None` while any number.
+    fn rate_now(&self, now: Millis, candidate: &Candidate) -> Option<f64> {
+        let cold = candidate.cold.as_deref();
+        let cold = cold.filter(|_| self.cold_until(now, candidate).is_some());
+        let while_cold = cold.map(|cold| cold.bound.requests_per_s);
+        let named = candidate
+            .limit
+            .as_deref()
+            .map(|limit| limit_terms(limit.rate).per_s);
+        [while_cold, named]
+            .into_iter()
+            .flatten()
+            .min_by(f64::total_cmp)
     }
 
     /// How soon one more request can be sent while all targets that serve it
-    /// are cold, in milliseconds; `None` while some is not.
-    pub fn cold_gap_ms(&self, now: Millis, needs: Needs<'_>) -> Option<f64> {
+    /// are bounded, in milliseconds; `None` while some is not.
+    pub fn bounded_gap_ms(&self, now: Millis, needs: Needs<'_>) -> Option<f64> {
         let serving = || {
             self.candidates
                 .iter()
                 .filter(|c| barrier(c, needs).is_none())
         };
-        if serving().any(|candidate| self.cold_until(now, candidate).is_none()) {
-            return None;
-        }
-        let rates = serving().filter_map(|candidate| candidate.cold.as_deref());
-        let per_s: f64 = rates.map(|cold| cold.bound.requests_per_s).sum();
+        let rates = serving().map(|candidate| self.rate_now(now, candidate));
+        let per_s: f64 = rates.sum::<Option<f64>>()?;
         (per_s > 0.0).then_some(1_000.0 / per_s)
     }
 
--- a/crates/moleroad_dispatch/src/candidate.rs
+++ b/crates/moleroad_dispatch/src/candidate.rs
@@ -1,6 +1,7 @@
 //! A target that may get requests, and what a request asks of it.
 
 use crate::cold::ColdTarget;
+use crate::limit::LimitedTarget;
 use moleroad_directory::prelude::TargetId;
 use moleroad_types::prelude::{AllowedRegions, Millis, Region};
 use std::net::SocketAddr;
@@ -66,6 +67,8 @@
     pub rests_until: Option<Millis>,
     /// The bound on it while it is cold; `None` where its service has none.
     pub cold: Option<Arc<ColdTarget>>,
+    /// The limit that it named; `None` where it named none.
+    pub limit: Option<Arc<LimitedTarget>>,
     /// Until when the grant holds on which the request is sent, or the part as
     /// which it was counted; `None` without.
     pub granted_until: Option<Millis>,
--- a/crates/moleroad_dispatch/src/choice.rs
+++ b/crates/moleroad_dispatch/src/choice.rs
@@ -30,8 +30,8 @@
 /// Targets compared in the own region, and as many in others: entries that all
 /// took the best of the same reports would all send to one target.
 const COMPARED: usize = 2;
-/// Targets of the own region whose agents are asked for one request: the best
-/// of a few that are drawn anew each time evens out load, and asking more costs
+/// Targets of the own region whose agents, or owners, are asked for one request: the
+/// best of a few that are drawn anew each time evens out load, and asking more costs
 /// calls for each request.
 const NEAR_ASKED: usize = 3;
 /// Targets of other regions whose agents are asked when the near ones are busy.
@@ -85,6 +85,16 @@
         }
     }
 
+    /// Some of the targets that meet `needs`, have a place and may get the request on a
+    /// grant, drawn by chance.
+    pub fn on_grant(&self, now: Millis, needs: Needs<'_>, draw: u64) -> Vec<Candidate> {
+        let mut pool = self.pool(now, needs);
+        pool.retain(|candidate| self.admission(now, candidate) == Admission::Grant);
+        pool.retain(|candidate| self.has_place(now, candidate, needs.spare));
+        let drawn = draw_some(pool, NEAR_ASKED, draw);
+        drawn.into_iter().cloned().collect()
+    }
+
     /// The sound targets that meet `needs`; when none is sound, all of them.
     /// One that is out of reach comes back when its agent may be asked again.
     fn pool(&self, now: Millis, needs: Needs<'_>) -> Vec<&Candidate> {
--- a/crates/moleroad_dispatch/src/cold.rs
+++ b/crates/moleroad_dispatch/src/cold.rs
@@ -123,15 +123,15 @@
     }
 }
 
-/// How a request may go to a target now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// How a request may go to a target now, from the freest way on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Admission {
     /// Without asking.
     Free,
-    /// On a grant.
-    Grant,
     /// Without asking, as a send that counts toward this entry's part.
     Part,
+    /// On a grant.
+    Grant,
     /// Not now.
     Closed,
 }
--- a/crates/moleroad_dispatch/src/division.rs
+++ b/crates/moleroad_dispatch/src/division.rs
@@ -62,7 +62,8 @@
     }
 }
 
-fn rank<'a>(entry: &'a str, target: &str) -> (u64, &'a str) {
+/// Rank of an entry at a target, alike wherever it is worked out.
+pub(crate) fn rank<'a>(entry: &'a str, target: &str) -> (u64, &'a str) {
     let mut hasher = DefaultHasher::new();
     (entry, target).hash(&mut hasher);
     (hasher.finish(), entry)
--- a/crates/moleroad_dispatch/src/lib.rs
+++ b/crates/moleroad_dispatch/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod division;
 pub mod eligibility;
 pub mod health;
+pub mod limit;
 pub mod load;
 pub mod overdue_share;
 pub mod pace;
@@ -57,6 +58,7 @@
     pub use crate::division::{Division, SendTimes, may_send_from};
     pub use crate::eligibility::{Barrier, BarrierTally, barrier, tally};
     pub use crate::health::{Health, Outcome};
+    pub use crate::limit::{LEAST_PER_S, LimitedTarget, limit_terms, owner};
     pub use crate::load::TargetLoad;
     pub use crate::overdue_share::OverdueShare;
     pub use crate::pace::Pace;
--- a/crates/moleroad_dispatch/src/rate_bound.rs
+++ b/crates/moleroad_dispatch/src/rate_bound.rs
@@ -25,8 +25,8 @@
 const USED_PART: f64 = 0.9;
 /// Grants that are kept for the next moment, as a time at the rate, in
 /// milliseconds: requests come by chance, and what nobody asks for is lost.
-const DEPTH_MS: f64 = 200.0;
-const MS_PER_S: f64 = 1_000.0;
+pub(crate) const DEPTH_MS: f64 = 200.0;
+pub(crate) const MS_PER_S: f64 = 1_000.0;
 
 /// What a target should get, and what it must never get.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -107,6 +107,20 @@
         }
     }
 
+    /// A bucket with all the grants that it can have.
+    pub fn full(now: Millis, terms: GrantTerms) -> Self {
+        Self {
+            tokens: terms.depth,
+            ..Self::new(now, terms)
+        }
+    }
+
+    /// Whether it has all the grants that it can have.
+    pub fn is_full(&mut self, now: Millis) -> bool {
+        self.fill(now);
+        self.tokens >= self.terms.depth
+    }
+
     /// Goes on under other terms; true if they differ.
     pub fn set_terms(&mut self, now: Millis, terms: GrantTerms) -> bool {
         self.fill(now);
--- a/crates/moleroad_dispatch/src/targets.rs
+++ b/crates/moleroad_dispatch/src/targets.rs
@@ -164,6 +164,12 @@
         self.reading.is_some() && self.candidates.iter().any(|c| c.agent.is_some())
     }
 
+    /// Whether others must be asked before some target gets a request: the agents
+    /// beside engines, or the owners of limits.
+    pub fn are_asked(&self) -> bool {
+        self.have_agents() || self.candidates.iter().any(|c| c.limit.is_some())
+    }
+
     /// Notes that no agent listens beside the target.
     pub fn agent_refused(&mut self, now: Millis, id: &TargetId) {
         self.loads.entry(id.clone()).or_default().agent_refused(now);
--- /dev/null
+++ b/crates/moleroad_dispatch/tests/limit.rs
@@ -0,0 +1,182 @@
+//! The limit that a target named: what its owner grants, and which sends need it.
+
+mod support;
+
+use moleroad_directory::prelude::RequestRate;
+use moleroad_dispatch::prelude::*;
+use moleroad_types::prelude::Millis;
+use std::sync::Arc;
+
+/// Span over which a target counts, and the longest life of a grant with its way, in
+/// milliseconds.
+const SPAN_MS: u64 = 4_000;
+const LATE_MS: u64 = 250;
+/// Requests that a target bears in a span: half as many again as it named, and five.
+fn borne(per_s: f64) -> f64 {
+    per_s * SPAN_MS as f64 / 1_000.0 * 1.5 + 5.0
+}
+
+/// Grants that a bucket, full at first, gives in a span and the time of late ones.
+fn most_granted(per_s: f64) -> u32 {
+    let terms = limit_terms(RequestRate::per_s(per_s));
+    let mut bucket = TokenBucket::full(Millis(0), terms);
+    let mut given = 0;
+    for at in 0..=SPAN_MS + LATE_MS {
+        while bucket.take(Millis(at)) {
+            given += 1;
+        }
+    }
+    given
+}
+
+#[test]
+fn what_an_owner_grants_in_a_span_is_borne_whatever_the_rate() {
+    for milli in [
+        0, 1, 50, 300, 700, 1_000, 2_200, 2_400, 7_000, 40_000, 900_000,
+    ] {
+        let per_s = milli as f64 / 1_000.0;
+        let most = most_granted(per_s);
+        assert!(f64::from(most) <= borne(per_s), "{per_s}: {most}");
+        assert!(f64::from(most) >= per_s * 4.0, "{per_s}: {most}");
+    }
+}
+
+#[test]
+fn an_owner_that_takes_over_within_a_span_adds_one_bucket_alone() {
+    for per_s in [0.5, 1.0, 2.4, 10.0, 100.0] {
+        let depth = limit_terms(RequestRate::per_s(per_s)).depth.ceil();
+        let both = f64::from(most_granted(per_s)) + depth;
+        assert!(both <= borne(per_s), "{per_s}: {both}");
+    }
+}
+
+#[test]
+fn a_target_that_names_nothing_a_second_is_asked_now_and_then() {
+    let terms = limit_terms(RequestRate::per_s(0.0));
+    let mut bucket = TokenBucket::full(Millis(0), terms);
+    assert!(bucket.take(Millis(0)));
+    assert!(!bucket.take(Millis(9_000)));
+    assert!(bucket.take(Millis(10_100)));
+}
+
+#[test]
+fn all_entries_work_out_one_owner_and_one_more_entry_moves_few_targets() {
+    let names: Vec<String> = (0..9).map(|number| format!("entry-{number}")).collect();
+    let owner_of = |target: &str, entries: &[String], turned: usize| {
+        let turned = entries.iter().cycle().skip(turned).take(entries.len());
+        owner(turned.map(String::as_str), target).map(String::from)
+    };
+    let mut moved = 0;
+    for number in 0..300 {
+        let target = format!("i-{number}");
+        let known = owner_of(&target, &names, 0);
+        assert_eq!(known, owner_of(&target, &names, 4));
+        moved += usize::from(known != owner_of(&target, &names[..8], 0));
+    }
+    assert!((10..90).contains(&moved), "{moved} of 300");
+    assert_eq!(owner([].into_iter(), "i-0"), None);
+}
+
+fn target(name: &str, per_s: Option<f64>) -> Candidate {
+    let limit = per_s.map(|per_s| LimitedTarget {
+        rate: RequestRate::per_s(per_s),
+        owner: "127.0.0.1:2".parse().unwrap(),
+    });
+    Candidate {
+        limit: limit.map(Arc::new),
+        ..support::target(name, 8)
+    }
+}
+
+fn with(candidates: &[&Candidate]) -> Targets {
+    let mut targets = Targets::default();
+    targets.set(candidates.iter().copied().cloned().collect());
+    targets
+}
+
+#[test]
+fn a_send_to_a_target_that_named_a_limit_needs_a_grant_until_it_begins() {
+    let (free, limited) = (target("t", None), target("t", Some(2.0)));
+    let granted = |until| Candidate {
+        granted_until: Some(Millis(until)),
+        ..limited.clone()
+    };
+    let now = Millis(1_000);
+    assert_eq!(with(&[&free]).admission(now, &free), Admission::Free);
+    let targets = with(&[&limited]);
+    assert_eq!(targets.admission(now, &limited), Admission::Grant);
+    assert!(!targets.may_begin(now, &limited), "without a grant");
+    assert!(!targets.may_begin(now, &free), "chosen before it was known");
+    assert!(targets.may_begin(now, &granted(1_000)));
+    assert!(!targets.may_begin(now, &granted(999)), "lapsed");
+    // It named no limit any more meanwhile.
+    assert!(with(&[&free]).may_begin(now, &limited));
+}
+
+#[test]
+fn a_cold_target_that_named_a_limit_needs_the_grants_for_both() {
+    let cold = ColdTarget {
+        bound: RateBound::new(15.0, 1.5, 5.0),
+        until: Millis(5_000),
+        source: ColdSource::Heartbeat,
+        said_until: Millis(5_000),
+        lasts_ms: 3_000,
+        by_grant: false,
+        part: 1,
+        part_from: Millis(0),
+    };
+    let both = Candidate {
+        cold: Some(Arc::new(cold)),
+        ..target("t", Some(2.0))
+    };
+    let mut targets = with(&[&both]);
+    let now = Millis(1_000);
+    assert_eq!(targets.admission(now, &both), Admission::Grant);
+    targets.started(now, &both.id, 0);
+    assert_eq!(targets.admission(now, &both), Admission::Closed);
+    let granted = Candidate {
+        granted_until: Some(Millis(1_100)),
+        ..both.clone()
+    };
+    assert!(targets.may_begin(now, &granted));
+    let as_cold_alone = Candidate {
+        limit: None,
+        ..granted.clone()
+    };
+    assert!(!targets.may_begin(now, &as_cold_alone));
+    let foreign = ColdTarget { part: 0, ..cold };
+    let foreign = Candidate {
+        cold: Some(Arc::new(foreign)),
+        ..both
+    };
+    assert!(!with(&[&foreign]).may_begin(now, &granted));
+}
+
+#[test]
+fn a_target_without_a_limit_is_chosen_unasked_and_limited_ones_are_asked_for() {
+    let (free, limited) = (target("free", None), target("limited", Some(2.0)));
+    let mut targets = with(&[&limited, &free]);
+    let (now, needs) = (Millis(1_000), Needs::default());
+    assert!(targets.are_asked() && !targets.have_agents());
+    for draw in 0..20 {
+        let Choice::Send(chosen) = targets.choose(now, needs, draw) else {
+            panic!("a free target");
+        };
+        assert_eq!(chosen.id, free.id);
+    }
+    let asked = |targets: &Targets| targets.on_grant(now, needs, 1);
+    assert_eq!(asked(&targets).len(), 1);
+    assert_eq!(asked(&targets)[0].id, limited.id);
+    (0..8).for_each(|_| targets.started(now, &limited.id, 0));
+    assert!(asked(&targets).is_empty(), "it has no place");
+    assert!(!with(&[&free]).are_asked());
+}
+
+#[test]
+fn the_wait_for_limited_targets_is_that_of_their_limits() {
+    let (one, four) = (target("one", Some(1.0)), target("four", Some(4.0)));
+    let (now, needs) = (Millis(1_000), Needs::default());
+    assert_eq!(with(&[&one, &four]).bounded_gap_ms(now, needs), Some(200.0));
+    let free = target("free", None);
+    assert_eq!(with(&[&one, &free]).bounded_gap_ms(now, needs), None);
+}
--- a/crates/moleroad_dispatch/tests/support/mod.rs
+++ b/crates/moleroad_dispatch/tests/support/mod.rs
@@ -23,6 +23,7 @@
         slowness: 1.0,
         agent: None,
         cold: None,
+        limit: None,
         granted_until: None,
         rests_until: None,
     }
--- a/crates/moleroad_gateway/src/acquire.rs
+++ b/crates/moleroad_gateway/src/acquire.rs
@@ -263,7 +263,7 @@
         };
         let now = node.clock.now();
         let is_admitted = places.admits(ask, view.entry_count(now));
-        let asks = places.targets.have_agents() && is_admitted;
+        let asks = places.targets.are_asked() && is_admitted;
         asks && places.queue.is_among_first(count, id, now)
     })
 }
--- a/crates/moleroad_gateway/src/agent/watch.rs
+++ b/crates/moleroad_gateway/src/agent/watch.rs
@@ -69,6 +69,7 @@
         engine_age_ms: cold.age_ms,
         cold_left_ms: cold.left_ms,
         grants_free: cold.grants,
+        limit_grants_free: node.limit_grants.least_free(node.clock.now()),
     })
 }
 
--- a/crates/moleroad_gateway/src/candidates.rs
+++ b/crates/moleroad_gateway/src/candidates.rs
@@ -11,6 +11,7 @@
 use moleroad_dispatch::prelude::*;
 use moleroad_types::prelude::{Millis, Region};
 use std::collections::HashMap;
+use std::sync::Arc;
 
 /// Age up to which an agent's report goes before the engine's own heartbeat,
 /// in milliseconds.
@@ -31,7 +32,7 @@
             return;
         };
         let colds = self.cold_targets(now, settings, &table);
-        self.note_limits(now);
+        self.limits.note_targets(&self.directory);
         let entries = || self.directory.ready_entries(now);
         let demands = entries().map(|entry| EntryDemand {
             entry: entry.instance.as_str(),
@@ -61,6 +62,8 @@
             if let Some(mut candidate) = candidate {
                 candidate.agent = agent.map(|agent| agent.record.peer);
                 candidate.cold = colds.get(&record.id).cloned();
+                let limit = self.limited_target(now, settings, service, record, candidate.agent);
+                candidate.limit = limit.map(Arc::new);
                 candidate.rests_until = self.rests.until(now, &Answerer::of(record));
                 if self.is_cold_by_grant(now, &service.name, &candidate) {
                     // Others may have heard of its agent before.
@@ -199,6 +202,7 @@
         slowness: pace,
         agent: None,
         cold: None,
+        limit: None,
         granted_until: None,
         rests_until: None,
     })
--- a/crates/moleroad_gateway/src/cold_news.rs
+++ b/crates/moleroad_gateway/src/cold_news.rs
@@ -63,14 +63,18 @@
     }
 }
 
-/// Whether a bound on cold targets of the service is kept, and whether by grants:
-/// engines have agents beside them, which are asked where the choice goes by how
-/// fast prompts are read.
+/// Whether the targets of the service have agents beside them that are asked: engines
+/// do, where the choice goes by how fast prompts are read.
+pub(crate) fn has_asked_agents(settings: &Settings, service: &Service) -> bool {
+    let are_asked = settings.experiments.has(Mechanism::AskedAgents);
+    !service.models.is_empty() && reading_speed(service).is_some() && are_asked
+}
+
+/// Whether a bound on cold targets of the service is kept, and whether by grants.
 fn way(settings: &Settings, service: &Service) -> Option<(ColdStart, bool)> {
     let start = service.cold_start?;
     let has = |mechanism| settings.experiments.has(mechanism);
-    let are_asked = reading_speed(service).is_some() && has(Mechanism::AskedAgents);
-    let by_grant = !service.models.is_empty() && are_asked && has(Mechanism::ColdGrants);
+    let by_grant = has_asked_agents(settings, service) && has(Mechanism::ColdGrants);
     let is_kept = by_grant || has(Mechanism::ColdDivision);
     is_kept.then_some((start, by_grant))
 }
--- a/crates/moleroad_gateway/src/grants.rs
+++ b/crates/moleroad_gateway/src/grants.rs
@@ -1,14 +1,17 @@
-//! Asking the agent beside a cold engine whether a request may go there.
+//! Asking the agent beside a cold engine, and the owner of a target that named a limit,
+//! whether a request may go there.
 
+use crate::limit_grants;
 use crate::node::Node;
-use crate::peer::{EngineLoad, GrantAnswer, GrantAsk, PeerClient};
+use crate::peer::{EngineLoad, GrantAnswer, GrantAsk, LimitAsk, PeerClient};
 use crate::places::Ask;
 use moleroad_dispatch::prelude::*;
 use moleroad_types::prelude::Millis;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::task::JoinHandle;
+use tarpc::client::RpcError;
+use tarpc::context::Context;
 
 /// Longest wait for a grant: the rest of its life, 90 ms, must suffice for a new
 /// connection.
@@ -17,38 +20,33 @@
 /// [`GRANT_WAIT`], so that one slow answer closes no connection that others use.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// The chosen target with the grant that a send there needs; `None` when there
-/// is none.
+/// The chosen target with the grants that a send there needs; `None` when one of them
+/// is not given.
 pub async fn admit(node: &Arc<Node>, ask: &Ask, chosen: Candidate) -> Option<Candidate> {
     let asked_at = node.clock.now();
-    let (admission, left_ms) = {
+    let (admission, is_cold) = {
         let view = node.view();
-        let places = view.services.get(&ask.service)?;
-        let left_ms = chosen
-            .cold
-            .as_deref()
-            .map_or(0, |cold| cold.known_left_ms(asked_at));
-        (places.targets.admission(asked_at, &chosen), left_ms)
+        let targets = &view.services.get(&ask.service)?.targets;
+        let is_cold = targets.cold_until(asked_at, &chosen).is_some();
+        (targets.admission(asked_at, &chosen), is_cold)
     };
     match admission {
         Admission::Free | Admission::Part => return Some(chosen),
         Admission::Closed => return None,
         Admission::Grant => {}
     }
-    let (agent, cold) = (chosen.agent?, chosen.cold.as_deref()?);
-    let grant_ask = GrantAsk {
-        requests_per_s: cold.bound.requests_per_s,
-        most_in_a_second: cold.bound.most_in_a_second,
-        left_ms,
-    };
-    let answer = tokio::time::timeout(GRANT_WAIT, ask_agent(node, agent, grant_ask)).await;
-    let outcome = match answer {
-        Ok(Ok(Some(answer))) if answer.is_given => "grant_had",
-        Ok(Ok(Some(_))) => "grant_refused",
-        _ => "grant_unanswered",
-    };
-    node.metrics.count(outcome);
-    if outcome != "grant_had" {
+    let cold = chosen
+        .cold
+        .as_deref()
+        .filter(|cold| is_cold && cold.by_grant);
+    if let Some(cold) = cold
+        && !has_cold_grant(node, &chosen, cold, asked_at).await
+    {
+        return None;
+    }
+    if let Some(limit) = chosen.limit.as_deref()
+        && !has_limit_grant(node, &chosen, limit).await
+    {
         return None;
     }
     let granted = Candidate {
@@ -62,18 +60,83 @@
     None
 }
 
+/// Asks the agent beside a cold engine for a grant; returns whether it gave one.
+async fn has_cold_grant(
+    node: &Arc<Node>,
+    chosen: &Candidate,
+    cold: &ColdTarget,
+    asked_at: Millis,
+) -> bool {
+    let Some(agent) = chosen.agent else {
+        return false;
+    };
+    let ask = GrantAsk {
+        requests_per_s: cold.bound.requests_per_s,
+        most_in_a_second: cold.bound.most_in_a_second,
+        left_ms: cold.known_left_ms(asked_at),
+    };
+    let call = move |client: PeerClient, context| async move { client.grant(context, ask).await };
+    let answer = ask_owner(node, agent, call).await;
+    note_answer(
+        node,
+        ["grant_had", "grant_refused", "grant_unanswered"],
+        answer,
+    )
+}
+
+/// Asks the owner of a target that named a limit for a grant; returns whether it gave
+/// one.
+async fn has_limit_grant(node: &Arc<Node>, chosen: &Candidate, limit: &LimitedTarget) -> bool {
+    let ask = LimitAsk {
+        target: chosen.id.clone(),
+        rate: limit.rate,
+    };
+    let answer = if limit.owner == node.settings.peer_address() {
+        Some(limit_grants::grant(node, &ask))
+    } else {
+        let call = move |client: PeerClient, context| async move {
+            client.limit_grant(context, ask).await
+        };
+        ask_owner(node, limit.owner, call).await
+    };
+    let outcomes = [
+        "limit_grant_had",
+        "limit_grant_refused",
+        "limit_grant_unanswered",
+    ];
+    note_answer(node, outcomes, answer)
+}
+
+/// Counts what became of a question, as given, refused or unanswered; returns whether
+/// the grant was given.
+fn note_answer(node: &Node, outcomes: [&str; 3], answer: Option<GrantAnswer>) -> bool {
+    let [given, refused, unanswered] = outcomes;
+    node.metrics.count(match answer {
+        Some(GrantAnswer { is_given: true }) => given,
+        Some(GrantAnswer { is_given: false }) => refused,
+        None => unanswered,
+    });
+    answer.is_some_and(|answer| answer.is_given)
+}
+
 /// Asks; the call goes on when nobody waits for it any more, so that it does not
 /// end the connection that others use.
-fn ask_agent(
+async fn ask_owner<Call, Answering>(
     node: &Arc<Node>,
-    agent: SocketAddr,
-    ask: GrantAsk,
-) -> JoinHandle<Option<GrantAnswer>> {
-    let node = node.clone();
-    tokio::spawn(async move {
-        let call = |client: PeerClient, context| async move { client.grant(context, ask).await };
-        node.peers.call(agent, ANSWER_TIMEOUT, call).await.ok()
-    })
+    owner: SocketAddr,
+    call: Call,
+) -> Option<GrantAnswer>
+where
+    Call: FnOnce(PeerClient, Context) -> Answering + Send + 'static,
+    Answering: Future<Output = Result<GrantAnswer, RpcError>> + Send + 'static,
+{
+    let asking = node.clone();
+    let answer = tokio::spawn(async move {
+        let answer = asking.peers.call(owner, ANSWER_TIMEOUT, call).await;
+        answer.ok()
+    });
+    let answer = tokio::time::timeout(GRANT_WAIT, answer).await;
+    answer.ok()?.ok()?
 }
 
 /// Whether the target can still take the request, after the answer of its
--- a/crates/moleroad_gateway/src/lib.rs
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod hall_orders;
 pub mod halls;
 pub mod interface;
+pub mod limit_grants;
 mod limit_news;
 pub mod listening;
 pub mod logging;
--- /dev/null
+++ b/crates/moleroad_gateway/src/limit_grants.rs
@@ -0,0 +1,50 @@
+//! Granting requests to targets that named a limit and that this daemon owns: the
+//! engine beside an agent, or plain targets that fall to an entry.
+
+use crate::node::Node;
+use crate::peer::{GrantAnswer, LimitAsk};
+use moleroad_directory::prelude::{RequestRate, TargetId};
+use moleroad_dispatch::prelude::{TokenBucket, limit_terms};
+use moleroad_types::prelude::Millis;
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard};
+
+/// Grants for the targets of which any was asked for lately.
+#[derive(Debug, Default)]
+pub struct LimitGrants(Mutex<HashMap<TargetId, TokenBucket>>);
+
+impl LimitGrants {
+    /// Gives one grant for a target that named `rate`, if there is one.
+    pub fn take(&self, now: Millis, target: &TargetId, rate: RequestRate) -> bool {
+        let terms = limit_terms(rate);
+        let mut buckets = self.lock();
+        // One that is full again is as good as a new one.
+        buckets.retain(|known, bucket| known == target || !bucket.is_full(now));
+        let full = TokenBucket::full(now, terms);
+        let bucket = buckets.entry(target.clone()).or_insert(full);
+        bucket.set_terms(now, terms);
+        bucket.take(now)
+    }
+
+    /// Grants that can be given now for the target with the fewest; `None` before any
+    /// was asked for.
+    pub fn least_free(&self, now: Millis) -> Option<u32> {
+        let mut buckets = self.lock();
+        buckets.values_mut().map(|bucket| bucket.free(now)).min()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<TargetId, TokenBucket>> {
+        self.0.lock().unwrap_or_else(|error| error.into_inner())
+    }
+}
+
+/// Answers an entry that wants to send one request, and counts it.
+pub fn grant(node: &Node, ask: &LimitAsk) -> GrantAnswer {
+    let now = node.clock.now();
+    let is_given = node.limit_grants.take(now, &ask.target, ask.rate);
+    node.metrics.count("limit_grant_asked");
+    if is_given {
+        node.metrics.count("limit_grant_given");
+    }
+    GrantAnswer { is_given }
+}
--- a/crates/moleroad_gateway/src/limit_news.rs
+++ b/crates/moleroad_gateway/src/limit_news.rs
@@ -1,52 +1,70 @@
 //! Which targets named a limit, from what this daemon heard of them.
 
+use crate::cold_news::has_asked_agents;
+use crate::settings::Settings;
 use crate::view::View;
+use moleroad_config::prelude::Service;
 use moleroad_directory::prelude::*;
+use moleroad_dispatch::prelude::{LimitedTarget, owner};
 use moleroad_types::prelude::Millis;
 use std::collections::HashMap;
-
-/// A limit that holds, as this daemon knows it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct KnownLimit {
-    /// Requests that the target takes from all entries.
-    pub(crate) rate: RequestRate,
-    /// Since when this daemon knows that it names a limit.
-    pub(crate) since: Millis,
-}
+use std::net::SocketAddr;
 
 /// The limits that hold, by their targets.
 #[derive(Debug, Default)]
-pub struct LimitMemory(HashMap<TargetId, KnownLimit>);
+pub struct LimitMemory(HashMap<TargetId, RequestRate>);
 
 impl LimitMemory {
-    /// The limit of a target; `None` where it names none.
-    pub(crate) fn get(&self, target: &TargetId) -> Option<KnownLimit> {
-        self.0.get(target).copied()
-    }
-}
-
-impl View {
-    /// Remembers which targets name a limit, and says so in the log.
-    pub(crate) fn note_limits(&mut self, now: Millis) {
+    /// Remembers the limits that targets name, and says in the log what changed.
+    pub(crate) fn note_targets(&mut self, directory: &Directory) {
         let mut holding = HashMap::new();
-        for heard in self.directory.targets() {
+        for heard in directory.targets() {
             let record = &heard.record;
             let Some(rate) = record.limit.rate else {
                 continue;
             };
-            let known = self.limits.get(&record.id);
-            let since = known.map_or(now, |known| known.since);
-            if known.is_none_or(|known| known.rate != rate) {
+            if self.0.get(&record.id) != Some(&rate) {
                 log_limit(record);
             }
-            holding.insert(record.id.clone(), KnownLimit { rate, since });
+            holding.insert(record.id.clone(), rate);
         }
-        for target in self.limits.0.keys() {
+        for target in self.0.keys() {
             if !holding.contains_key(target) {
                 log::info!(event = "target_not_limited", target:% = target; "");
             }
         }
-        self.limits.0 = holding;
+        self.0 = holding;
+    }
+}
+
+impl View {
+    /// The limit that a target named, and who gives grants for it: the agent beside it
+    /// where agents are asked, heard of or not, or else an entry.
+    pub(crate) fn limited_target(
+        &self,
+        now: Millis,
+        settings: &Settings,
+        service: &Service,
+        record: &TargetRecord,
+        agent: Option<SocketAddr>,
+    ) -> Option<LimitedTarget> {
+        let rate = record.limit.rate?;
+        let owner = if has_asked_agents(settings, service) {
+            agent.unwrap_or_else(|| settings.peer_address_at(record.address.ip()))
+        } else {
+            self.owning_entry(now, &record.id)
+                .unwrap_or_else(|| settings.peer_address())
+        };
+        Some(LimitedTarget { rate, owner })
+    }
+
+    /// Peer address of the entry that owns a target without an agent.
+    fn owning_entry(&self, now: Millis, target: &TargetId) -> Option<SocketAddr> {
+        let ready = || self.directory.ready_entries(now);
+        let names = ready().map(|entry| entry.instance.as_str());
+        let name = owner(names, target.as_str())?;
+        let entry = ready().find(|entry| entry.instance.as_str() == name)?;
+        Some(entry.peer)
     }
 }
 
--- a/crates/moleroad_gateway/src/no_place.rs
+++ b/crates/moleroad_gateway/src/no_place.rs
@@ -91,15 +91,15 @@
 }
 
 /// Time until a request that comes now would get a place while all its targets
-/// are cold, in milliseconds, if each of `entries` has as many waiting as this
-/// one; 0 while some target is not cold.
-fn cold_wait_ms(
+/// take so many requests a second only, in milliseconds, if each of `entries` has as
+/// many waiting as this one; 0 while some target takes any number.
+fn bounded_wait_ms(
     now: Millis,
     places: Option<&ServicePlaces>,
     needs: Needs<'_>,
     entries: usize,
 ) -> u64 {
-    let gap_ms = places.and_then(|places| places.targets.cold_gap_ms(now, needs));
+    let gap_ms = places.and_then(|places| places.targets.bounded_gap_ms(now, needs));
     let waiting = places.map_or(0, |places| places.waiting());
     let ahead = (waiting + 1) * entries;
     gap_ms.map_or(0, |gap_ms| (gap_ms * ahead as f64) as u64)
@@ -122,7 +122,7 @@
         (Some(ms), _, _) => ms,
         (None, true, Some(ms)) => ms.saturating_sub(HELD_BEFORE_MS).max(RETRY_AFTER_LEAST_MS),
         (None, true, None) => RETRY_AFTER_OUTAGE_MS,
-        (None, false, _) => cold_wait_ms(now, places, needs, entries)
+        (None, false, _) => bounded_wait_ms(now, places, needs, entries)
             .clamp(RETRY_AFTER_LEAST_MS, RETRY_AFTER_OUTAGE_MS),
     };
     let all = AllowedRegions::all();
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -9,6 +9,7 @@
 use crate::front::pool::Pool;
 use crate::halls::{Source, news_of};
 use crate::interface::{Interface, PieceDigests};
+use crate::limit_grants::LimitGrants;
 use crate::metrics::Metrics;
 use crate::peer::LeaderHint;
 use crate::peers::Peers;
@@ -50,6 +51,8 @@
     pub news: Notify,
     /// What is granted to the engine beside this agent while it is cold.
     pub cold_engine: ColdEngine,
+    /// What is granted to targets that named a limit and are owned by this daemon.
+    pub limit_grants: LimitGrants,
     /// Pieces of weights in memory.
     pub pieces: Mutex<PieceMemory>,
     /// What other agents offered.
@@ -95,6 +98,7 @@
             metrics,
             news: Notify::new(),
             cold_engine: ColdEngine::default(),
+            limit_grants: LimitGrants::default(),
             pieces: Mutex::default(),
             offers: Mutex::default(),
             offered: Notify::new(),
--- a/crates/moleroad_gateway/src/peer.rs
+++ b/crates/moleroad_gateway/src/peer.rs
@@ -211,6 +211,16 @@
     /// any entry asked.
     #[serde(default)]
     pub grants_free: Option<u32>,
+    /// The same for the limit that it named.
+    #[serde(default)]
+    pub limit_grants_free: Option<u32>,
+}
+
+impl EngineLoad {
+    /// Whether nothing may be sent to it now, for want of grants.
+    pub fn has_no_grant(&self) -> bool {
+        self.grants_free == Some(0) || self.limit_grants_free == Some(0)
+    }
 }
 
 /// An entry asks whether it may send one request to a cold engine.
@@ -225,7 +235,17 @@
     pub left_ms: u64,
 }
 
-/// Answers a [`GrantAsk`].
+/// An entry asks the owner of a target that named a limit whether it may send one
+/// request there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitAsk {
+    /// The target.
+    pub target: TargetId,
+    /// Requests that it takes from all entries.
+    pub rate: RequestRate,
+}
+
+/// Answers a [`GrantAsk`] or a [`LimitAsk`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GrantAnswer {
     /// Whether one request may be sent.
@@ -261,4 +281,6 @@
     async fn piece(model: String, version: u64, piece: u32) -> Option<ByteBuf>;
     /// Asks an agent whether a request may go to its engine while it is cold.
     async fn grant(ask: GrantAsk) -> GrantAnswer;
+    /// Asks the owner of a target whether a request may go there within its limit.
+    async fn limit_grant(ask: LimitAsk) -> GrantAnswer;
 }
--- a/crates/moleroad_gateway/src/peer_server.rs
+++ b/crates/moleroad_gateway/src/peer_server.rs
@@ -7,8 +7,8 @@
 use crate::node::Node;
 use crate::operator;
 use crate::peer::{
-    CommitAnswer, EngineLoad, GrantAnswer, GrantAsk, Hello, HelloAnswer, LeaderHint, Offer, Peer,
-    SharedDigests, TargetNews,
+    CommitAnswer, EngineLoad, GrantAnswer, GrantAsk, Hello, HelloAnswer, LeaderHint, LimitAsk,
+    Offer, Peer, SharedDigests, TargetNews,
 };
 use crate::peers::transport;
 use futures::StreamExt;
@@ -91,6 +91,10 @@
         crate::agent::cold::grant(&self.node, ask)
     }
 
+    async fn limit_grant(self, _: Context, ask: LimitAsk) -> GrantAnswer {
+        crate::limit_grants::grant(&self.node, &ask)
+    }
+
     async fn digests(self, _: Context, model: String, version: u64) -> Option<SharedDigests> {
         self.node.known_digests(&model, version).map(SharedDigests)
     }
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -121,9 +121,9 @@
         self.queue.len()
     }
 
-    /// Gives free places to those that wait, unless they ask agents themselves.
+    /// Gives free places to those that wait, unless they ask others themselves.
     pub fn serve_waiting(&mut self, now: Millis, least: Option<u64>) {
-        if self.targets.have_agents() {
+        if self.targets.are_asked() {
             return;
         }
         let mut full: Vec<AllowedRegions> = Vec::new();
--- a/crates/moleroad_gateway/src/probe.rs
+++ b/crates/moleroad_gateway/src/probe.rs
@@ -30,7 +30,12 @@
     let draw: u64 = rand::random();
     let asks = node.settings.experiments.has(Mechanism::AskedAgents);
     if !asks || !have_agents(node, ask) {
-        return choose(node, ask, draw);
+        let chosen = choose(node, ask, draw);
+        if chosen.is_some() {
+            return chosen;
+        }
+        let on_grant = on_grant(node, ask, draw);
+        return admitted(node, ask, on_grant).await;
     }
     let mut looked_at = look(node, ask, Reach::Near, draw).await;
     let near = best_of(node, ask, &looked_at);
@@ -76,6 +81,17 @@
     }
 }
 
+/// Targets whose owners are asked for a grant.
+fn on_grant(node: &Node, ask: &Ask, draw: u64) -> Vec<Candidate> {
+    let now = node.clock.now();
+    let view = node.view();
+    let least = node.least_version(&view, &ask.service);
+    let places = view.services.get(&ask.service);
+    places.map_or_else(Vec::new, |places| {
+        places.targets.on_grant(now, ask.needs(now, least), draw)
+    })
+}
+
 /// Counts the send.
 fn started(node: &Node, ask: &Ask, candidate: Candidate) -> Candidate {
     let now = node.clock.now();
@@ -139,7 +155,7 @@
             }
         };
         match answer {
-            Ok(Ok(Some(load))) if !load.takes_new || load.grants_free == Some(0) => {}
+            Ok(Ok(Some(load))) if !load.takes_new || load.has_no_grant() => {}
             Ok(Ok(Some(_))) => looked_at.push(candidate),
             failed => {
                 let is_in_time = is_reached_in_time(node, ask, &candidate);
@@ -160,7 +176,7 @@
 }
 
 /// Whether a target may get the request though its agent does not answer. One
-/// that is cold may not: only its agent knows what others send.
+/// that is cold or named a limit may not: only its agent knows what others send.
 fn is_reached_in_time(node: &Node, ask: &Ask, candidate: &Candidate) -> bool {
     if grants::is_needed(node, ask, candidate) {
         return false;
@@ -188,10 +204,13 @@
         if let Some(places) = view.services.get_mut(&service) {
             let targets = &mut places.targets;
             targets.reported(now, &id, load.running, load.queued);
-            // Grants matter while the engine is cold only.
+            // Grants matter while the engine is cold, or names a limit, only.
             if !grants::take_state(targets, now, &candidate, &load) {
                 load.grants_free = None;
             }
+            if candidate.limit.is_none() {
+                load.limit_grants_free = None;
+            }
         }
         Some(load)
     })
--- a/crates/moleroad_gateway/tests/cold.rs
+++ b/crates/moleroad_gateway/tests/cold.rs
@@ -262,6 +262,7 @@
         engine_age_ms: Some(3_500),
         cold_left_ms: 0,
         grants_free: Some(0),
+        limit_grants_free: None,
     };
     // No grant is needed of an engine that began long ago.
     let mut take = |load: &EngineLoad| take_state(targets, Millis(5_000), &candidate, load);
