Put in force only the document that was decided under its version

Cause: the leader answers that a change, or a later one of its kind, is applied; the entry that carried it took that for its own and put its own bytes in force. Nothing puts that right later, since versions are equal.

Ruled out: refusing such a change, since an operator must get it acknowledged.

Change: what a proposal comes to names the configuration that is in force with it, by version and digest. The carrier puts its own document in force only if it is that one; else it reads the decided one from the leader within the same time, and acknowledges nothing without. A command that cannot be read is not said to be committed any more. The other way weighed, waiting until the log or a relay brings the document, makes each acknowledgement as late as the news.

--- a/crates/moleroad_gateway/src/control_state.rs
+++ b/crates/moleroad_gateway/src/control_state.rs
@@ -7,6 +7,7 @@
 use moleroad_quarantine::prelude::*;
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
+use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 use std::io::Read;
 use std::sync::Arc;
@@ -21,6 +22,15 @@
     compressed: Arc<ByteBuf>,
 }
 
+/// Which document it is, without its bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentId {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// SHA-256 of its bytes as they are passed on.
+    pub digest: [u8; 32],
+}
+
 /// Largest configuration, in bytes: as much as a call may bring.
 pub const MAX_DOCUMENT_BYTES: usize = 8 << 20;
 
@@ -56,6 +66,14 @@
         Ok(bytes)
     }
 
+    /// Which document it is: another one may have the same version.
+    pub fn id(&self) -> DocumentId {
+        DocumentId {
+            version: self.version,
+            digest: Sha256::digest(&self.compressed[..]).into(),
+        }
+    }
+
     /// Bytes that it takes on the way and on disk.
     pub fn compressed_len(&self) -> usize {
         self.compressed.len()
@@ -125,7 +143,8 @@
     }
 
     /// Whether the change, or a later one of its kind, was applied. What an
-    /// order for a hall comes to, the log alone can tell.
+    /// order for a hall comes to, the log alone can tell; and that a document with
+    /// this version was applied does not say that it has the same bytes.
     pub fn includes(&self, command: &ControlCommand) -> bool {
         match command {
             ControlCommand::Replace(document) => self
@@ -167,6 +186,11 @@
         (!self.reviews.end_hold(request, until)).then_some(left_ms)
     }
 
+    /// Which configuration it is; `None` without one.
+    pub fn document_id(&self) -> Option<DocumentId> {
+        self.configuration.as_ref().map(ConfigDocument::id)
+    }
+
     /// Version of the configuration; 0 without one.
     pub fn config_version(&self) -> ConfigVersion {
         let document = self.configuration.as_ref();
--- a/crates/moleroad_gateway/src/core/member.rs
+++ b/crates/moleroad_gateway/src/core/member.rs
@@ -140,7 +140,7 @@
             return None;
         }
         if self.state.includes(command) {
-            let _ = reply.send(Committed::Yes);
+            let _ = reply.send(Committed::Yes(self.state.document_id()));
             return None;
         }
         let Ok(data) = rmp_serde::to_vec(command) else {
@@ -216,7 +216,7 @@
         let mut changed = false;
         let mut done = Vec::new();
         for entry in entries {
-            let mut committed = Committed::Yes;
+            let mut committed = Committed::Unknown;
             if let Payload::Command(data) = &entry.payload {
                 match rmp_serde::from_slice::<ControlCommand>(data) {
                     Ok(command) => {
@@ -247,7 +247,8 @@
     fn apply_command(&mut self, command: &ControlCommand) -> (bool, Committed) {
         let state = Arc::make_mut(&mut self.state);
         let ControlCommand::OrderHall(order) = command else {
-            return (state.apply(command), Committed::Yes);
+            let is_change = state.apply(command);
+            return (is_change, Committed::Yes(state.document_id()));
         };
         let verdict = state.evacuations.carry_out(order);
         let is_change = verdict.outcome == HallOutcome::Changed;
--- a/crates/moleroad_gateway/src/core/mod.rs
+++ b/crates/moleroad_gateway/src/core/mod.rs
@@ -4,7 +4,7 @@
 mod member;
 
 use crate::clock::Clock;
-use crate::control_state::{ControlCommand, ControlState};
+use crate::control_state::{ControlCommand, ControlState, DocumentId};
 use crate::evacuations::HallVerdict;
 use member::{Member, open};
 use moleroad_consensus::prelude::*;
@@ -27,8 +27,9 @@
 /// What became of a change.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Committed {
-    /// It is durable on a majority and applied.
-    Yes,
+    /// It, or a later one of its kind, is durable on a majority and applied; says
+    /// which configuration is in force with it.
+    Yes(Option<DocumentId>),
     /// An order for a hall is; this is what it came to.
     Hall(HallVerdict),
     /// This member does not lead; the leader, if it is known.
--- a/crates/moleroad_gateway/src/operator.rs
+++ b/crates/moleroad_gateway/src/operator.rs
@@ -1,7 +1,7 @@
 //! Changes that operators want, and reads of what is in force: carried to the
 //! leader of the control group from whichever daemon was asked.
 
-use crate::control_state::{ControlCommand, ControlState};
+use crate::control_state::{ControlCommand, ControlState, DocumentId};
 use crate::core::Committed;
 use crate::evacuations::{HallOrder, HallVerdict};
 use crate::halls::{HallNews, HallsNews, Source};
@@ -20,17 +20,35 @@
 /// Pause before a leader is looked for again.
 const LOOK_AGAIN_MS: u64 = 60;
 
-/// Brings a change to the leader; true once it is durable and applied.
+/// Brings a change to the leader; true once it, or a later one of its kind, is durable
+/// and applied here.
 pub async fn commit(node: &Arc<Node>, command: ControlCommand) -> bool {
-    match order(node, &command).await {
-        CommitAnswer::Committed => {
-            // What is durable is in force here before it is acknowledged.
-            let mut state = ControlState::default();
-            state.apply(&command);
-            node.take_state(&state, Source::Answer);
-            true
-        }
-        _ => node.has_in_force(&command),
+    let until = node.clock.now() + ANSWER_MS;
+    let answer = order(node, &command, until).await;
+    if node.has_in_force(&command) {
+        return true;
+    }
+    let CommitAnswer::Committed(decided) = answer else {
+        return false;
+    };
+    if !is_decided(&command, decided) {
+        // Only the group has the bytes of the document that was decided.
+        return read_until(node, until).await.is_some() && node.has_in_force(&command);
+    }
+    // What is durable is in force here before it is acknowledged.
+    let mut state = ControlState::default();
+    state.apply(&command);
+    node.take_state(&state, Source::Answer);
+    true
+}
+
+/// Whether the change itself is what was decided, where `decided` is the configuration
+/// that is in force with it. A document that came second under its version, or with an
+/// older one, changed nothing. The other changes are the same whoever brings them.
+fn is_decided(command: &ControlCommand, decided: Option<DocumentId>) -> bool {
+    match command {
+        ControlCommand::Replace(document) => decided == Some(document.id()),
+        _ => true,
     }
 }
 
@@ -39,7 +57,8 @@
 pub async fn order_hall(node: &Arc<Node>, wanted: HallOrder) -> Option<HallVerdict> {
     let hall = wanted.hall.clone();
     let command = ControlCommand::OrderHall(wanted);
-    let CommitAnswer::Hall(verdict) = order(node, &command).await else {
+    let until = node.clock.now() + ANSWER_MS;
+    let CommitAnswer::Hall(verdict) = order(node, &command, until).await else {
         return None;
     };
     let news = HallNews {
@@ -54,18 +73,19 @@
 /// granted.
 pub async fn ask_trial(node: &Arc<Node>, wanted: TrialOrder) -> bool {
     // Whether it was granted to this copy or to another, the leader tells.
-    order(node, &ControlCommand::TryRequest(wanted.clone())).await;
+    let until = node.clock.now() + ANSWER_MS;
+    order(node, &ControlCommand::TryRequest(wanted.clone()), until).await;
     let state = read(node).await;
     state.is_some_and(|state| state.reviews.is_granted(&wanted))
 }
 
-/// Proposes a change at whoever leads, until it is decided or time is over.
-async fn order(node: &Arc<Node>, command: &ControlCommand) -> CommitAnswer {
-    let until = node.clock.now() + ANSWER_MS;
+/// Proposes a change at whoever leads, until it is decided, is in force here, or time is
+/// over.
+async fn order(node: &Arc<Node>, command: &ControlCommand, until: Millis) -> CommitAnswer {
     let mut next = None;
     loop {
         if node.has_in_force(command) {
-            return CommitAnswer::Committed;
+            return CommitAnswer::Committed(None);
         }
         let left = until.since(node.clock.now());
         if left == 0 {
@@ -122,7 +142,7 @@
         return CommitAnswer::NotLeader(node.leader_hint());
     };
     match core.propose(command).await {
-        Committed::Yes => CommitAnswer::Committed,
+        Committed::Yes(decided) => CommitAnswer::Committed(decided),
         Committed::Hall(verdict) => CommitAnswer::Hall(verdict),
         Committed::NotLeader(leader) => CommitAnswer::NotLeader(node.hint_of(leader)),
         Committed::Unknown => CommitAnswer::Unknown,
@@ -132,6 +152,10 @@
 /// What is in force now; `None` when that is not certain.
 pub async fn read(node: &Arc<Node>) -> Option<ControlState> {
     let until = node.clock.now() + ANSWER_MS;
+    read_until(node, until).await
+}
+
+async fn read_until(node: &Arc<Node>, until: Millis) -> Option<ControlState> {
     let mut next = None;
     loop {
         let left = until.since(node.clock.now());
--- a/crates/moleroad_gateway/src/peer.rs
+++ b/crates/moleroad_gateway/src/peer.rs
@@ -1,6 +1,6 @@
 //! Calls between the daemons, over tarpc.
 
-use crate::control_state::{ControlCommand, ControlState};
+use crate::control_state::{ControlCommand, ControlState, DocumentId};
 use crate::evacuations::HallVerdict;
 use crate::halls::HallsNews;
 use moleroad_config::prelude::ConfigVersion;
@@ -171,8 +171,9 @@
 /// What became of a change that another daemon passed on.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum CommitAnswer {
-    /// It is durable on a majority and applied.
-    Committed,
+    /// It, or a later one of its kind, is durable on a majority and applied; says
+    /// which configuration is in force with it.
+    Committed(Option<DocumentId>),
     /// The callee does not lead; the leader as it believes.
     NotLeader(Option<LeaderHint>),
     /// It may or may not come to be.
--- a/crates/moleroad_gateway/tests/support/mod.rs
+++ b/crates/moleroad_gateway/tests/support/mod.rs
@@ -20,6 +20,7 @@
 use moleroad_gateway::halls::{HallNews, HallsNews, Source};
 use moleroad_gateway::listening::listen;
 use moleroad_gateway::node::Node;
+use moleroad_gateway::peer::LeaderHint;
 use moleroad_gateway::peer_server;
 use moleroad_gateway::places::Ask;
 use moleroad_gateway::settings::Settings;
@@ -88,6 +89,38 @@
     knowing_one_target(Node::new(settings, clock, nobody(), Some(core)))
 }
 
+/// The only member of a control group, which takes calls of other daemons.
+pub fn leader(name: &str) -> Arc<Node> {
+    let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = listener.local_addr().unwrap();
+    let clock = Clock::default();
+    let own = MemberInfo::new(MemberId(1), name, address);
+    let core = CoreSettings {
+        folder: folder(name),
+        fresh: own.id,
+        instance: name.into(),
+        address,
+        founding: Some(moleroad_consensus::prelude::Configuration::of_voters([own])),
+        tolerated_losses: 0,
+    };
+    let (output, _) = mpsc::unbounded_channel();
+    let core = Core::start(core, clock, output).unwrap();
+    let settings = settings(name, address.port());
+    let node = Arc::new(Node::new(settings, clock, nobody(), Some(core)));
+    tokio::spawn(peer_server::serve(node.clone(), listener));
+    node
+}
+
+/// An entry without a disk that knows who leads, and nothing else.
+pub fn follower_of(leader: &Node, name: &str) -> Arc<Node> {
+    let node = Node::new(settings(name, 1), Clock::default(), nobody(), None);
+    node.view().take_leader(Some(LeaderHint {
+        term: 1,
+        address: leader.settings.peer_address(),
+    }));
+    Arc::new(node)
+}
+
 /// An entry whose disk holds what an earlier life left there.
 pub async fn entry_that_begins_again(name: &str) -> Arc<Node> {
     let folder = folder(name);
