Let daemons notice that they hold two documents under one version

Cause: equal versions were taken for equal configurations in greetings, so that an entry with a document that was never decided kept it for good.

Change: greetings carry the begin of the digest beside the version. Who sees another one counts it (configuration_differs), logs it, and reads the decided configuration from the leader; only what the leader reads out of the log replaces a document under the same version (configuration_corrected). The field comes last, so that greetings without it are read; the test of earlier greetings cuts it off like the others.

A changed limit of a target is taken up with the next look at all targets, 50 ms later at most, and not at once: one that changes with each answer would cost a walk each.

Measured: decided.rs has a test in which one of two daemons holds other bytes and both come back to the decided ones.

--- a/crates/moleroad_gateway/src/control_state.rs
+++ b/crates/moleroad_gateway/src/control_state.rs
@@ -31,6 +31,14 @@
     pub digest: [u8; 32],
 }
 
+impl DocumentId {
+    /// The begin of its digest: enough to notice that two documents differ.
+    pub fn short_digest(&self) -> u64 {
+        let [a, b, c, d, e, f, g, h, ..] = self.digest;
+        u64::from_le_bytes([a, b, c, d, e, f, g, h])
+    }
+}
+
 /// Largest configuration, in bytes: as much as a call may bring.
 pub const MAX_DOCUMENT_BYTES: usize = 8 << 20;
 
@@ -186,6 +194,14 @@
         (!self.reviews.end_hold(request, until)).then_some(left_ms)
     }
 
+    /// Whether another document is held here under the version that `decided` holds.
+    pub fn holds_twin_of(&self, decided: &Self) -> bool {
+        match (self.document_id(), decided.document_id()) {
+            (Some(held), Some(decided)) => held.version == decided.version && held != decided,
+            _ => false,
+        }
+    }
+
     /// Which configuration it is; `None` without one.
     pub fn document_id(&self) -> Option<DocumentId> {
         self.configuration.as_ref().map(ConfigDocument::id)
--- a/crates/moleroad_gateway/src/greeting/answer.rs
+++ b/crates/moleroad_gateway/src/greeting/answer.rs
@@ -53,6 +53,7 @@
         unknown_caller: !caller.is_known,
         news,
         config_version: view.state.config_version(),
+        config_digest: view.config_digest,
         versions: if is_agent {
             view.version_ages(now)
         } else {
@@ -67,10 +68,15 @@
         },
     };
     let is_behind = !is_agent && hello.config_version > view.state.config_version();
+    let differs = view.holds_other_document(hello.config_version, hello.config_digest);
     drop(view);
     if node.settings.role.knows_all() {
         take::put_to_use(node, changed);
     }
+    if differs {
+        let node = node.clone();
+        tokio::spawn(async move { crate::greeting::settle(&node).await });
+    }
     if let Some(peer) = peer.filter(|_| is_behind) {
         let node = node.clone();
         tokio::spawn(async move { crate::greeting::pull(&node, peer).await });
--- a/crates/moleroad_gateway/src/greeting/hello.rs
+++ b/crates/moleroad_gateway/src/greeting/hello.rs
@@ -24,6 +24,7 @@
         from: Speaker::since(&view.directory, &view.own, told.position),
         member: node.core.as_ref().map(|core| core.own.clone()),
         config_version: view.state.config_version(),
+        config_digest: view.config_digest,
         versions: view.state.versions.clone(),
         leader: view.leader,
         targets,
--- a/crates/moleroad_gateway/src/greeting/mod.rs
+++ b/crates/moleroad_gateway/src/greeting/mod.rs
@@ -10,6 +10,7 @@
 
 use crate::halls::Source;
 use crate::node::Node;
+use crate::operator;
 use crate::peer::HelloAnswer;
 use hello::hello;
 use moleroad_config::prelude::ConfigVersion;
@@ -105,12 +106,18 @@
         lock(&greeted).unanswered(now, &contact, before);
         return;
     };
-    let config_version = answer.config_version;
+    let (config_version, config_digest) = (answer.config_version, answer.config_digest);
     let is_whole = answer.news.is_whole();
     take_answer(&node, &contact, next, answer, &greeted);
     if is_behind(&node, config_version) {
         pull(&node, address).await;
     }
+    let differs = node
+        .view()
+        .holds_other_document(config_version, config_digest);
+    if differs {
+        settle(&node).await;
+    }
     // A fetch may have failed, or another one may still be under way.
     let is_asked = contact.scope != Scope::Nothing;
     if is_asked && is_whole && !is_behind(&node, config_version) {
@@ -190,6 +197,19 @@
     node.settings.role.knows_all() && config_version > node.view().state.config_version()
 }
 
+/// Reads the decided configuration out of the log, unless something is being fetched:
+/// another daemon holds another document under the same version, and one of the two
+/// was not decided.
+pub async fn settle(node: &Arc<Node>) {
+    let Some(_pulling) = node.begin_pull() else {
+        return;
+    };
+    node.metrics.count("configuration_differs");
+    let version = node.view().state.config_version().0;
+    log::error!(event = "configuration_differs", version = version; "");
+    operator::read(node).await;
+}
+
 /// Takes what another daemon has in force, unless it is being fetched.
 pub async fn pull(node: &Arc<Node>, address: SocketAddr) {
     let Some(_pulling) = node.begin_pull() else {
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -276,6 +276,25 @@
         changed | halls_changed
     }
 
+    /// Takes what the leader reads out of the log, also where another document is held
+    /// here under its version; true if anything changed.
+    pub fn take_decided(&self, decided: &ControlState) -> bool {
+        let is_twin = {
+            let mut view = self.view();
+            let is_twin = view.state.holds_twin_of(decided);
+            if is_twin {
+                view.state.configuration = None;
+            }
+            is_twin
+        };
+        if is_twin {
+            self.metrics.count("configuration_corrected");
+            let version = decided.config_version().0;
+            log::error!(event = "configuration_corrected", version = version; "");
+        }
+        self.take_state(decided, Source::Answer)
+    }
+
     /// Lets agents prepare for a state that is not known to be in force.
     pub fn prepare_for(&self, state: &ControlState) {
         let now = self.clock.now();
--- a/crates/moleroad_gateway/src/operator.rs
+++ b/crates/moleroad_gateway/src/operator.rs
@@ -169,7 +169,7 @@
         };
         match answer {
             Ok(state) => {
-                node.take_state(&state, Source::Answer);
+                node.take_decided(&state);
                 return Some(state);
             }
             Err(hint) => {
--- a/crates/moleroad_gateway/src/peer.rs
+++ b/crates/moleroad_gateway/src/peer.rs
@@ -53,6 +53,9 @@
     /// wants to hear nothing of them.
     #[serde(default)]
     pub ends_after: Option<Cursor>,
+    /// Begin of the digest of the configuration that it has in force; 0 without one.
+    #[serde(default)]
+    pub config_digest: u64,
 }
 
 /// A version of a model and how long ago it was named.
@@ -166,6 +169,10 @@
     /// Up to where the caller knows of such ends after this answer.
     #[serde(default)]
     pub ends_cursor: Cursor,
+    /// Begin of the digest of the configuration that the callee has in force; 0 without
+    /// one.
+    #[serde(default)]
+    pub config_digest: u64,
 }
 
 /// What became of a change that another daemon passed on.
--- a/crates/moleroad_gateway/src/target_notice.rs
+++ b/crates/moleroad_gateway/src/target_notice.rs
@@ -174,7 +174,6 @@
             per_s = rate.map_or(0.0, RequestRate::as_per_s);
             ""
         );
-        target_news::applied(self);
     }
 
     fn note_unreadable_limit(&self, head: &AnswerHead<'_>) {
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -10,7 +10,7 @@
 use crate::places::ServicePlaces;
 use crate::quarantine::Quarantine;
 use moleroad_config::prelude::{
-    Configuration, ConfigurationError, Residency, RouteTable, Service, check,
+    ConfigVersion, Configuration, ConfigurationError, Residency, RouteTable, Service, check,
 };
 use moleroad_directory::prelude::*;
 use moleroad_dispatch::prelude::Rests;
@@ -35,6 +35,8 @@
 pub struct View {
     /// What is in force.
     pub state: ControlState,
+    /// Begin of the digest of the configuration in force; 0 without one.
+    pub config_digest: u64,
     /// The configuration in the form that requests are looked up in.
     pub table: Option<Arc<RouteTable>>,
     /// What agents need of the configuration.
@@ -77,6 +79,7 @@
     pub fn new(own: DaemonRecord) -> Self {
         Self {
             state: ControlState::default(),
+            config_digest: 0,
             table: None,
             catalog: Catalog::default(),
             named: BTreeMap::new(),
@@ -118,6 +121,13 @@
         true
     }
 
+    /// Whether another daemon that tells this of its configuration holds another document
+    /// than this one under the same version.
+    pub fn holds_other_document(&self, version: ConfigVersion, digest: u64) -> bool {
+        let both_hold = digest != 0 && self.config_digest != 0;
+        both_hold && version == self.state.config_version() && digest != self.config_digest
+    }
+
     /// Tells agents of the models of a state that is not known to be in force,
     /// so that they fetch weights meanwhile; requests do not go by it.
     pub fn prepare_for(&mut self, now: Millis, state: &ControlState, interface: &dyn Interface) {
@@ -144,6 +154,7 @@
         let Some(document) = &self.state.configuration else {
             return;
         };
+        self.config_digest = document.id().short_digest();
         let parsed = read_document(document, interface)
             .and_then(|configuration| check(&configuration).map(|()| configuration));
         match parsed {
--- a/crates/moleroad_gateway/tests/decided.rs
+++ b/crates/moleroad_gateway/tests/decided.rs
@@ -5,6 +5,7 @@
 
 use moleroad_config::prelude::ConfigVersion;
 use moleroad_gateway::control_state::{ConfigDocument, ControlCommand, ControlState};
+use moleroad_gateway::greeting::settle;
 use moleroad_gateway::halls::Source;
 use moleroad_gateway::node::Node;
 use moleroad_gateway::operator::{commit, read};
@@ -93,3 +94,25 @@
     bring(&late, replace(7, "overtaken")).await;
     assert_eq!(in_force(&late), (9, "newest".into()));
 }
+
+/// Guards against a document that was not decided and stays in force, whoever meets it.
+#[tokio::test]
+async fn daemons_that_hold_two_documents_under_one_version_come_back_to_the_decided_one() {
+    let leader = leader("decided-twins");
+    let (right, wrong) = (follower_of(&leader, "a"), follower_of(&leader, "b"));
+    bring(&right, replace(5, "decided")).await;
+    wrong.take_state(&holding(5, "other bytes"), Source::Push);
+    let told = |node: &Node| {
+        let view = node.view();
+        (view.state.config_version(), view.config_digest)
+    };
+    for (node, other) in [(&right, &wrong), (&wrong, &right)] {
+        let (version, digest) = told(other);
+        assert!(node.view().holds_other_document(version, digest));
+        settle(node).await;
+    }
+    assert_eq!(in_force(&right), (5, "decided".into()));
+    assert_eq!(in_force(&wrong), (5, "decided".into()));
+    assert_eq!(told(&right), told(&wrong));
+    assert!(!right.view().holds_other_document(ConfigVersion(5), 0));
+}
--- a/crates/moleroad_gateway/tests/evacuations.rs
+++ b/crates/moleroad_gateway/tests/evacuations.rs
@@ -151,9 +151,13 @@
     };
     let (no_halls, no_ends): (&[u8], &[u8]) = (b"\x80", b"\x90");
     let (no_position, no_cursor): (&[u8], &[u8]) = (b"\xc0", b"\x92\x00\x00");
+    let no_digest: &[u8] = b"\x00";
     let answer = rmp_serde::to_vec(&HelloAnswer::default()).unwrap();
-    for last in [&[no_halls, no_ends, no_cursor][..], &[no_ends, no_cursor]] {
-        let former = without(&answer, 9, last);
+    for last in [
+        &[no_halls, no_ends, no_cursor, no_digest][..],
+        &[no_ends, no_cursor, no_digest],
+    ] {
+        let former = without(&answer, 10, last);
         let read: HelloAnswer = rmp_serde::from_slice(&former).unwrap();
         assert!(read.halls.is_empty() && read.ends.is_empty());
     }
@@ -173,13 +177,14 @@
         halls: HallsNews::new(),
         ends: Vec::new(),
         ends_after: None,
+        config_digest: 0,
     };
     let bytes = rmp_serde::to_vec(&hello).unwrap();
     for last in [
-        &[no_halls, no_ends, no_position][..],
-        &[no_ends, no_position],
+        &[no_halls, no_ends, no_position, no_digest][..],
+        &[no_ends, no_position, no_digest],
     ] {
-        let read: Hello = rmp_serde::from_slice(&without(&bytes, 11, last)).unwrap();
+        let read: Hello = rmp_serde::from_slice(&without(&bytes, 12, last)).unwrap();
         assert!(read.halls.is_empty() && read.ends.is_empty() && read.ends_after.is_none());
     }
 }
