Pass over engines with older weights whose agents are silent

Cause, as far as it can be told: an engine whose agent does not answer was sent to until half of the version's time was over, since 2.1 s were the most that a request was seen to wait on the way.

Ruled out: a smaller part of the time, which only moves the bound to the next longer wait.

Change: while a newer version is named, an engine whose agent was silent gets nothing as long as the agent of any other that was looked at answers. One whose agent is not there (its connection is refused, so the way is free) is sent to as before, and where nobody is heard so are all.

Evidence: asked_agents.rs, with one agent frozen: 4 requests reached its engine before, none now; where both are frozen requests are served.

--- a/crates/moleroad_dispatch/src/load.rs
+++ b/crates/moleroad_dispatch/src/load.rs
@@ -119,6 +119,12 @@
         self.silences(now) >= OUT_OF_REACH_SILENCES
     }
 
+    /// Whether the agent did not answer when it was last asked, so that the way there
+    /// may be held up.
+    pub fn is_silent(&self, now: Millis) -> bool {
+        self.silences(now) > 0
+    }
+
     /// Silences in a row that still count.
     fn silences(&self, now: Millis) -> u32 {
         if now.since(self.silent_at) < SILENCE_OVER_MS {
--- a/crates/moleroad_gateway/src/probe.rs
+++ b/crates/moleroad_gateway/src/probe.rs
@@ -37,16 +37,54 @@
         let on_grant = on_grant(node, ask, draw);
         return admitted(node, ask, on_grant).await;
     }
-    let mut looked_at = look(node, ask, Reach::Near, draw).await;
-    let near = best_of(node, ask, &looked_at);
+    let mut looked = look(node, ask, Reach::Near, draw).await;
+    let near = best_of(node, ask, &looked.open);
     if let Some(best) = near.filter(|near| is_good_enough(node, ask, near)) {
-        looked_at.retain(|candidate| candidate.id != best.id);
+        looked.open.retain(|candidate| candidate.id != best.id);
         if let Some(candidate) = grants::admit(node, ask, best).await {
             return Some(started(node, ask, candidate));
         }
     }
-    looked_at.extend(look(node, ask, Reach::Far, draw).await);
-    admitted(node, ask, looked_at).await
+    looked.extend(look(node, ask, Reach::Far, draw).await);
+    if looked.is_any_heard {
+        return admitted(node, ask, looked.open).await;
+    }
+    // Nobody is heard: the way that is held up may be this entry's own.
+    looked.open.append(&mut looked.silent);
+    admitted(node, ask, looked.open).await
+}
+
+/// The targets that were looked at for one request.
+#[derive(Default)]
+struct Looked {
+    /// Those that may get it, as far as their agents tell.
+    open: Vec<Candidate>,
+    /// Those with older weights whose agents were silent: a request that waits on a way
+    /// that is held up begins too late there.
+    silent: Vec<Candidate>,
+    /// Whether any agent answered.
+    is_any_heard: bool,
+}
+
+impl Looked {
+    fn extend(&mut self, other: Self) {
+        self.open.extend(other.open);
+        self.silent.extend(other.silent);
+        self.is_any_heard |= other.is_any_heard;
+    }
+
+    /// Adds a target whose agent did not answer, if the request may begin there in time.
+    fn add_unheard(&mut self, node: &Node, ask: &Ask, candidate: Candidate) {
+        if !is_reached_in_time(node, ask, &candidate) {
+            return;
+        }
+        let is_old = node.old_weights(&ask.service, candidate.version).is_some();
+        if is_old && is_silent(node, ask, &candidate) {
+            self.silent.push(candidate);
+        } else {
+            self.open.push(candidate);
+        }
+    }
 }
 
 /// The best of those looked at that may get the request, with the send counted.
@@ -121,13 +159,13 @@
 
 /// Asks the agents of some targets; returns those that take new requests, and
 /// those whose agents cannot be asked.
-async fn look(node: &Arc<Node>, ask: &Ask, reach: Reach, draw: u64) -> Vec<Candidate> {
+async fn look(node: &Arc<Node>, ask: &Ask, reach: Reach, draw: u64) -> Looked {
     let now = node.clock.now();
     let (drawn, resting) = {
         let view = node.view();
         let least = node.least_version(&view, &ask.service);
         let Some(places) = view.services.get(&ask.service) else {
-            return Vec::new();
+            return Looked::default();
         };
         let drawn = places
             .targets
@@ -143,36 +181,44 @@
     });
     let asking: Vec<_> = asking.collect();
     let until = tokio::time::Instant::now() + ANSWER_WAIT;
-    let mut looked_at = Vec::with_capacity(asking.len());
+    let mut looked = Looked::default();
     for (candidate, answer) in asking {
         let answer = match answer {
             Some(answer) => tokio::time::timeout_at(until, answer).await,
             None => {
-                if is_reached_in_time(node, ask, &candidate) {
-                    looked_at.push(candidate);
-                }
+                looked.add_unheard(node, ask, candidate);
                 continue;
             }
         };
         match answer {
-            Ok(Ok(Some(load))) if !load.takes_new || load.has_no_grant() => {}
-            Ok(Ok(Some(_))) => looked_at.push(candidate),
+            Ok(Ok(Some(load))) => {
+                looked.is_any_heard = true;
+                if load.takes_new && !load.has_no_grant() {
+                    looked.open.push(candidate);
+                }
+            }
             failed => {
-                let is_in_time = is_reached_in_time(node, ask, &candidate);
-                let mut view = node.view();
-                if let Some(places) = view.services.get_mut(&ask.service) {
+                if let Some(places) = node.view().services.get_mut(&ask.service) {
                     match failed {
                         Ok(_) => places.targets.agent_refused(now, &candidate.id),
                         Err(_) => places.targets.agent_was_silent(now, &candidate.id),
                     }
                 }
-                if is_in_time {
-                    looked_at.push(candidate);
-                }
+                looked.add_unheard(node, ask, candidate);
             }
         }
     }
-    looked_at
+    looked
+}
+
+/// Whether the agent beside the target did not answer when it was last asked.
+fn is_silent(node: &Node, ask: &Ask, candidate: &Candidate) -> bool {
+    let view = node.view();
+    let places = view.services.get(&ask.service);
+    places.is_some_and(|places| {
+        let load = places.targets.load(&candidate.id);
+        load.is_silent(node.clock.now())
+    })
 }
 
 /// Whether a target may get the request though its agent does not answer. One
