--- a/crates/moleroad_gateway/src/probe.rs
+++ b/crates/moleroad_gateway/src/probe.rs
@@ -49,8 +49,11 @@
     if looked.is_any_heard {
         return admitted(node, ask, looked.open).await;
     }
-    // Nobody is heard: the way that is held up may be this entry's own.
-    looked.open.append(&mut looked.silent);
+    if !looked.silent.is_empty() {
+        // The way that is held up may be this entry's own.
+        node.metrics.count("no_agent_heard");
+        looked.open.append(&mut looked.silent);
+    }
     admitted(node, ask, looked.open).await
 }
 
