--- a/crates/moleroad_rollout/src/bound.rs
+++ b/crates/moleroad_rollout/src/bound.rs
@@ -7,8 +7,8 @@
 /// version is late by its ways, and the request is on its way to the target.
 const START_MARGIN_MS: u64 = 150;
 /// Part of the time for a version that must be left for a request to an engine
-/// with older weights whose agent does not answer. Requests were seen to wait
-/// 0.9 s for a full link and 2.1 s in a queue, of a time of 8 s.
+/// with older weights whose agent does not answer: it may wait on a link that is
+/// held up. A longer wait than this part begins it too late.
 const SILENT_SPARE_PART: u64 = 2;
 
 /// Until when requests may begin on older weights.
