Write the last log lines before a process exits

What callers saw: nothing; who looks for a cut answer saw no line of it.

Cause: the writer holds lines for 0.1 s, and the process ended before. Lines of the last tenth of a second of every process were lost, the one that says what a stop leaves behind always.

It waits 0.2 s at most for an output that accepts nothing.

No logic of requests is touched.

--- a/crates/moleroad_gateway/src/logging.rs
+++ b/crates/moleroad_gateway/src/logging.rs
@@ -1,10 +1,11 @@
 //! Structured log lines on standard output, one JSON object each.
 //!
 //! A bounded queue passes the lines to one writer thread. If the queue is full, a line
-//! is dropped and counted, so that logging never blocks.
+//! is dropped and counted, so that logging never blocks. [`flush`] writes what is queued;
+//! a process calls it before it exits, and a panic does so as well.
 
 use crate::clock::Clock;
-use crossbeam::channel::{Receiver, Sender, bounded};
+use crossbeam::channel::{Receiver, Sender, bounded, select};
 use log::kv::{Error, Key, Value, VisitSource};
 use std::io::Write;
 use std::sync::OnceLock;
@@ -13,11 +14,18 @@
 
 /// Capacity of the queue to the writer thread, in lines.
 const MAX_QUEUED_LINES: usize = 4_096;
-/// Interval between writes, in milliseconds.
-const WRITE_INTERVAL_MS: u64 = 100;
+/// Interval between writes.
+const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after which [`flush`] gives up if standard output accepts nothing.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 static CLOCK: OnceLock<Clock> = OnceLock::new();
+static FLUSHES: OnceLock<Sender<FlushRequest>> = OnceLock::new();
+
+/// Asks the writer to write all queued lines; it then drops the request, which closes
+/// the channel.
+type FlushRequest = Sender<()>;
 
 /// Returns the number of lines dropped since the process started.
 pub fn dropped_lines() -> u64 {
@@ -28,12 +36,17 @@
 pub fn start(instance: &str) {
     CLOCK.get_or_init(Clock::default);
     let (lines, queue) = bounded::<Vec<u8>>(MAX_QUEUED_LINES);
+    let (flushes, flush_requests) = bounded::<FlushRequest>(1);
     let writer = std::thread::Builder::new()
         .name("log".into())
         .stack_size(128 << 10);
-    if writer.spawn(move || write_lines(&queue)).is_err() {
+    if writer
+        .spawn(move || write_lines(&queue, &flush_requests))
+        .is_err()
+    {
         return;
     }
+    FLUSHES.get_or_init(|| flushes);
     let instance = instance.to_string();
     let started = env_logger::Builder::new()
         .filter_level(log::LevelFilter::Info)
@@ -44,6 +57,29 @@
     if started.is_err() {
         log::debug!("logging is already initialized");
     }
+    log_panics();
+}
+
+/// Writes all lines logged so far to standard output. Returns once they are written, or
+/// after a short time limit.
+pub fn flush() {
+    let Some(flushes) = FLUSHES.get() else {
+        return;
+    };
+    let (request, written) = bounded::<()>(0);
+    if flushes.send_timeout(request, FLUSH_TIMEOUT).is_ok() {
+        let _ = written.recv_timeout(FLUSH_TIMEOUT);
+    }
+}
+
+/// Logs each panic before the default report of it.
+fn log_panics() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        log::error!(event = "panic"; "{panic}");
+        flush();
+        report(panic);
+    }));
 }
 
 struct LineQueue {
@@ -63,14 +99,23 @@
     }
 }
 
-fn write_lines(queue: &Receiver<Vec<u8>>) {
-    while let Ok(first) = queue.recv() {
-        std::thread::sleep(Duration::from_millis(WRITE_INTERVAL_MS));
-        let mut text = first;
+fn write_lines(queue: &Receiver<Vec<u8>>, flushes: &Receiver<FlushRequest>) {
+    loop {
+        let mut text = Vec::new();
+        let flush_request = select! {
+            recv(queue) -> first => {
+                let Ok(first) = first else { return };
+                text.extend_from_slice(&first);
+                flushes.recv_timeout(WRITE_INTERVAL).ok()
+            }
+            recv(flushes) -> request => request.ok(),
+        };
         for line in queue.try_iter() {
             text.extend_from_slice(&line);
         }
-        let _ = std::io::stdout().write_all(&text);
+        let mut output = std::io::stdout();
+        let _ = output.write_all(&text).and_then(|()| output.flush());
+        drop(flush_request);
     }
 }
 
