Exit only when the answers are written and their connections are closed

What callers saw: an answer without its end around a SIGTERM to its entry.

Cause: what a stopping entry waited for was a count of handlers and relays, not of answers. A complete body was not counted at all while it was written, a stream only until its last part lay in a queue of 16; the process ended with the bytes still in its memory. A slow caller, a full socket or an unlucky turn of the scheduler opens that gap.

Ruled out: that the kernel's buffers hide it (2.8 of 12 MB arrived); that a longer fixed wait would do, since no wait covers a slower caller.

Change: an answer is open from the arrival of its request until its last byte was written to the connection. The stop is one order of phases for every role, in one module: callers are told to go elsewhere, their connections are closed each after its answer, then those of the management API, then the process exits. A connection that was shut down is read until the caller closes it (0.5 s at most): a close with unread bytes is a reset, which destroys what is not delivered. What is left at the end of the grace period is named (left_unanswered).

Why it works: the count ends with the flush of the socket, and only a count of zero ends a phase early. New requests are no longer taken from 3.4 s after the signal on, when callers have other addresses; before it was 6 s of 8.

The test of late requests is still red: it now misses a refusal.

--- a/crates/moleroad_gateway/src/front/serve.rs
+++ b/crates/moleroad_gateway/src/front/serve.rs
@@ -1,22 +1,27 @@
 //! Accepts callers' connections and handles their requests.
 
+use crate::connections::open_answers::OpenAnswer;
+use crate::connections::serve::serve_requests;
+use crate::connections::tracked::CurrentAnswer;
 use crate::front::answer::{Answer, EntryError, close_after};
 use crate::front::attempt::LastSend;
 use crate::front::request::AcceptedRequest;
 use crate::front::{buffered, request, stream};
 use crate::listening::accept_connections;
 use crate::node::Node;
+use crate::stop::StopPhase;
 use crate::trial;
 use hyper::Request;
 use hyper::body::Incoming;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use std::convert::Infallible;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioTimer;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
+/// Phase of a stop in which connections are closed.
+const CLOSES_AT: StopPhase = StopPhase::ClosingFront;
 /// Idle timeout of a connection before a configuration is known, in milliseconds.
 const DEFAULT_IDLE_MS: u64 = 15_000;
 /// Largest request head before a configuration is known, in bytes.
@@ -24,7 +29,7 @@
 
 /// Accepts and serves connections until the process ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
-    accept_connections(listener, |connection| {
+    accept_connections(listener, &node.stop, CLOSES_AT, |connection| {
         serve_connection(node.clone(), connection)
     })
     .await;
@@ -36,43 +41,28 @@
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| {
         limits.max_header_bytes.max(8_192) + 8_192
     });
-    let service = service_fn(|request| handle(node.clone(), request));
-    let served = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
+    let mut http = http1::Builder::new();
+    http.timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms))
-        .max_buf_size(head_bytes)
-        .serve_connection(TokioIo::new(connection), service);
-    let _ = served.await;
+        .max_buf_size(head_bytes);
+    let handler = |request, current| handle(node.clone(), request, current);
+    serve_requests(connection, &http, &node, CLOSES_AT, handler).await;
 }
 
-/// Counts a request as in flight until dropped.
-struct InFlightGuard(Arc<Node>);
-
-impl InFlightGuard {
-    fn new(node: &Arc<Node>) -> Self {
-        node.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self(node.clone())
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-async fn handle(node: Arc<Node>, message: Request<Incoming>) -> Result<Answer, Infallible> {
-    let _counted = InFlightGuard::new(&node);
+async fn handle(node: Arc<Node>, message: Request<Incoming>, current: CurrentAnswer) -> Answer {
     node.unmeasured_requests.fetch_add(1, Ordering::Relaxed);
     let arrived = node.clock.now();
     let id = message.headers().get(&node.interface.headers().request_id);
     let id = id.cloned();
+    current.begin(node.open_answers.begin(OpenAnswer {
+        id: id.clone(),
+        arrived,
+    }));
     let mut guard = DisconnectGuard::new(&node, id.clone());
     let result = request::accept(&node, message, arrived).await;
     let mut summary = None;
     let mut answer = match result {
         Err(error) => error.response(retry_after_ms(error)),
-        Ok(_) if node.requests_stopped() => EntryError::Stopping.response(Some(0)),
         Ok(mut accepted) => {
             accepted.is_trial = trial::obtain(&node, &accepted).await;
             summary = Some(RequestSummary::of(&accepted));
@@ -94,7 +84,7 @@
         close_after(&mut answer);
     }
     record_answer(&node, &answer, &guard, summary, arrived);
-    Ok(answer)
+    answer
 }
 
 fn retry_after_ms(error: EntryError) -> Option<u64> {
@@ -207,7 +197,8 @@
 
 impl Drop for DisconnectGuard {
     fn drop(&mut self) {
-        if !self.answered.load(Ordering::Relaxed) {
+        let exits = self.node.stop.phase() == StopPhase::Exiting;
+        if !self.answered.load(Ordering::Relaxed) && !exits {
             self.node.metrics.count("caller_left");
             log::info!(event = "caller_left", request = self.id(); "");
         }
--- a/crates/moleroad_gateway/src/front/stream.rs
+++ b/crates/moleroad_gateway/src/front/stream.rs
@@ -189,14 +189,7 @@
         splitter,
         parts,
     };
-    node.in_flight
-        .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-    tokio::spawn(async move {
-        let node = relay.node.clone();
-        relay.run(running, events).await;
-        node.in_flight
-            .fetch_sub(1, std::sync::atomic::Ordering::Relaxed);
-    });
+    tokio::spawn(relay.run(running, events));
     answer
 }
 
--- a/crates/moleroad_gateway/src/gossip/mod.rs
+++ b/crates/moleroad_gateway/src/gossip/mod.rs
@@ -73,7 +73,7 @@
         own: &view.own,
         seeds: &seeds,
         backed_off: &gossip_state.backed_off(now),
-        is_busy: node.in_flight.load(std::sync::atomic::Ordering::Relaxed) > 0,
+        is_busy: node.open_answers.count() > 0,
         lacks_configuration: view.table.is_none() && view.catalog.models.is_empty(),
         is_starting_up: node.recently_started(now),
         is_isolated: gossip_state.ms_since_reply(now) >= ISOLATION_TIMEOUT_MS,
--- a/crates/moleroad_gateway/src/listening.rs
+++ b/crates/moleroad_gateway/src/listening.rs
@@ -1,6 +1,8 @@
 //! TCP listeners and their accept loop.
 
+use crate::stop::{StopPhase, StopSignal};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
@@ -20,13 +22,23 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections and serves each in its own task, until the process ends.
-pub async fn accept_connections<S>(listener: TcpListener, serve: impl Fn(TcpStream) -> S)
-where
+/// Accepts connections and serves each in its own task, until the stop of the process
+/// reaches `closes_at`.
+pub async fn accept_connections<S>(
+    listener: TcpListener,
+    stop: &StopSignal,
+    closes_at: StopPhase,
+    serve: impl Fn(TcpStream) -> S,
+) where
     S: Future<Output = ()> + Send + 'static,
 {
+    let mut closed = pin!(stop.reached(closes_at));
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closed.as_mut() => return,
+        };
+        match accepted {
             Ok((connection, _)) => {
                 crate::peers::configure_socket(&connection);
                 tokio::spawn(serve(connection));
--- a/crates/moleroad_gateway/src/management_api.rs
+++ b/crates/moleroad_gateway/src/management_api.rs
@@ -1,29 +1,34 @@
 //! HTTP API of the daemon itself: lookup of entries by callers, readiness checks and
 //! metrics, and calls of targets and operators.
 
+use crate::connections::open_answers::OpenAnswer;
+use crate::connections::serve::serve_requests;
+use crate::connections::tracked::CurrentAnswer;
 use crate::control_state::{ConfigDocument, ControlCommand, MAX_DOCUMENT_BYTES};
 use crate::front::answer::AnswerBody;
 use crate::hall_calls::HallCall;
 use crate::interface::ManagementCall;
 use crate::listening::accept_connections;
 use crate::node::Node;
+use crate::stop::StopPhase;
 use crate::{hall_calls, hall_orders, operator, target_updates};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::service::service_fn;
+use hyper::server::conn::http1;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use moleroad_config::prelude::{ConfigurationError, check};
 use moleroad_types::prelude::Millis;
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
 /// Idle timeout of a connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Phase of a stop in which connections are closed.
+const CLOSES_AT: StopPhase = StopPhase::ClosingManagement;
 /// Timeout for reading a request body.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time to live of a directory answer, in milliseconds, unless the platform's limit
@@ -32,36 +37,38 @@
 
 /// Accepts and serves connections until the process ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
-    accept_connections(listener, |connection| {
+    accept_connections(listener, &node.stop, CLOSES_AT, |connection| {
         serve_connection(node.clone(), connection)
     })
     .await;
 }
 
 async fn serve_connection(node: Arc<Node>, connection: TcpStream) {
-    let service = service_fn(|request| handle(node.clone(), request));
-    let served = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(IDLE_TIMEOUT)
-        .serve_connection(TokioIo::new(connection), service);
-    let _ = served.await;
+    let mut http = http1::Builder::new();
+    http.timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT);
+    let handler = |request, current: CurrentAnswer| {
+        current.begin(node.open_calls.begin(OpenAnswer {
+            id: None,
+            arrived: node.clock.now(),
+        }));
+        handle(node.clone(), request)
+    };
+    serve_requests(connection, &http, &node, CLOSES_AT, handler).await;
 }
 
 /// Response to a management call.
 pub(crate) type ManagementResponse = Response<AnswerBody>;
 
-async fn handle(
-    node: Arc<Node>,
-    request: Request<Incoming>,
-) -> Result<ManagementResponse, Infallible> {
+async fn handle(node: Arc<Node>, request: Request<Incoming>) -> ManagementResponse {
     let uri = request.uri().clone();
     if let Some(call) = HallCall::read(request.method(), uri.path()) {
-        return Ok(hall_calls::answer(&node, call).await);
+        return hall_calls::answer(&node, call).await;
     }
     let call = node
         .interface
         .management_call(request.method(), uri.path(), uri.query());
-    let answer = match call {
+    match call {
         Some(ManagementCall::Addresses { host, hall, region }) => {
             addresses(&node, &host, &hall, &region)
         }
@@ -83,8 +90,7 @@
             ),
         },
         None => failure(&node, StatusCode::NOT_FOUND, "MR-6302 no such call"),
-    };
-    Ok(answer)
+    }
 }
 
 async fn read(request: Request<Incoming>) -> Option<Bytes> {
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -4,6 +4,8 @@
 use crate::agent::offers::Offers;
 use crate::agent::pieces::PieceMemory;
 use crate::clock::Clock;
+use crate::connections::open_answers::OpenAnswers;
+use crate::connections::tracked::ClosingConnections;
 use crate::control_member::ControlMember;
 use crate::control_state::{ControlCommand, ControlState};
 use crate::front::pool::Pool;
@@ -16,6 +18,7 @@
 use crate::places::PlaceRequest;
 use crate::region_warnings;
 use crate::settings::{RoleSetting, Settings};
+use crate::stop::{StopPhase, StopSignal};
 use crate::suspension::SuspensionDetector;
 use crate::target_ends::TargetEnds;
 use crate::view::View;
@@ -62,13 +65,17 @@
     pub offer_received: Notify,
     /// Number of requests received since demand was last measured.
     pub unmeasured_requests: AtomicUsize,
-    /// Number of requests in progress.
-    pub in_flight: AtomicUsize,
+    /// Answers that callers wait for.
+    pub open_answers: OpenAnswers,
+    /// Answers of the management API that are not written.
+    pub open_calls: OpenAnswers,
+    /// Connections that wait for their callers to close them.
+    pub closing_connections: ClosingConnections,
+    /// Phase of a graceful stop.
+    pub stop: StopSignal,
     seeds: Mutex<Vec<SocketAddr>>,
     digests: Mutex<Vec<(String, PieceDigests)>>,
     pull_in_progress: AtomicBool,
-    leaving: AtomicBool,
-    stopping: AtomicBool,
     suspension: Mutex<SuspensionDetector>,
     target_ends: Mutex<TargetEnds>,
     view: Mutex<View>,
@@ -106,12 +113,13 @@
             offers: Mutex::default(),
             offer_received: Notify::new(),
             unmeasured_requests: AtomicUsize::new(0),
-            in_flight: AtomicUsize::new(0),
+            open_answers: OpenAnswers::default(),
+            open_calls: OpenAnswers::default(),
+            closing_connections: ClosingConnections::default(),
+            stop: StopSignal::default(),
             seeds: Mutex::new(settings.seed_peers()),
             digests: Mutex::default(),
             pull_in_progress: AtomicBool::new(false),
-            leaving: AtomicBool::new(false),
-            stopping: AtomicBool::new(false),
             suspension: Mutex::new(suspension),
             target_ends: Mutex::default(),
             view: Mutex::new(View::new(own)),
@@ -219,22 +227,12 @@
 
     /// Returns whether this process was asked to stop.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
-    }
-
-    /// Returns whether new requests are rejected because the process is about to exit.
-    pub fn requests_stopped(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
-    }
-
-    /// Rejects new requests from now on.
-    pub fn stop_requests(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+        self.stop.phase() >= StopPhase::Leaving
     }
 
     /// Marks this daemon as leaving, so that new callers go elsewhere.
     pub fn leave(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
+        self.stop.enter(StopPhase::Leaving);
         self.update_own_record();
         self.state_changed.notify_waiters();
     }
--- a/crates/moleroad_gateway/src/peer_server.rs
+++ b/crates/moleroad_gateway/src/peer_server.rs
@@ -11,6 +11,7 @@
     Offer, Peer, ProposeAnswer, SharedDigests, TargetUpdate,
 };
 use crate::peers::transport;
+use crate::stop::StopPhase;
 use futures::StreamExt;
 use moleroad_consensus::prelude::{MemberInfo, Message};
 use serde_bytes::ByteBuf;
@@ -25,7 +26,7 @@
 
 /// Accepts and serves connections from other daemons until the process ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
-    accept_connections(listener, |connection| {
+    accept_connections(listener, &node.stop, StopPhase::Exiting, |connection| {
         serve_connection(node.clone(), connection)
     })
     .await;
--- a/crates/moleroad_gateway/src/run.rs
+++ b/crates/moleroad_gateway/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::agent;
 use crate::clock::Clock;
-use crate::control_member::{ControlMember, MemberInput, MemberOutput, MemberSettings};
+use crate::control_member::{ControlMember, MemberOutput, MemberSettings};
 use crate::control_state::ControlState;
 use crate::front;
 use crate::gossip;
@@ -14,6 +14,7 @@
 use crate::peer::LeaderHint;
 use crate::peer_server;
 use crate::settings::{RoleSetting, Settings};
+use crate::stop;
 use crate::view::View;
 use moleroad_consensus::prelude::{Configuration, MemberId, MemberInfo, Message};
 use moleroad_directory::relays::MIN_RELAYS;
@@ -23,7 +24,6 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
@@ -36,18 +36,6 @@
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(50);
 /// Window over which demand is measured, in milliseconds.
 const DEMAND_WINDOW_MS: u64 = 500;
-/// New requests are rejected in the last 1/4 of the shutdown grace period.
-const GRACE_FINAL_DIVISOR: u64 = 4;
-/// Time before the end of the shutdown grace period at which the process exits even if
-/// requests are in flight, in milliseconds.
-const EXIT_MARGIN_MS: u64 = 250;
-/// Time for which callers may still use the address of an entry that shuts down, in
-/// milliseconds: three times the time to live of a directory answer (1 s), plus a
-/// margin.
-const ADDRESS_CACHE_MS: u64 = 3_400;
-/// Time for which a control daemon that shuts down still answers calls, in
-/// milliseconds: operators and targets wait 1 s for an answer.
-const CALL_DRAIN_MS: u64 = 1_000;
 
 /// Runs the process until it receives a signal to stop.
 ///
@@ -59,7 +47,7 @@
     settings_path: PathBuf,
     interface: Arc<dyn Interface>,
 ) -> std::io::Result<()> {
-    let mut stop = signal(SignalKind::terminate())?;
+    let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hangups = signal(SignalKind::hangup())?;
     let clock = Clock::default();
@@ -85,10 +73,10 @@
     tokio::spawn(gossip::run_gossip(node.clone()));
     tokio::spawn(reload(node.clone(), hangups, settings_path));
     tokio::select! {
-        _ = stop.recv() => {}
+        _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    shut_down(&node).await;
+    stop::shut_down(&node).await;
     Ok(())
 }
 
@@ -301,35 +289,3 @@
         }
     }
 }
-
-/// Shuts down gracefully: marks this process as leaving at once so that callers go
-/// elsewhere, rejects new requests in the last part of the grace period, and returns
-/// when nothing is in flight or the grace period is over.
-async fn shut_down(node: &Arc<Node>) {
-    let started = node.clock.now();
-    log::info!(event = "stop_begins"; "");
-    node.leave();
-    if let Some(control_member) = &node.control_member {
-        control_member.send(MemberInput::Retire);
-    }
-    let grace_ms = node.settings.bounds.grace_ms;
-    let reject_after = grace_ms - grace_ms / GRACE_FINAL_DIVISOR;
-    let exit_if_idle_after = match node.settings.role {
-        RoleSetting::Entry => ADDRESS_CACHE_MS.min(reject_after),
-        RoleSetting::Control => CALL_DRAIN_MS,
-        RoleSetting::Agent => 0,
-    };
-    loop {
-        let elapsed = node.clock.now().since(started);
-        if elapsed >= reject_after {
-            node.stop_requests();
-        }
-        let idle = node.in_flight.load(Ordering::Relaxed) == 0;
-        if (idle && elapsed >= exit_if_idle_after) || elapsed + EXIT_MARGIN_MS >= grace_ms {
-            break;
-        }
-        tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
-    }
-    let in_flight = node.in_flight.load(Ordering::Relaxed);
-    log::info!(event = "stop", in_flight = in_flight as u64; "");
-}
--- /dev/null
+++ b/crates/moleroad_gateway/src/stop.rs
@@ -0,0 +1,150 @@
+//! The graceful stop of a process.
+//!
+//! The phases of [`StopPhase`] follow each other in order, in every role. A phase ends
+//! when the answers that it waits for are written, and all of them end within the grace
+//! period.
+
+use crate::connections::open_answers::{OpenAnswer, OpenAnswers};
+use crate::control_member::MemberInput;
+use crate::node::Node;
+use crate::settings::RoleSetting;
+use moleroad_types::prelude::Millis;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// Interval of checks whether a phase has ended.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time before the end of the grace period at which the process exits even if answers
+/// are open, in milliseconds.
+const EXIT_MARGIN_MS: u64 = 250;
+/// Time for which callers may still use the address of an entry that shuts down, in
+/// milliseconds: three times the time to live of a directory answer (1 s), plus a
+/// margin.
+const ADDRESS_CACHE_MS: u64 = 3_400;
+/// Time for which a control daemon that shuts down still accepts calls, in
+/// milliseconds: operators and targets wait 1 s for an answer.
+const CALL_DRAIN_MS: u64 = 1_000;
+/// Maximum number of open answers that are logged at the exit.
+const MAX_LOGGED_ANSWERS: usize = 64;
+
+/// A phase of the life of a process; later phases include earlier ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// The process was not asked to stop.
+    Running,
+    /// Callers are told to go elsewhere; those that still come are served.
+    Leaving,
+    /// No connection of callers is accepted, and each ends after its answer.
+    ClosingFront,
+    /// The same for connections of the management API.
+    ClosingManagement,
+    /// The process exits.
+    Exiting,
+}
+
+/// Tells all tasks of a process in which phase it is.
+pub struct StopSignal {
+    phase: watch::Sender<StopPhase>,
+}
+
+impl Default for StopSignal {
+    fn default() -> Self {
+        Self {
+            phase: watch::Sender::new(StopPhase::Running),
+        }
+    }
+}
+
+impl StopSignal {
+    /// Returns the current phase.
+    pub fn phase(&self) -> StopPhase {
+        *self.phase.borrow()
+    }
+
+    /// Enters a phase.
+    pub fn enter(&self, phase: StopPhase) {
+        self.phase.send_replace(phase);
+    }
+
+    /// Waits until the process is in `phase` or a later one.
+    pub async fn reached(&self, phase: StopPhase) {
+        let mut current = self.phase.subscribe();
+        // The sender is a field of `self` and outlives the receiver.
+        let _ = current.wait_for(|current| *current >= phase).await;
+    }
+}
+
+/// Times of a graceful stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopPlan {
+    /// Until then callers may still come.
+    pub callers_leave_at: Millis,
+    /// The process exits then, whatever is open.
+    pub exits_at: Millis,
+}
+
+impl StopPlan {
+    /// Plans a stop that was requested at `now` and must end within `grace_ms`.
+    pub fn new(now: Millis, grace_ms: u64, role: RoleSetting) -> Self {
+        let drain_ms = match role {
+            RoleSetting::Entry => ADDRESS_CACHE_MS,
+            RoleSetting::Control => CALL_DRAIN_MS,
+            RoleSetting::Agent => 0,
+        };
+        Self {
+            callers_leave_at: now + drain_ms.min(grace_ms - grace_ms / 4),
+            exits_at: now + grace_ms.saturating_sub(EXIT_MARGIN_MS),
+        }
+    }
+}
+
+/// Stops the process gracefully; returns when it may exit.
+pub async fn shut_down(node: &Arc<Node>) {
+    log::info!(event = "stop_begins"; "");
+    let settings = &node.settings;
+    let plan = StopPlan::new(node.clock.now(), settings.bounds.grace_ms, settings.role);
+    node.leave();
+    if let Some(control_member) = &node.control_member {
+        control_member.send(MemberInput::Retire);
+    }
+    tokio::time::sleep_until(node.clock.instant(plan.callers_leave_at)).await;
+    close(node, StopPhase::ClosingFront, &node.open_answers, plan).await;
+    close(node, StopPhase::ClosingManagement, &node.open_calls, plan).await;
+    node.stop.enter(StopPhase::Exiting);
+    log_open_answers(node);
+}
+
+/// Enters a phase that closes connections, and waits until their answers are written and
+/// their callers have closed them.
+async fn close(node: &Node, phase: StopPhase, answers: &OpenAnswers, plan: StopPlan) {
+    node.stop.enter(phase);
+    loop {
+        // The connections take what they have received before they close.
+        tokio::time::sleep(POLL_INTERVAL).await;
+        let is_done = answers.count() == 0 && node.closing_connections.count() == 0;
+        if is_done || node.clock.now() >= plan.exits_at {
+            return;
+        }
+    }
+}
+
+fn log_open_answers(node: &Node) {
+    let now = node.clock.now();
+    for OpenAnswer { id, arrived } in node.open_answers.oldest(MAX_LOGGED_ANSWERS) {
+        node.metrics.count("left_unanswered");
+        let id = id.as_ref().and_then(|id| id.to_str().ok());
+        log::warn!(
+            event = "left_unanswered",
+            request = id.unwrap_or("-"),
+            elapsed_ms = now.since(arrived);
+            ""
+        );
+    }
+    log::info!(
+        event = "stop",
+        in_flight = node.open_answers.count() as u64,
+        calls = node.open_calls.count() as u64;
+        ""
+    );
+}
