Refuse a request at once that the exit of its entry would cut

Cause: a stopping entry refused new requests from a fixed part of its grace period on, whatever their answers take. With a time-out of 6 s and a grace period of 8 s all that was taken from 1.75 s to 6 s could outlast it; callers whose list of entries is old, or who get no new one, still come then.

Ruled out: a lower fixed bound, since it refuses short answers in vain or still cuts long ones; the route's time-out alone, since a route of minutes would refuse everything from the signal on, when all callers still come.

Change: a request that did not run is taken while twice the longest recent answer of its route, its own limit at most, ends before the exit; without a recent answer the limit counts. The same holds for one that waits for a slot.

--- a/crates/moleroad_gateway/src/connections/open_answers.rs
+++ b/crates/moleroad_gateway/src/connections/open_answers.rs
@@ -1,6 +1,9 @@
 //! Answers that callers still wait for.
 
+use crate::answer_times::AnswerTimes;
+use crate::clock::Clock;
 use hyper::header::HeaderValue;
+use moleroad_config::prelude::Route;
 use moleroad_types::prelude::Millis;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -12,14 +15,17 @@
     pub id: Option<HeaderValue>,
     /// Arrival time.
     pub arrived: Millis,
+    /// Route of the request; `None` until it is known.
+    pub route: Option<Arc<Route>>,
 }
 
 /// The open answers of one process.
 ///
 /// An answer is open from the arrival of its request until its last byte is written to
 /// the caller's connection, or the connection has ended.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct OpenAnswers {
+    clock: Clock,
     state: Arc<Mutex<State>>,
 }
 
@@ -28,9 +34,18 @@
     /// By order of arrival.
     open: BTreeMap<u64, OpenAnswer>,
     next_number: u64,
+    times: AnswerTimes,
 }
 
 impl OpenAnswers {
+    /// Creates an empty set.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            state: Arc::default(),
+        }
+    }
+
     /// Adds an answer; it is removed when the guard is dropped.
     pub fn begin(&self, answer: OpenAnswer) -> OpenAnswerGuard {
         let mut state = self.lock();
@@ -53,6 +68,18 @@
         self.lock().open.values().take(most).cloned().collect()
     }
 
+    /// Returns the longest time that answers of `route` have recently taken, or have been
+    /// open for, in milliseconds; `None` if there was none.
+    pub fn longest_ms(&self, route: &str) -> Option<u64> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let ended = state.times.longest_ms(now, route);
+        let open = state.open.values();
+        let open = open.filter(|open| open.route.as_ref().is_some_and(|r| r.name == route));
+        let open = open.map(|open| now.since(open.arrived)).max();
+        ended.max(open)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|error| error.into_inner())
     }
@@ -64,8 +91,27 @@
     number: u64,
 }
 
+impl OpenAnswerGuard {
+    /// Sets the route of the request.
+    pub fn set_route(&self, route: &Arc<Route>) {
+        if let Some(open) = self.answers.lock().open.get_mut(&self.number) {
+            open.route = Some(route.clone());
+        }
+    }
+}
+
 impl Drop for OpenAnswerGuard {
     fn drop(&mut self) {
-        self.answers.lock().open.remove(&self.number);
+        let now = self.answers.clock.now();
+        let mut state = self.answers.lock();
+        let ended = state.open.remove(&self.number);
+        if let Some(OpenAnswer {
+            arrived,
+            route: Some(route),
+            ..
+        }) = ended
+        {
+            state.times.record(now, &route.name, now.since(arrived));
+        }
     }
 }
--- a/crates/moleroad_gateway/src/connections/tracked.rs
+++ b/crates/moleroad_gateway/src/connections/tracked.rs
@@ -4,6 +4,7 @@
 use crate::front::answer::AnswerBody;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use moleroad_config::prelude::Route;
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -32,7 +33,7 @@
     #[default]
     None,
     /// The answer is being prepared, or parts of its body are still to come.
-    InProgress { _open: OpenAnswerGuard },
+    InProgress(OpenAnswerGuard),
     /// The whole answer was encoded; some of it may still be buffered.
     Encoded { _open: OpenAnswerGuard },
 }
@@ -40,7 +41,14 @@
 impl CurrentAnswer {
     /// Records that a request has arrived.
     pub fn begin(&self, open: OpenAnswerGuard) {
-        *self.lock() = AnswerState::InProgress { _open: open };
+        *self.lock() = AnswerState::InProgress(open);
+    }
+
+    /// Sets the route of the request.
+    pub fn set_route(&self, route: &Arc<Route>) {
+        if let AnswerState::InProgress(open) = &*self.lock() {
+            open.set_route(route);
+        }
     }
 
     /// Returns `body` such that its end is noticed.
@@ -53,7 +61,7 @@
 
     fn encoded(&self) {
         let mut state = self.lock();
-        if let AnswerState::InProgress { _open } = std::mem::take(&mut *state) {
+        if let AnswerState::InProgress(_open) = std::mem::take(&mut *state) {
             *state = AnswerState::Encoded { _open };
         }
     }
--- a/crates/moleroad_gateway/src/front/give_up.rs
+++ b/crates/moleroad_gateway/src/front/give_up.rs
@@ -16,6 +16,8 @@
 pub enum GiveUp {
     /// No target has room, or none is eligible.
     NoPlace(NoPlace),
+    /// This process stops before it could complete the answer.
+    Stopping,
     /// The deadline is too close or has passed.
     DeadlinePassed,
     /// The request must not be retried, or its retries are exhausted.
@@ -50,6 +52,7 @@
                 };
                 error.response(Some(no_place.retry_after_ms))
             }
+            GiveUp::Stopping => EntryError::Stopping.response(Some(0)),
             GiveUp::DeadlinePassed => EntryError::DeadlinePassedNotRun.response(Some(0)),
             GiveUp::NoRetry => {
                 let slot_request = self.slot_request();
--- a/crates/moleroad_gateway/src/front/serve.rs
+++ b/crates/moleroad_gateway/src/front/serve.rs
@@ -57,6 +57,7 @@
     current.begin(node.open_answers.begin(OpenAnswer {
         id: id.clone(),
         arrived,
+        route: None,
     }));
     let mut guard = DisconnectGuard::new(&node, id.clone());
     let result = request::accept(&node, message, arrived).await;
@@ -64,6 +65,7 @@
     let mut answer = match result {
         Err(error) => error.response(retry_after_ms(error)),
         Ok(mut accepted) => {
+            current.set_route(&accepted.route);
             accepted.is_trial = trial::obtain(&node, &accepted).await;
             summary = Some(RequestSummary::of(&accepted));
             if accepted.route.streaming {
--- a/crates/moleroad_gateway/src/front/waiting.rs
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -8,6 +8,7 @@
 use crate::front::silence_timeouts;
 use crate::no_place::{NoPlace, NoPlaceCause};
 use crate::places::PlaceRequest;
+use crate::stop;
 use moleroad_dispatch::prelude::WaitClass;
 use moleroad_types::prelude::Millis;
 
@@ -24,11 +25,27 @@
 pub const MIN_SEND_BUDGET_MS: u64 = 60;
 
 impl Attempts {
-    /// Acquires a slot for the next send.
+    /// Acquires a slot for the next send. A request that did not run is refused when this
+    /// process stops and could not complete its answer.
     ///
     /// # Errors
     /// Returns the reason why no further send is made.
     pub(super) async fn next_slot(&mut self) -> Result<ReservedSlot, GiveUp> {
+        if self.may_have_run {
+            return self.find_slot().await;
+        }
+        let (node, request) = (self.node.clone(), self.request.clone());
+        tokio::select! {
+            biased;
+            () = stop::too_late_for(&node, &request) => {
+                node.metrics.count("refused_by_stop");
+                Err(GiveUp::Stopping)
+            }
+            slot = self.find_slot() => slot,
+        }
+    }
+
+    async fn find_slot(&mut self) -> Result<ReservedSlot, GiveUp> {
         self.node.catch_up_after_suspension().await;
         let now = self.node.clock.now();
         if now + MIN_SEND_BUDGET_MS > self.request.until {
--- a/crates/moleroad_gateway/src/lib.rs
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod acquire;
 pub mod agent;
+pub mod answer_times;
 pub mod candidates;
 pub mod clock;
 pub mod cold_targets;
--- a/crates/moleroad_gateway/src/management_api.rs
+++ b/crates/moleroad_gateway/src/management_api.rs
@@ -51,6 +51,7 @@
         current.begin(node.open_calls.begin(OpenAnswer {
             id: None,
             arrived: node.clock.now(),
+            route: None,
         }));
         handle(node.clone(), request)
     };
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -18,7 +18,7 @@
 use crate::places::PlaceRequest;
 use crate::region_warnings;
 use crate::settings::{RoleSetting, Settings};
-use crate::stop::{StopPhase, StopSignal};
+use crate::stop::{StopPhase, StopPlan, StopSignal};
 use crate::suspension::SuspensionDetector;
 use crate::target_ends::TargetEnds;
 use crate::view::View;
@@ -113,8 +113,8 @@
             offers: Mutex::default(),
             offer_received: Notify::new(),
             unmeasured_requests: AtomicUsize::new(0),
-            open_answers: OpenAnswers::default(),
-            open_calls: OpenAnswers::default(),
+            open_answers: OpenAnswers::new(clock),
+            open_calls: OpenAnswers::new(clock),
             closing_connections: ClosingConnections::default(),
             stop: StopSignal::default(),
             seeds: Mutex::new(settings.seed_peers()),
@@ -231,8 +231,8 @@
     }
 
     /// Marks this daemon as leaving, so that new callers go elsewhere.
-    pub fn leave(&self) {
-        self.stop.enter(StopPhase::Leaving);
+    pub fn leave(&self, plan: StopPlan) {
+        self.stop.begin(plan);
         self.update_own_record();
         self.state_changed.notify_waiters();
     }
--- a/crates/moleroad_gateway/src/stop.rs
+++ b/crates/moleroad_gateway/src/stop.rs
@@ -6,10 +6,11 @@
 
 use crate::connections::open_answers::{OpenAnswer, OpenAnswers};
 use crate::control_member::MemberInput;
+use crate::front::request::AcceptedRequest;
 use crate::node::Node;
 use crate::settings::RoleSetting;
 use moleroad_types::prelude::Millis;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -25,6 +26,11 @@
 /// Time for which a control daemon that shuts down still accepts calls, in
 /// milliseconds: operators and targets wait 1 s for an answer.
 const CALL_DRAIN_MS: u64 = 1_000;
+/// An answer may take this many times as long as the longest recent one of its route.
+const ANSWER_TIME_FACTOR: u64 = 2;
+/// Interval at which a waiting request checks whether it can still be answered, in
+/// milliseconds.
+const LATE_CHECK_INTERVAL_MS: u64 = 100;
 /// Maximum number of open answers that are logged at the exit.
 const MAX_LOGGED_ANSWERS: usize = 64;
 
@@ -46,12 +52,14 @@
 /// Tells all tasks of a process in which phase it is.
 pub struct StopSignal {
     phase: watch::Sender<StopPhase>,
+    plan: OnceLock<StopPlan>,
 }
 
 impl Default for StopSignal {
     fn default() -> Self {
         Self {
             phase: watch::Sender::new(StopPhase::Running),
+            plan: OnceLock::new(),
         }
     }
 }
@@ -62,6 +70,12 @@
         *self.phase.borrow()
     }
 
+    /// Begins to stop by `plan`.
+    pub fn begin(&self, plan: StopPlan) {
+        self.plan.get_or_init(|| plan);
+        self.enter(StopPhase::Leaving);
+    }
+
     /// Enters a phase.
     pub fn enter(&self, phase: StopPhase) {
         self.phase.send_replace(phase);
@@ -97,6 +111,35 @@
             exits_at: now + grace_ms.saturating_sub(EXIT_MARGIN_MS),
         }
     }
+
+    /// Returns the latest time at which a request may begin, so that its answer ends
+    /// before the process exits. The answer takes up to `limit_ms`, and no more than
+    /// [`ANSWER_TIME_FACTOR`] times the longest recent one of its route, if there was one.
+    pub fn latest_begin(&self, limit_ms: u64, longest_ms: Option<u64>) -> Millis {
+        let likely_ms = longest_ms.map(|longest_ms| longest_ms * ANSWER_TIME_FACTOR);
+        let expected_ms = likely_ms.map_or(limit_ms, |likely_ms| likely_ms.min(limit_ms));
+        Millis(self.exits_at.0.saturating_sub(expected_ms))
+    }
+}
+
+/// Waits until the process stops and could not complete an answer to `request` any more
+/// before it exits.
+pub async fn too_late_for(node: &Node, request: &AcceptedRequest) {
+    node.stop.reached(StopPhase::Leaving).await;
+    let Some(plan) = node.stop.plan.get() else {
+        return std::future::pending().await;
+    };
+    loop {
+        let now = node.clock.now();
+        let limit_ms = request.until.since(now);
+        let longest_ms = node.open_answers.longest_ms(&request.route.name);
+        let latest = plan.latest_begin(limit_ms, longest_ms);
+        if now > latest {
+            return;
+        }
+        let next = latest.min(now + LATE_CHECK_INTERVAL_MS);
+        tokio::time::sleep_until(node.clock.instant(Millis(next.0 + 1))).await;
+    }
 }
 
 /// Stops the process gracefully; returns when it may exit.
@@ -104,11 +147,13 @@
     log::info!(event = "stop_begins"; "");
     let settings = &node.settings;
     let plan = StopPlan::new(node.clock.now(), settings.bounds.grace_ms, settings.role);
-    node.leave();
+    node.leave(plan);
     if let Some(control_member) = &node.control_member {
         control_member.send(MemberInput::Retire);
     }
-    tokio::time::sleep_until(node.clock.instant(plan.callers_leave_at)).await;
+    while node.clock.now() < plan.callers_leave_at {
+        tokio::time::sleep_until(node.clock.instant(plan.callers_leave_at)).await;
+    }
     close(node, StopPhase::ClosingFront, &node.open_answers, plan).await;
     close(node, StopPhase::ClosingManagement, &node.open_calls, plan).await;
     node.stop.enter(StopPhase::Exiting);
@@ -131,7 +176,7 @@
 
 fn log_open_answers(node: &Node) {
     let now = node.clock.now();
-    for OpenAnswer { id, arrived } in node.open_answers.oldest(MAX_LOGGED_ANSWERS) {
+    for OpenAnswer { id, arrived, .. } in node.open_answers.oldest(MAX_LOGGED_ANSWERS) {
         node.metrics.count("left_unanswered");
         let id = id.as_ref().and_then(|id| id.to_str().ok());
         log::warn!(
