Keep a silent target's send until another target goes on

What callers saw: an answer that the entry ended although its target still worked on it: 502 before the first event, a cut stream after it.

Cause: a stream's target that paused for longer than the silence time-out lost its send as soon as another target seemed to have room. The search came after that. If the other one rejected the request, had no room any more, or the sends were used up, nobody answered. A stop, a release or a switch of weights beside it makes this likelier; it is not bound to one.

Change: the silent send stays open while another target is looked for, in all three states (no head yet, no event yet, in the middle), and whichever goes on first is used. If nobody else takes the request the silent target keeps it until the deadline. Sends, the retry budget and the targets per request are counted as before. A send that must not begin any more (weights too old, quarantined) is dropped as before.

--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -3,11 +3,11 @@
 
 use crate::acquire::{LoadEstimate, ReservedSlot};
 use crate::front::broken_sends::Progress;
-use crate::front::exchange::{self, Reply, ReplyClass, SendError};
+use crate::front::exchange::{Reply, ReplyClass, SendError};
 use crate::front::give_up::GiveUp;
+use crate::front::pending_send::NoHead;
 use crate::front::request::AcceptedRequest;
 use crate::front::sends::Sends;
-use crate::front::silence_timeouts;
 use crate::node::Node;
 use bytes::Bytes;
 use moleroad_config::prelude::Repeatability;
@@ -15,7 +15,6 @@
 use moleroad_dispatch::prelude::{Choice, Outcome, Requirements};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Interval between checks whether a silent target's request can move to another
 /// target.
@@ -121,7 +120,13 @@
             });
             self.tried.push(slot.candidate.id.clone());
             slot.record_send(self.request.suspects.clone(), self.request.until);
-            let sent = self.send(&slot, min_version, last_event).await;
+            let mut pending = self.begin_send(slot, min_version, last_event);
+            let sent = match self.wait_for_head(&mut pending).await {
+                Ok(sent) => sent,
+                Err(NoHead::Forbidden) => Err(SendError::TimedOut),
+                Err(NoHead::Silent) => return self.race_silent_send(pending, last_event).await,
+            };
+            let mut slot = pending.slot;
             self.log_send(&slot, &sent);
             if sent.as_ref().is_err_and(|error| error.is_not_sent()) {
                 slot.clear_send();
@@ -151,11 +156,7 @@
                 }
                 Err(error) => {
                     self.sends.reached_target();
-                    self.may_have_run = true;
-                    if error == SendError::Broken {
-                        self.record_break(&slot, Progress::NoHead);
-                    }
-                    slot.set_outcome(Outcome::Broken);
+                    self.record_failed_send(&mut slot, error);
                     if !self.is_idempotent() {
                         return Err(GiveUp::NoRetry);
                     }
@@ -176,7 +177,11 @@
 
     /// Handles the head of an answer; returns `None` if another target may be
     /// tried.
-    async fn take_head(&mut self, mut slot: ReservedSlot, mut reply: Reply) -> Option<RunningSend> {
+    pub(super) async fn take_head(
+        &mut self,
+        mut slot: ReservedSlot,
+        mut reply: Reply,
+    ) -> Option<RunningSend> {
         match reply.class {
             ReplyClass::Succeeded | ReplyClass::Final => Some(RunningSend { slot, reply }),
             ReplyClass::Rejected => {
@@ -233,38 +238,13 @@
             })
     }
 
-    /// Sends the request and waits for the head of the answer. If the target of a
-    /// stream stays silent past its timeout, the send is given up as soon as
-    /// another target could take the request.
-    async fn send(
-        &self,
-        slot: &ReservedSlot,
-        min_version: Option<u64>,
-        last_event: Option<&Bytes>,
-    ) -> Result<Reply, SendError> {
-        let request = &self.request;
-        let until = request.until;
-        let sending = exchange::send(&self.node, request, slot, min_version, last_event, until);
-        if !request.route.streaming {
-            return sending.await;
-        }
-        let timeout =
-            Duration::from_millis(silence_timeouts::first_event_timeout_ms(&request.route));
-        let began = Instant::now();
-        let silence = async {
-            loop {
-                tokio::time::sleep(RETARGET_CHECK_INTERVAL).await;
-                let is_silent = began.elapsed() >= timeout && self.can_retarget(self.sends() + 1);
-                if is_silent || self.is_start_forbidden(slot) {
-                    return;
-                }
-            }
-        };
-        tokio::select! {
-            biased;
-            sent = sending => sent,
-            () = silence => Err(SendError::TimedOut),
+    /// Records a send that ended without the head of an answer.
+    pub(super) fn record_failed_send(&mut self, slot: &mut ReservedSlot, error: SendError) {
+        self.may_have_run = true;
+        if error == SendError::Broken {
+            self.record_break(slot, Progress::NoHead);
         }
+        slot.set_outcome(Outcome::Broken);
     }
 
     /// Returns whether a request that the target has not begun must not begin
--- a/crates/moleroad_gateway/src/front/exchange.rs
+++ b/crates/moleroad_gateway/src/front/exchange.rs
@@ -1,6 +1,5 @@
 //! Performs one send of a request to a target.
 
-use crate::acquire::ReservedSlot;
 use crate::front::pool::Connection;
 use crate::front::request::AcceptedRequest;
 use crate::grants;
@@ -11,8 +10,9 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, StatusCode, http};
-use moleroad_dispatch::prelude::{Candidate, Requirements, exclusion};
+use moleroad_dispatch::prelude::{Candidate, Requirements, Responder, exclusion};
 use moleroad_types::prelude::Millis;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Base for the size limit of buffered answers, in bytes: an answer larger than
@@ -76,23 +76,24 @@
     pub connection: Connection,
 }
 
-/// Sends `request` to the target of `slot` and waits for the head of the answer.
+/// Sends `request` to `candidate` and waits for the head of the answer, until the deadline
+/// of the request.
 ///
 /// # Errors
 /// Returns a [`SendError`]. With [`SendError::Unreachable`],
 /// [`SendError::Expired`] and [`SendError::Ineligible`] nothing was sent; with
 /// the others the request may have run.
 pub async fn send(
-    node: &Node,
-    request: &AcceptedRequest,
-    slot: &ReservedSlot,
+    node: Arc<Node>,
+    request: Arc<AcceptedRequest>,
+    candidate: Candidate,
+    responder: Responder,
     min_version: Option<u64>,
-    last_event: Option<&Bytes>,
-    until: Millis,
+    last_event: Option<Bytes>,
 ) -> Result<Reply, SendError> {
-    let candidate = &slot.candidate;
-    let mut message = build(node, request, candidate, min_version, last_event)?;
-    let limit = node.clock.instant(until);
+    let (node, request, candidate) = (&*node, &*request, &candidate);
+    let mut message = build(node, request, candidate, min_version, last_event.as_ref())?;
+    let limit = node.clock.instant(request.until);
     let mut kept = node.pool.take(candidate.address);
     loop {
         let is_kept = kept.is_some();
@@ -131,7 +132,7 @@
             Ok(Ok(response)) => {
                 // An answer to another request also counts: the target sent it.
                 node.apply_notice(AnswerHead {
-                    from: slot.responder(),
+                    from: responder,
                     request: request.id.to_str().unwrap_or("-"),
                     sent_at: is_answer_to(node, request, response.headers()).then_some(sent_at),
                     status: response.status(),
--- a/crates/moleroad_gateway/src/front/mod.rs
+++ b/crates/moleroad_gateway/src/front/mod.rs
@@ -7,6 +7,8 @@
 //! - [`sends`] tracks the number of sends and what was already counted.
 //! - `waiting` decides how long a request waits for a slot.
 //! - [`exchange`] performs one send over a connection of the [`pool`].
+//! - `pending_send` waits for the head of an answer, and for another target if it stays
+//!   out.
 //! - [`connect`] opens a connection, with a hedge against packet loss.
 //! - `broken_sends` records sends whose connection broke.
 //! - [`give_up`] builds the answer when no target provides one.
@@ -26,6 +28,7 @@
 pub mod events;
 pub mod exchange;
 pub mod give_up;
+mod pending_send;
 pub mod pool;
 pub mod request;
 pub mod sends;
--- a/crates/moleroad_gateway/src/front/stream.rs
+++ b/crates/moleroad_gateway/src/front/stream.rs
@@ -11,6 +11,7 @@
 use crate::front::events::EventSplitter;
 use crate::front::exchange::{ReplyClass, SendError};
 use crate::front::give_up::{GiveUp, attach_last_send, forwarded_answer};
+use crate::front::pending_send::{AfterSilence, BodyFrame};
 use crate::front::request::AcceptedRequest;
 use crate::front::silence_timeouts;
 use crate::node::Node;
@@ -60,7 +61,7 @@
         if running.reply.class == ReplyClass::Final {
             return forward_final(node, &attempts, running).await;
         }
-        match first_events(node, &attempts, &mut running, &mut splitter).await {
+        match first_events(node, &mut attempts, &mut running, &mut splitter).await {
             FirstEvents::Events(events) => {
                 running.slot.mark_prompt_read();
                 running.slot.record_event(node.clock.now());
@@ -134,25 +135,45 @@
 
 async fn first_events(
     node: &Node,
-    attempts: &Attempts,
+    attempts: &mut Attempts,
     running: &mut RunningSend,
     splitter: &mut EventSplitter,
 ) -> FirstEvents {
-    let request = &attempts.request;
+    let request = attempts.request.clone();
     let until = node.clock.instant(request.until);
     let timeout = Duration::from_millis(silence_timeouts::first_event_timeout_ms(&request.route));
-    let silent_at = Instant::now() + timeout;
+    let mut silent_at = Instant::now() + timeout;
     loop {
         let look = Instant::now() + RETARGET_CHECK_INTERVAL;
-        match tokio::time::timeout_at(until.min(look), running.reply.body.frame()).await {
+        let frame = match tokio::time::timeout_at(until.min(look), running.reply.body.frame()).await
+        {
+            Ok(frame) => frame,
             Err(_) => {
                 let now = Instant::now();
-                let is_silent = now >= silent_at && attempts.can_retarget(attempts.sends());
-                if now >= until || is_silent || attempts.is_start_forbidden(&running.slot) {
+                if now >= until || attempts.is_start_forbidden(&running.slot) {
                     return FirstEvents::Broken(BrokenBy::Entry);
                 }
+                if now < silent_at || !attempts.can_retarget(attempts.sends()) {
+                    continue;
+                }
+                silent_at = now + timeout;
+                match attempts
+                    .race_silent_stream(running, splitter.last_id().cloned().as_ref())
+                    .await
+                {
+                    AfterSilence::Frame(frame) => frame,
+                    AfterSilence::Replaced(other) => {
+                        running.slot.set_outcome(Outcome::Broken);
+                        *running = *other;
+                        splitter.discard_partial_event();
+                        continue;
+                    }
+                    AfterSilence::NoOther => continue,
+                }
             }
-            Ok(Some(Ok(frame))) => {
+        };
+        match frame {
+            Some(Ok(frame)) => {
                 let Ok(data) = frame.into_data() else {
                     continue;
                 };
@@ -164,7 +185,7 @@
                     return FirstEvents::Broken(BrokenBy::Entry);
                 }
             }
-            Ok(None) if !splitter.has_partial_event() && !running.reply.ends_with_connection() => {
+            None if !splitter.has_partial_event() && !running.reply.ends_with_connection() => {
                 return FirstEvents::Complete;
             }
             _ => return FirstEvents::Broken(BrokenBy::Target),
@@ -251,37 +272,86 @@
                 () = self.parts.closed() => return StreamEnd::CallerLeft,
                 frame = tokio::time::timeout_at(limit, running.reply.body.frame()) => frame,
             };
-            match frame {
+            let frame = match frame {
+                Ok(frame) => frame,
                 Err(_) if Instant::now() >= until => return StreamEnd::DeadlinePassed,
-                Err(_) if self.attempts.can_retarget(self.attempts.sends()) => {
-                    self.node.metrics.count("stream_silent");
-                    return StreamEnd::Broken(BrokenBy::Entry);
-                }
-                Err(_) => look = Instant::now() + RETARGET_CHECK_INTERVAL,
-                Ok(None) if self.splitter.has_partial_event() => {
-                    return StreamEnd::Broken(BrokenBy::Target);
+                Err(_) if !self.attempts.can_retarget(self.attempts.sends()) => {
+                    look = Instant::now() + RETARGET_CHECK_INTERVAL;
+                    continue;
                 }
-                Ok(None) => return self.end_of(running).await,
-                Ok(Some(Err(_))) => return StreamEnd::Broken(BrokenBy::Target),
-                Ok(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    look = Instant::now() + timeout;
-                    let events = self.splitter.push(&data);
-                    if self.splitter.is_too_long() {
-                        return StreamEnd::Broken(BrokenBy::Entry);
-                    }
-                    if events.is_empty() {
+                Err(_) => match self.race_silent(running).await {
+                    Ok(Some(frame)) => frame,
+                    Ok(None) => {
+                        look = Instant::now() + timeout;
                         continue;
                     }
-                    if running.slot.record_event(self.node.clock.now()) {
-                        self.node.record_sound_parts(&request.suspects);
-                    }
-                    if !self.deliver(events, until).await {
-                        return StreamEnd::CallerLeft;
-                    }
-                }
+                    Err(end) => return end,
+                },
+            };
+            look = Instant::now() + timeout;
+            if let Some(end) = self.forward_frame(running, frame, until).await {
+                return end;
+            }
+        }
+    }
+
+    /// Forwards one frame of a target's body; returns how the stream ended, if it did.
+    async fn forward_frame(
+        &mut self,
+        running: &mut RunningSend,
+        frame: BodyFrame,
+        until: Instant,
+    ) -> Option<StreamEnd> {
+        let data = match frame {
+            None if self.splitter.has_partial_event() => {
+                return Some(StreamEnd::Broken(BrokenBy::Target));
+            }
+            None => return Some(self.end_of(running).await),
+            Some(Err(_)) => return Some(StreamEnd::Broken(BrokenBy::Target)),
+            Some(Ok(frame)) => frame.into_data().ok()?,
+        };
+        let events = self.splitter.push(&data);
+        if self.splitter.is_too_long() {
+            return Some(StreamEnd::Broken(BrokenBy::Entry));
+        }
+        if events.is_empty() {
+            return None;
+        }
+        if running.slot.record_event(self.node.clock.now()) {
+            self.node
+                .record_sound_parts(&self.attempts.request.suspects);
+        }
+        let delivered = self.deliver(events, until).await;
+        (!delivered).then_some(StreamEnd::CallerLeft)
+    }
+
+    /// Looks for another target for a silent stream. Returns the next frame of the silent
+    /// target, or `None` if there is nothing new; if another target has taken over,
+    /// `running` is its run.
+    async fn race_silent(
+        &mut self,
+        running: &mut RunningSend,
+    ) -> Result<Option<BodyFrame>, StreamEnd> {
+        let last = self.splitter.last_id().cloned();
+        let parts = self.parts.clone();
+        let after = tokio::select! {
+            biased;
+            () = parts.closed() => return Err(StreamEnd::CallerLeft),
+            after = self.attempts.race_silent_stream(running, last.as_ref()) => after,
+        };
+        match after {
+            AfterSilence::Frame(frame) => Ok(Some(frame)),
+            AfterSilence::NoOther => {
+                self.log_resumption("failed");
+                Ok(None)
+            }
+            AfterSilence::Replaced(other) => {
+                self.log_resumption("resumed");
+                let outcome = broken_outcome(&self.node, running);
+                running.slot.set_outcome(outcome);
+                *running = *other;
+                self.splitter.discard_partial_event();
+                Ok(None)
             }
         }
     }
@@ -319,17 +389,22 @@
             Ok(running) if running.reply.class == ReplyClass::Succeeded => "resumed",
             _ => "failed",
         };
+        self.log_resumption(outcome);
+        next.ok()
+            .filter(|running| running.reply.class == ReplyClass::Succeeded)
+    }
+
+    fn log_resumption(&self, outcome: &str) {
         self.node.metrics.count("stream_resumption");
+        let last = self.splitter.last_id();
         log::info!(
             event = "stream_resumption",
             request = self.attempts.request.id.to_str().unwrap_or("-"),
-            last_event = last.as_deref().map_or("-", |id| std::str::from_utf8(id).unwrap_or("-")),
+            last_event = last.map_or("-", |id| std::str::from_utf8(id).unwrap_or("-")),
             outcome = outcome,
             sends = self.attempts.sends();
             ""
         );
-        next.ok()
-            .filter(|running| running.reply.class == ReplyClass::Succeeded)
     }
 
     /// Aborts the answer so that the caller does not take it as complete.
