Let a stopping entry serve callers whose list still names it

Cause: twice the longest recent answer was asked for from the signal on; in a crowd that is the route's time-out, so that streams were refused from 1.75 s on, while lists of entries name the process for three seconds.

Change: times of answers are kept as a histogram by route. While lists may name the entry, the time within which 99 of 100 recent answers ended must be left; for requests that arrive later twice the longest one, as before.

--- a/crates/moleroad_gateway/src/connections/open_answers.rs
+++ b/crates/moleroad_gateway/src/connections/open_answers.rs
@@ -8,6 +8,18 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 
+/// Share of the answers that end within the time that is likely.
+const LIKELY_SHARE: f64 = 0.99;
+
+/// How long answers of one route take, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExpectedTime {
+    /// Time within which nearly all recent answers ended.
+    pub likely_ms: u64,
+    /// Time of the longest recent answer, or of one that is open.
+    pub longest_ms: u64,
+}
+
 /// A request whose answer is not completely written.
 #[derive(Clone, Debug)]
 pub struct OpenAnswer {
@@ -68,16 +80,19 @@
         self.lock().open.values().take(most).cloned().collect()
     }
 
-    /// Returns the longest time that answers of `route` have recently taken, or have been
-    /// open for, in milliseconds; `None` if there was none.
-    pub fn longest_ms(&self, route: &str) -> Option<u64> {
+    /// Returns how long answers of `route` have recently taken; `None` if there was none.
+    pub fn expected_time(&self, route: &str) -> Option<ExpectedTime> {
         let now = self.clock.now();
         let mut state = self.lock();
-        let ended = state.times.longest_ms(now, route);
         let open = state.open.values();
         let open = open.filter(|open| open.route.as_ref().is_some_and(|r| r.name == route));
-        let open = open.map(|open| now.since(open.arrived)).max();
-        ended.max(open)
+        let open_ms = open.map(|open| now.since(open.arrived)).max();
+        let likely_ms = state.times.quantile_ms(now, route, LIKELY_SHARE)?;
+        let longest_ms = state.times.quantile_ms(now, route, 1.0)?;
+        Some(ExpectedTime {
+            likely_ms,
+            longest_ms: longest_ms.max(open_ms.unwrap_or(0)),
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/moleroad_gateway/src/stop.rs
+++ b/crates/moleroad_gateway/src/stop.rs
@@ -4,7 +4,7 @@
 //! when the answers that it waits for are written, and all of them end within the grace
 //! period.
 
-use crate::connections::open_answers::{OpenAnswer, OpenAnswers};
+use crate::connections::open_answers::{ExpectedTime, OpenAnswer, OpenAnswers};
 use crate::control_member::MemberInput;
 use crate::front::request::AcceptedRequest;
 use crate::node::Node;
@@ -19,15 +19,17 @@
 /// Time before the end of the grace period at which the process exits even if answers
 /// are open, in milliseconds.
 const EXIT_MARGIN_MS: u64 = 250;
-/// Time for which callers may still use the address of an entry that shuts down, in
-/// milliseconds: three times the time to live of a directory answer (1 s), plus a
-/// margin.
-const ADDRESS_CACHE_MS: u64 = 3_400;
+/// Time for which callers keep a list of entries, in milliseconds: three times the time to
+/// live of a directory answer (1 s).
+const LIST_LIFETIME_MS: u64 = 3_000;
+/// Time for which callers may then still use a connection, in milliseconds.
+const LIST_MARGIN_MS: u64 = 400;
 /// Time for which a control daemon that shuts down still accepts calls, in
 /// milliseconds: operators and targets wait 1 s for an answer.
 const CALL_DRAIN_MS: u64 = 1_000;
-/// An answer may take this many times as long as the longest recent one of its route.
-const ANSWER_TIME_FACTOR: u64 = 2;
+/// An answer takes certainly no longer than this many times the longest recent one of its
+/// route.
+const CERTAINTY_FACTOR: u64 = 2;
 /// Interval at which a waiting request checks whether it can still be answered, in
 /// milliseconds.
 const LATE_CHECK_INTERVAL_MS: u64 = 100;
@@ -92,6 +94,8 @@
 /// Times of a graceful stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopPlan {
+    /// Until then lists of entries may name this process.
+    pub lists_expire_at: Millis,
     /// Until then callers may still come.
     pub callers_leave_at: Millis,
     /// The process exits then, whatever is open.
@@ -101,24 +105,38 @@
 impl StopPlan {
     /// Plans a stop that was requested at `now` and must end within `grace_ms`.
     pub fn new(now: Millis, grace_ms: u64, role: RoleSetting) -> Self {
-        let drain_ms = match role {
-            RoleSetting::Entry => ADDRESS_CACHE_MS,
-            RoleSetting::Control => CALL_DRAIN_MS,
-            RoleSetting::Agent => 0,
+        let (lists_ms, drain_ms) = match role {
+            RoleSetting::Entry => (LIST_LIFETIME_MS, LIST_LIFETIME_MS + LIST_MARGIN_MS),
+            RoleSetting::Control => (0, CALL_DRAIN_MS),
+            RoleSetting::Agent => (0, 0),
         };
         Self {
+            lists_expire_at: now + lists_ms,
             callers_leave_at: now + drain_ms.min(grace_ms - grace_ms / 4),
             exits_at: now + grace_ms.saturating_sub(EXIT_MARGIN_MS),
         }
     }
 
     /// Returns the latest time at which a request may begin, so that its answer ends
-    /// before the process exits. The answer takes up to `limit_ms`, and no more than
-    /// [`ANSWER_TIME_FACTOR`] times the longest recent one of its route, if there was one.
-    pub fn latest_begin(&self, limit_ms: u64, longest_ms: Option<u64>) -> Millis {
-        let likely_ms = longest_ms.map(|longest_ms| longest_ms * ANSWER_TIME_FACTOR);
-        let expected_ms = likely_ms.map_or(limit_ms, |likely_ms| likely_ms.min(limit_ms));
-        Millis(self.exits_at.0.saturating_sub(expected_ms))
+    /// before the process exits. `limit_ms` is the longest time that it may take.
+    ///
+    /// While lists of entries may still name this one, its callers come in good faith, and
+    /// the answer must be likely to end. For requests that arrive later it must be certain,
+    /// as far as recent answers tell.
+    pub fn latest_begin(
+        &self,
+        arrived: Millis,
+        limit_ms: u64,
+        expected: Option<ExpectedTime>,
+    ) -> Millis {
+        let needs_ms = expected.map_or(limit_ms, |expected| {
+            if arrived <= self.lists_expire_at {
+                expected.likely_ms
+            } else {
+                expected.longest_ms * CERTAINTY_FACTOR
+            }
+        });
+        Millis(self.exits_at.0.saturating_sub(needs_ms.min(limit_ms)))
     }
 }
 
@@ -132,13 +150,13 @@
     loop {
         let now = node.clock.now();
         let limit_ms = request.until.since(now);
-        let longest_ms = node.open_answers.longest_ms(&request.route.name);
-        let latest = plan.latest_begin(limit_ms, longest_ms);
+        let expected = node.open_answers.expected_time(&request.route.name);
+        let latest = plan.latest_begin(request.arrived, limit_ms, expected);
         if now > latest {
             return;
         }
         let next = latest.min(now + LATE_CHECK_INTERVAL_MS);
-        tokio::time::sleep_until(node.clock.instant(Millis(next.0 + 1))).await;
+        tokio::time::sleep_until(node.clock.instant(next + 1)).await;
     }
 }
 
