Drop a silent send that must not begin any more while another is sought

What callers saw: nothing; found by reading the search for another target beside a silent one. While it went on, nobody looked whether the silent target may still begin the request: a version named or a quarantine decided meanwhile would have let it begin on older weights, or end one more target.

Change: the same look each 0.1 s as for any send that has not begun, in the search and after it. The wait for the first events of a stream moves to a file of its own, unchanged.

a_silent_send_ends_when_the_request_must_not_begin_any_more fails without the look (closed only at the limit of 20 s) and passes.

--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -247,20 +247,6 @@
         slot.set_outcome(Outcome::Broken);
     }
 
-    /// Returns whether a request that the target has not begun must not begin
-    /// there any more, because the target's weights are too old by now or the
-    /// request was quarantined after other targets ended while running it. Most
-    /// targets drop a queued request when its connection closes.
-    pub fn is_start_forbidden(&self, slot: &ReservedSlot) -> bool {
-        let view = self.node.view();
-        let min_version = self.node.min_version(&view, &self.request.service);
-        let version = slot.candidate.version;
-        let is_outdated = min_version
-            .is_some_and(|min_version| version.is_some_and(|version| version < min_version));
-        let left_ms = self.node.hold_left_ms(&view, &self.request.suspects);
-        is_outdated || (left_ms.is_some() && !self.request.is_trial)
-    }
-
     /// Records that an answer broke off after the target had begun it.
     pub fn record_broken_answer(&mut self) {
         self.may_have_run = true;
--- a/crates/moleroad_gateway/src/front/mod.rs
+++ b/crates/moleroad_gateway/src/front/mod.rs
@@ -14,6 +14,7 @@
 //! - [`give_up`] builds the answer when no target provides one.
 //! - `silence_timeouts` derives timeouts from the route.
 //! - [`buffered`] reads a complete answer before forwarding it.
+//! - `first_events` waits for the beginning of a stream.
 //! - [`stream`] forwards event streams and resumes them at another target.
 //! - [`events`] splits a byte stream into events.
 //! - [`answer`] defines the answers that the entry generates itself.
@@ -27,6 +28,7 @@
 pub mod connect;
 pub mod events;
 pub mod exchange;
+mod first_events;
 pub mod give_up;
 mod pending_send;
 pub mod pool;
--- a/crates/moleroad_gateway/src/front/pending_send.rs
+++ b/crates/moleroad_gateway/src/front/pending_send.rs
@@ -6,12 +6,15 @@
 use crate::front::attempt::{Attempts, RETARGET_CHECK_INTERVAL, RunningSend};
 use crate::front::exchange::{self, Reply, ReplyClass, SendError};
 use crate::front::give_up::GiveUp;
+use crate::front::request::AcceptedRequest;
 use crate::front::silence_timeouts;
+use crate::node::Node;
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
-use moleroad_dispatch::prelude::Outcome;
+use moleroad_dispatch::prelude::{Candidate, Outcome};
+use std::pin::pin;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -40,9 +43,41 @@
     Replaced(Box<RunningSend>),
     /// No other target took the request.
     NoOther,
+    /// The request must not begin at the silent target any more.
+    Forbidden,
+}
+
+/// Returns whether a request that the target has not begun must not begin there any more,
+/// because the target's weights are too old by now or the request was quarantined after
+/// other targets ended while running it. Most targets drop a queued request when its
+/// connection closes.
+pub(super) fn is_start_forbidden(
+    node: &Node,
+    request: &AcceptedRequest,
+    candidate: &Candidate,
+) -> bool {
+    let view = node.view();
+    let min_version = node.min_version(&view, &request.service);
+    let version = candidate.version;
+    let is_outdated =
+        min_version.is_some_and(|min_version| version.is_some_and(|version| version < min_version));
+    let left_ms = node.hold_left_ms(&view, &request.suspects);
+    is_outdated || (left_ms.is_some() && !request.is_trial)
+}
+
+/// Waits until [`is_start_forbidden`].
+async fn start_forbidden(node: &Node, request: &AcceptedRequest, candidate: &Candidate) {
+    while !is_start_forbidden(node, request, candidate) {
+        tokio::time::sleep(RETARGET_CHECK_INTERVAL).await;
+    }
 }
 
 impl Attempts {
+    /// Returns [`is_start_forbidden`] for the target of `slot`.
+    pub fn is_start_forbidden(&self, slot: &ReservedSlot) -> bool {
+        is_start_forbidden(&self.node, &self.request, &slot.candidate)
+    }
+
     /// Begins a send to the target of `slot`.
     pub(super) fn begin_send(
         &self,
@@ -80,7 +115,7 @@
         let silence = async {
             loop {
                 tokio::time::sleep(RETARGET_CHECK_INTERVAL).await;
-                if self.is_start_forbidden(slot) {
+                if is_start_forbidden(&self.node, &self.request, &slot.candidate) {
                     return NoHead::Forbidden;
                 }
                 if began.elapsed() >= timeout && self.can_retarget(self.sends() + 1) {
@@ -105,8 +140,11 @@
         self.node.metrics.count("stream_silent");
         self.sends.reached_target();
         self.record_broken_answer();
+        let (node, request) = (self.node.clone(), self.request.clone());
+        let candidate = silent.slot.candidate.clone();
         let mut ended = None;
         let other = {
+            let mut forbidden = pin!(start_forbidden(&node, &request, &candidate));
             let mut other = Box::pin(self.next_run(last_event));
             loop {
                 tokio::select! {
@@ -118,6 +156,11 @@
                             break None;
                         }
                     }
+                    () = forbidden.as_mut(), if ended.is_none() => {
+                        // Dropping the send closes its connection.
+                        silent.head = Box::pin(std::future::pending());
+                        ended = Some(Err(SendError::TimedOut));
+                    }
                     other = &mut other => break Some(other),
                 }
             }
@@ -128,8 +171,13 @@
         }
         let sent = match ended {
             Some(sent) => sent,
-            None => silent.head.await,
+            None => tokio::select! {
+                biased;
+                sent = &mut silent.head => sent,
+                () = start_forbidden(&node, &request, &candidate) => Err(SendError::TimedOut),
+            },
         };
+        drop(silent.head);
         self.log_send(&silent.slot, &sent);
         let nobody = match other {
             Some(Err(reason)) => reason,
@@ -156,6 +204,9 @@
     ) -> AfterSilence {
         self.node.metrics.count("stream_silent");
         self.record_broken_answer();
+        let (node, request) = (self.node.clone(), self.request.clone());
+        let candidate = silent.slot.candidate.clone();
+        let has_begun = silent.slot.has_event();
         tokio::select! {
             biased;
             frame = silent.reply.body.frame() => AfterSilence::Frame(frame),
@@ -165,6 +216,9 @@
                 }
                 _ => AfterSilence::NoOther,
             },
+            () = start_forbidden(&node, &request, &candidate), if !has_begun => {
+                AfterSilence::Forbidden
+            }
         }
     }
 }
--- a/crates/moleroad_gateway/src/front/stream.rs
+++ b/crates/moleroad_gateway/src/front/stream.rs
@@ -10,6 +10,7 @@
 use crate::front::closed_answers::AnswerEnd;
 use crate::front::events::EventSplitter;
 use crate::front::exchange::{ReplyClass, SendError};
+use crate::front::first_events::{FirstEvents, first_events};
 use crate::front::give_up::{GiveUp, attach_last_send, forwarded_answer};
 use crate::front::pending_send::{AfterSilence, BodyFrame};
 use crate::front::request::AcceptedRequest;
@@ -29,7 +30,7 @@
 
 /// The side that ended a stream early.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum BrokenBy {
+pub(super) enum BrokenBy {
     /// The target or the link to it.
     Target,
     /// This entry: the target was silent, sent an oversized event, or must not
@@ -127,72 +128,6 @@
     }
 }
 
-enum FirstEvents {
-    Events(Bytes),
-    Complete,
-    Broken(BrokenBy),
-}
-
-async fn first_events(
-    node: &Node,
-    attempts: &mut Attempts,
-    running: &mut RunningSend,
-    splitter: &mut EventSplitter,
-) -> FirstEvents {
-    let request = attempts.request.clone();
-    let until = node.clock.instant(request.until);
-    let timeout = Duration::from_millis(silence_timeouts::first_event_timeout_ms(&request.route));
-    let mut silent_at = Instant::now() + timeout;
-    loop {
-        let look = Instant::now() + RETARGET_CHECK_INTERVAL;
-        let frame = match tokio::time::timeout_at(until.min(look), running.reply.body.frame()).await
-        {
-            Ok(frame) => frame,
-            Err(_) => {
-                let now = Instant::now();
-                if now >= until || attempts.is_start_forbidden(&running.slot) {
-                    return FirstEvents::Broken(BrokenBy::Entry);
-                }
-                if now < silent_at || !attempts.can_retarget(attempts.sends()) {
-                    continue;
-                }
-                silent_at = now + timeout;
-                match attempts
-                    .race_silent_stream(running, splitter.last_id().cloned().as_ref())
-                    .await
-                {
-                    AfterSilence::Frame(frame) => frame,
-                    AfterSilence::Replaced(other) => {
-                        running.slot.set_outcome(Outcome::Broken);
-                        *running = *other;
-                        splitter.discard_partial_event();
-                        continue;
-                    }
-                    AfterSilence::NoOther => continue,
-                }
-            }
-        };
-        match frame {
-            Some(Ok(frame)) => {
-                let Ok(data) = frame.into_data() else {
-                    continue;
-                };
-                let events = splitter.push(&data);
-                if !events.is_empty() {
-                    return FirstEvents::Events(events);
-                }
-                if splitter.is_too_long() {
-                    return FirstEvents::Broken(BrokenBy::Entry);
-                }
-            }
-            None if !splitter.has_partial_event() && !running.reply.ends_with_connection() => {
-                return FirstEvents::Complete;
-            }
-            _ => return FirstEvents::Broken(BrokenBy::Target),
-        }
-    }
-}
-
 /// Answers with the first events and leaves the rest to a task.
 fn start_relay(
     node: &Arc<Node>,
@@ -341,7 +276,7 @@
         };
         match after {
             AfterSilence::Frame(frame) => Ok(Some(frame)),
-            AfterSilence::NoOther => {
+            AfterSilence::NoOther | AfterSilence::Forbidden => {
                 self.log_resumption("failed");
                 Ok(None)
             }
--- a/crates/moleroad_gateway/tests/quarantine.rs
+++ b/crates/moleroad_gateway/tests/quarantine.rs
@@ -18,29 +18,13 @@
 use moleroad_quarantine::prelude::*;
 use std::sync::Arc;
 use std::time::Duration;
-use support::{entry, entry_with_disk, folder, request, slot_request, suspects};
+use support::{
+    REQUEST, entry, entry_with_disk, folder, report_terminations, request, slot_request, suspects,
+    termination,
+};
 
 /// Timeout for events that must happen.
 const TIMEOUT: Duration = Duration::from_secs(20);
-/// The fingerprint of [`support::slot_request`] and [`support::request`].
-const REQUEST: Fingerprint = Fingerprint([0; 16]);
-
-fn termination(number: usize) -> TerminationReport {
-    TerminationReport {
-        suspect: Suspect::Content(REQUEST),
-        life: TargetIncarnation {
-            target: TargetId::new(format!("ended-{number}")),
-            born_ms: 0,
-        },
-        age_ms: 0,
-        is_excused: false,
-    }
-}
-
-/// Reports to the entry that this many targets terminated under the request.
-fn report_terminations(node: &Node, ends: usize) {
-    node.receive_target_ends((0..ends).map(termination).collect());
-}
 
 #[tokio::test]
 async fn a_request_is_refused_for_an_hour_after_the_third_crash_but_not_the_second() {
--- a/crates/moleroad_gateway/tests/support/mod.rs
+++ b/crates/moleroad_gateway/tests/support/mod.rs
@@ -24,7 +24,9 @@
 use moleroad_gateway::peer_server;
 use moleroad_gateway::places::PlaceRequest;
 use moleroad_gateway::settings::Settings;
-use moleroad_quarantine::prelude::{Fingerprint, RequestSuspects};
+use moleroad_quarantine::prelude::{
+    Fingerprint, RequestSuspects, Suspect, TargetIncarnation, TerminationReport,
+};
 use moleroad_types::prelude::*;
 use service::plain_service;
 use std::net::SocketAddr;
@@ -217,6 +219,27 @@
     )
 }
 
+/// The fingerprint of [`slot_request`] and [`request`].
+pub const REQUEST: Fingerprint = Fingerprint([0; 16]);
+
+/// Returns the report that a target terminated under [`REQUEST`].
+pub fn termination(number: usize) -> TerminationReport {
+    TerminationReport {
+        suspect: Suspect::Content(REQUEST),
+        life: TargetIncarnation {
+            target: TargetId::new(format!("ended-{number}")),
+            born_ms: 0,
+        },
+        age_ms: 0,
+        is_excused: false,
+    }
+}
+
+/// Reports to the entry that this many targets terminated under [`REQUEST`].
+pub fn report_terminations(node: &Node, ends: usize) {
+    node.receive_target_ends((0..ends).map(termination).collect());
+}
+
 /// Returns the slot requirements of a request that waits for up to 10 s, sent with
 /// this API key.
 pub fn slot_request(node: &Node, key: Option<&str>) -> PlaceRequest {
