--- a/crates/moleroad_gateway/src/front/pending_send.rs
+++ b/crates/moleroad_gateway/src/front/pending_send.rs
@@ -73,7 +73,7 @@
 }
 
 impl Attempts {
-    /// Returns [`is_start_forbidden`] for the target of `slot`.
+    /// Returns whether the request must not begin any more at the target of `slot`.
     pub fn is_start_forbidden(&self, slot: &ReservedSlot) -> bool {
         is_start_forbidden(&self.node, &self.request, &slot.candidate)
     }
