--- a/crates/moleroad_gateway/src/stop.rs
+++ b/crates/moleroad_gateway/src/stop.rs
@@ -27,6 +27,8 @@
 /// Time for which a control daemon that shuts down still accepts calls, in
 /// milliseconds: operators and targets wait 1 s for an answer.
 const CALL_DRAIN_MS: u64 = 1_000;
+/// Callers may come for at most this many quarters of the grace period.
+const MAX_DRAIN_QUARTERS: u64 = 3;
 /// An answer takes certainly no longer than this many times the longest recent one of its
 /// route.
 const CERTAINTY_FACTOR: u64 = 2;
@@ -112,7 +114,7 @@
         };
         Self {
             lists_expire_at: now + lists_ms,
-            callers_leave_at: now + drain_ms.min(grace_ms - grace_ms / 4),
+            callers_leave_at: now + drain_ms.min(grace_ms * MAX_DRAIN_QUARTERS / 4),
             exits_at: now + grace_ms.saturating_sub(EXIT_MARGIN_MS),
         }
     }
