Log a silent target while another one is looked for

A silent send that was replaced had no line of its own since it is kept: the send line of its time-out was gone. target_silent names the request, the target and whether an event had come, so that a cut after a pause can be told from the others in the log. No decision is touched; the tests of silent targets pass.

--- a/crates/moleroad_gateway/src/front/attempt_log.rs
+++ b/crates/moleroad_gateway/src/front/attempt_log.rs
@@ -101,6 +101,19 @@
         );
     }
 
+    /// Counts and logs a target that stays silent while another one is looked for.
+    pub(super) fn log_silent(&self, slot: &ReservedSlot) {
+        self.node.metrics.count("stream_silent");
+        log::info!(
+            event = "target_silent",
+            request = self.request.id.to_str().unwrap_or("-"),
+            target:% = slot.candidate.id,
+            has_event = slot.has_event(),
+            elapsed_ms = self.node.clock.now().since(self.request.arrived);
+            ""
+        );
+    }
+
     /// Counts a send by outcome, and logs it unless it was answered.
     pub(super) fn log_send(&self, slot: &ReservedSlot, sent: &Result<Reply, SendError>) {
         let candidate = &slot.candidate;
--- a/crates/moleroad_gateway/src/front/pending_send.rs
+++ b/crates/moleroad_gateway/src/front/pending_send.rs
@@ -137,7 +137,7 @@
         mut silent: PendingSend,
         last_event: Option<&Bytes>,
     ) -> Result<RunningSend, GiveUp> {
-        self.node.metrics.count("stream_silent");
+        self.log_silent(&silent.slot);
         self.sends.reached_target();
         self.record_broken_answer();
         let (node, request) = (self.node.clone(), self.request.clone());
@@ -202,7 +202,7 @@
         silent: &mut RunningSend,
         last_event: Option<&Bytes>,
     ) -> AfterSilence {
-        self.node.metrics.count("stream_silent");
+        self.log_silent(&silent.slot);
         self.record_broken_answer();
         let (node, request) = (self.node.clone(), self.request.clone());
         let candidate = silent.slot.candidate.clone();
