Log the age of the check of staged pieces at each order

`pieces_checked` names the time of a check, `order` its age and how many polls the engine left unanswered since. No change of behaviour.

--- a/crates/moleroad_gateway/src/agent/switch.rs
+++ b/crates/moleroad_gateway/src/agent/switch.rs
@@ -80,13 +80,15 @@
             }
             tokio::time::sleep(CHECK_INTERVAL).await;
         }
+        let check_started_at = node.clock.now();
         if !store::verify_staged(node, fetched).await {
             return SwitchOutcome::Incomplete;
         }
+        log_check(node, wanted, check_started_at);
         watch::set_switching(node, true);
         tokio::time::sleep(SWITCHING_PROPAGATION).await;
         drain(node, wanted).await;
-        let is_served = order_until_served(node, wanted).await;
+        let is_served = order_until_served(node, wanted, check_started_at).await;
         watch::set_switching(node, false);
         if is_served {
             return SwitchOutcome::Serving;
@@ -94,6 +96,15 @@
     }
 }
 
+fn log_check(node: &Node, wanted: &WantedVersion, started_at: Millis) {
+    log::info!(
+        event = "pieces_checked",
+        version = wanted.version,
+        took_ms = node.clock.now().since(started_at);
+        ""
+    );
+}
+
 /// Waits until running requests have ended, but no longer than the typical
 /// duration of a request. Requests that still run then are aborted and continue
 /// at another engine.
@@ -111,10 +122,16 @@
 
 /// Orders the engine once to load the version and waits until it serves it.
 /// Returns false if the order had no effect within [`ORDER_RETRY_MS`].
-async fn order_until_served(node: &Arc<Node>, wanted: &WantedVersion) -> bool {
+async fn order_until_served(
+    node: &Arc<Node>,
+    wanted: &WantedVersion,
+    check_started_at: Millis,
+) -> bool {
     let mut ordered_at = None;
+    let mut unanswered_polls = 0_u64;
     loop {
         let state = watch::read(node).await;
+        unanswered_polls += u64::from(state.is_none());
         if let Some(state) = &state {
             watch::publish_report(node, Some(state.report.clone()));
         }
@@ -131,7 +148,14 @@
             }
             if ordered_at.is_none() {
                 let accepted = order(node, wanted, state.accepted_orders).await;
-                log::info!(event = "order", version = wanted.version, taken = accepted; "");
+                log::info!(
+                    event = "order",
+                    version = wanted.version,
+                    taken = accepted,
+                    check_age_ms = now.since(check_started_at),
+                    unanswered_polls = unanswered_polls;
+                    ""
+                );
                 ordered_at = Some(now);
             }
         }
