Order an engine to load staged pieces only on a recent check of them

Cause: the agent checked the staged pieces, then waited without a bound (engine down, requests running, backoff, its own suspension) and ordered on that check.

Tests with real processes showed the same where the agent stands still and where the check itself is slow. Not shown: a late write to the store that overwrites a checked piece.

Change: an order consumes a proof (`StagedCheck`) that only reads of all pieces make, whose first read is 2 s old at most and that ends when the engine does not answer, leaves, or did not act on an order; the age is looked at again right before the first byte. The steps are a pure type (`Switch`), played in virtual time. A store that is slow is read with more reads at a time while the engine serves. A read without an answer no longer counts as a corrupt piece. Calls to the engine that were given up are not delivered later.

Why it works: a piece that turned bad before its read is found; after it at most 2 s and 0.8 s pass until the engine takes the order, under the 3 s that the platform allows.

--- a/crates/moleroad_gateway/src/agent/calls.rs
+++ b/crates/moleroad_gateway/src/agent/calls.rs
@@ -34,11 +34,41 @@
         }
         tokio::time::sleep(left.min(BACKOFF_CHECK_INTERVAL)).await;
     }
+    call_pooled(node, address, request, timeout, || true).await
+}
+
+/// Makes a call on a pooled connection at once. Returns `None` if no complete
+/// response arrived within `timeout`, the other side requested a backoff that has not
+/// ended, or `may_send` denied the call right before it was to be sent.
+pub async fn call_undelayed(
+    node: &Node,
+    address: SocketAddr,
+    request: OutboundRequest,
+    timeout: Duration,
+    may_send: impl Fn() -> bool,
+) -> Option<(StatusCode, Bytes)> {
+    if node.backoff_left_ms(address) > 0 {
+        return None;
+    }
+    call_pooled(node, address, request, timeout, may_send).await
+}
+
+async fn call_pooled(
+    node: &Node,
+    address: SocketAddr,
+    request: OutboundRequest,
+    timeout: Duration,
+    may_send: impl Fn() -> bool,
+) -> Option<(StatusCode, Bytes)> {
     let calling = async {
         let mut connection = match node.pool.take(address) {
             Some(connection) => connection,
-            None => node.pool.connect(address).await.ok()?,
+            // The engine must not get a call late that this agent has given up.
+            None => node.pool.connect_discarding(address).await.ok()?,
         };
+        if !may_send() {
+            return None;
+        }
         let answer = exchange(node, address, request, &mut connection).await?;
         if !answer.closes {
             let pool = node.pool.clone();
--- a/crates/moleroad_gateway/src/agent/store.rs
+++ b/crates/moleroad_gateway/src/agent/store.rs
@@ -8,6 +8,9 @@
 use crate::interface::PieceDigests;
 use crate::node::Node;
 use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream;
+use moleroad_rollout::prelude::*;
 use sha2::{Digest, Sha256};
 use std::time::Duration;
 
@@ -17,24 +20,89 @@
 /// the store counts as holding nothing of the version.
 const MAX_LEADING_MISSES: u32 = 4;
 
-/// Verifies all staged pieces and stages corrupted ones again. Returns whether
-/// all are valid afterwards.
-pub async fn verify_staged(node: &Node, fetched: &Fetched) -> bool {
+/// Number of attempts to read a piece: an answer may break off, and a kept connection may
+/// have been closed.
+const MAX_READ_ATTEMPTS: u32 = 3;
+
+/// Outcome of a check of all staged pieces.
+pub enum CheckOutcome {
+    /// All pieces were read and match their digests.
+    Intact(StagedCheck),
+    /// The engine did not answer all reads.
+    Unanswered,
+    /// Pieces were lost that are no longer in memory either.
+    Corrupt,
+}
+
+/// Reads all staged pieces, `parallel_reads` at a time, stages corrupted ones again
+/// and reads these once more.
+pub async fn check_staged(node: &Node, fetched: &Fetched, parallel_reads: usize) -> CheckOutcome {
     let wanted = &fetched.wanted;
-    let corrupt = corrupt_pieces(node, wanted, &fetched.digests).await;
+    let digests = &fetched.digests;
+    let mut reads = CheckReads::begin(node.clock.now(), digests.digests.len());
+    read_unproven(node, wanted, digests, parallel_reads, &mut reads).await;
+    let corrupt = reads.with(PieceRead::Corrupt);
+    if !corrupt.is_empty() {
+        log::info!(event = "pieces_turned_bad", count = corrupt.len() as u64; "");
+        let mut again = pieces::in_memory(node, wanted.version);
+        again.retain(|(piece, _)| corrupt.contains(piece));
+        stage_all(node, wanted, &again).await;
+        read_unproven(node, wanted, digests, parallel_reads, &mut reads).await;
+    }
+    if let Some(check) = reads.finish() {
+        return CheckOutcome::Intact(check);
+    }
+    let corrupt = reads.with(PieceRead::Corrupt);
     if corrupt.is_empty() {
-        return true;
+        return CheckOutcome::Unanswered;
+    }
+    pieces::mark_missing(node, &wanted.model, wanted.version, &corrupt);
+    CheckOutcome::Corrupt
+}
+
+/// Reads all pieces that were not read intact yet, until the engine does not answer.
+async fn read_unproven(
+    node: &Node,
+    wanted: &WantedVersion,
+    digests: &PieceDigests,
+    parallel_reads: usize,
+    reads: &mut CheckReads,
+) {
+    let read = |piece: u32| async move {
+        let digest = &digests.digests[piece as usize];
+        (
+            piece,
+            read_piece(node, &wanted.model.model, piece, digest).await,
+        )
+    };
+    let unproven = reads.unproven();
+    let mut results = stream::iter(unproven).map(read).buffered(parallel_reads);
+    while let Some((piece, result)) = results.next().await {
+        reads.record(piece, result);
+        if result == PieceRead::Unanswered {
+            return;
+        }
     }
-    log::info!(event = "pieces_turned_bad", count = corrupt.len() as u64; "");
-    let in_memory = pieces::in_memory(node, wanted.version);
-    let again: Vec<(u32, Bytes)> = in_memory
-        .into_iter()
-        .filter(|(piece, _)| corrupt.contains(piece))
-        .collect();
-    stage_all(node, wanted, &again).await;
-    let still_corrupt = corrupt_pieces(node, wanted, &fetched.digests).await;
-    pieces::mark_missing(node, &wanted.model, wanted.version, &still_corrupt);
-    still_corrupt.is_empty()
+}
+
+/// Reads a piece from the engine's store and compares it with its digest.
+async fn read_piece(node: &Node, model: &str, piece: u32, digest: &[u8; 32]) -> PieceRead {
+    let Some(engine) = node.settings.engine else {
+        return PieceRead::Unanswered;
+    };
+    for _ in 0..MAX_READ_ATTEMPTS {
+        let request = node.interface.get_staged(model, piece);
+        let Some((status, bytes)) = call(node, engine, request, STORE_TIMEOUT).await else {
+            continue;
+        };
+        let is_intact = status.is_success() && Sha256::digest(&bytes).as_slice() == digest;
+        return if is_intact {
+            PieceRead::Intact
+        } else {
+            PieceRead::Corrupt
+        };
+    }
+    PieceRead::Unanswered
 }
 
 /// Writes pieces to the engine's store.
@@ -58,20 +126,6 @@
     }
 }
 
-/// Returns the pieces that are missing from the engine's store or do not match
-/// their digests.
-async fn corrupt_pieces(node: &Node, wanted: &WantedVersion, digests: &PieceDigests) -> Vec<u32> {
-    let mut corrupt = Vec::new();
-    for (piece, digest) in digests.digests.iter().enumerate() {
-        let piece = piece as u32;
-        let bytes = get(node, &wanted.model.model, piece).await;
-        if bytes.is_none_or(|bytes| Sha256::digest(&bytes).as_slice() != digest) {
-            corrupt.push(piece);
-        }
-    }
-    corrupt
-}
-
 /// Reads a piece from the engine's store. It may be of any version.
 pub async fn get(node: &Node, model: &str, piece: u32) -> Option<Bytes> {
     let request = node.interface.get_staged(model, piece);
--- a/crates/moleroad_gateway/src/agent/switch.rs
+++ b/crates/moleroad_gateway/src/agent/switch.rs
@@ -1,10 +1,10 @@
 //! Switches the engine to staged weights.
 
-use crate::agent::calls::call;
+use crate::agent::calls::call_undelayed;
 use crate::agent::digests::live_agents;
 use crate::agent::fetch::Fetched;
 use crate::agent::pieces;
-use crate::agent::store;
+use crate::agent::store::{self, CheckOutcome};
 use crate::agent::update_loop::{CHECK_INTERVAL, HeldVersion, WantedVersion, held_version};
 use crate::agent::watch;
 use crate::experiments::Mechanism;
@@ -26,8 +26,6 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time between two checks whether running requests have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time after which an order without effect is retried, in milliseconds.
-const ORDER_RETRY_MS: u64 = 1_500;
 /// Time for an engine to load weights and for entries to learn of it, in
 /// milliseconds.
 const LOAD_MS: u64 = 450;
@@ -65,42 +63,95 @@
         }
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
-    if let HeldVersion::Version(version) = held_version(node, &wanted.model)
-        && version >= wanted.version
-    {
+    if last_observation(node, wanted) == EngineObservation::Serving {
         return SwitchOutcome::Serving;
     }
     pieces::begin_staging(node, wanted.version);
     store::stage_all(node, wanted, &pieces::unstaged(node, wanted.version)).await;
     let staged_at = node.clock.now();
+    let mut switch = Switch::new(fetched.digests.digests.len());
     loop {
-        while !may_switch(node, wanted, staged_at) || is_draining(node) {
-            if let Ok(newer) = newer.try_recv() {
-                return SwitchOutcome::Superseded(Box::new(newer));
-            }
-            tokio::time::sleep(CHECK_INTERVAL).await;
-        }
-        let check_started_at = node.clock.now();
-        if !store::verify_staged(node, fetched).await {
-            return SwitchOutcome::Incomplete;
+        if switch.may_be_superseded()
+            && let Ok(newer) = newer.try_recv()
+        {
+            return SwitchOutcome::Superseded(Box::new(newer));
         }
-        log_check(node, wanted, check_started_at);
-        watch::set_switching(node, true);
-        tokio::time::sleep(SWITCHING_PROPAGATION).await;
-        drain(node, wanted).await;
-        let is_served = order_until_served(node, wanted, check_started_at).await;
-        watch::set_switching(node, false);
-        if is_served {
-            return SwitchOutcome::Serving;
+        let may_begin = may_switch(node, wanted, staged_at);
+        // While the engine waits for its wave, the reports of the regular polls suffice.
+        let (engine, accepted_orders) = if may_begin || !switch.may_be_superseded() {
+            observe(node, wanted).await
+        } else {
+            (last_observation(node, wanted), 0)
+        };
+        match switch.next(node.clock.now(), engine, may_begin) {
+            SwitchStep::Wait => tokio::time::sleep(CHECK_INTERVAL).await,
+            SwitchStep::Check { parallel_reads } => {
+                let check = match store::check_staged(node, fetched, parallel_reads).await {
+                    CheckOutcome::Intact(check) => Some(check),
+                    CheckOutcome::Unanswered => None,
+                    CheckOutcome::Corrupt => {
+                        watch::set_switching(node, false);
+                        return SwitchOutcome::Incomplete;
+                    }
+                };
+                log_check(node, wanted, check.as_ref(), parallel_reads);
+                switch.record_check(node.clock.now(), check);
+            }
+            SwitchStep::Withdraw => {
+                watch::set_switching(node, true);
+                tokio::time::sleep(SWITCHING_PROPAGATION).await;
+                drain(node, wanted).await;
+            }
+            SwitchStep::Order(check) => order(node, wanted, accepted_orders, check).await,
+            SwitchStep::Restore => {
+                log::info!(event = "switch_restarted", version = wanted.version, engine:? = engine; "");
+                watch::set_switching(node, false);
+                tokio::time::sleep(CHECK_INTERVAL).await;
+            }
+            SwitchStep::Done => {
+                watch::set_switching(node, false);
+                return SwitchOutcome::Serving;
+            }
         }
     }
 }
 
-fn log_check(node: &Node, wanted: &WantedVersion, started_at: Millis) {
+/// Polls the engine. Returns what it does, and how many orders it has accepted.
+async fn observe(node: &Arc<Node>, wanted: &WantedVersion) -> (EngineObservation, u64) {
+    let Some(state) = watch::read(node).await else {
+        return (EngineObservation::Silent, 0);
+    };
+    watch::publish_report(node, Some(state.report));
+    let observation = match last_observation(node, wanted) {
+        EngineObservation::Ready if state.busy => EngineObservation::Busy,
+        observation => observation,
+    };
+    (observation, state.accepted_orders)
+}
+
+/// Returns what the engine did according to its last report, which does not say whether
+/// it executes an order.
+fn last_observation(node: &Node, wanted: &WantedVersion) -> EngineObservation {
+    match held_version(node, &wanted.model) {
+        HeldVersion::Unknown => EngineObservation::Silent,
+        HeldVersion::Version(version) if version >= wanted.version => EngineObservation::Serving,
+        _ if is_draining(node) => EngineObservation::Leaving,
+        HeldVersion::Version(_) | HeldVersion::Nothing => EngineObservation::Ready,
+    }
+}
+
+fn log_check(
+    node: &Node,
+    wanted: &WantedVersion,
+    check: Option<&StagedCheck>,
+    parallel_reads: usize,
+) {
     log::info!(
         event = "pieces_checked",
         version = wanted.version,
-        took_ms = node.clock.now().since(started_at);
+        is_intact = check.is_some(),
+        took_ms = check.map_or(0, |check| check.age_ms(node.clock.now())),
+        parallel_reads = parallel_reads as u64;
         ""
     );
 }
@@ -120,62 +171,29 @@
     }
 }
 
-/// Orders the engine once to load the version and waits until it serves it.
-/// Returns false if the order had no effect within [`ORDER_RETRY_MS`].
-async fn order_until_served(
-    node: &Arc<Node>,
-    wanted: &WantedVersion,
-    check_started_at: Millis,
-) -> bool {
-    let mut ordered_at = None;
-    let mut unanswered_polls = 0_u64;
-    loop {
-        let state = watch::read(node).await;
-        unanswered_polls += u64::from(state.is_none());
-        if let Some(state) = &state {
-            watch::publish_report(node, Some(state.report.clone()));
-        }
-        if let HeldVersion::Version(version) = held_version(node, &wanted.model)
-            && version >= wanted.version
-        {
-            return true;
-        }
-        let now = node.clock.now();
-        let is_over = ordered_at.is_some_and(|at| now.since(at) >= ORDER_RETRY_MS);
-        if let Some(state) = state.filter(|state| !state.busy) {
-            if is_over {
-                return false;
-            }
-            if ordered_at.is_none() {
-                let accepted = order(node, wanted, state.accepted_orders).await;
-                log::info!(
-                    event = "order",
-                    version = wanted.version,
-                    taken = accepted,
-                    check_age_ms = now.since(check_started_at),
-                    unanswered_polls = unanswered_polls;
-                    ""
-                );
-                ordered_at = Some(now);
-            }
-        }
-        tokio::time::sleep(CHECK_INTERVAL).await;
-    }
-}
-
-async fn order(node: &Node, wanted: &WantedVersion, accepted_orders: u64) -> bool {
+/// Orders the engine to load the version from its store, which `check` has verified.
+/// Nothing is sent if the check has become too old by then: the process may have been
+/// suspended.
+async fn order(node: &Node, wanted: &WantedVersion, accepted_orders: u64, check: StagedCheck) {
     let Some(engine) = node.settings.engine else {
-        return false;
+        return;
     };
-    let model = wanted.model.model.as_str();
     let order = node.interface.order_start(
-        model,
+        wanted.model.model.as_str(),
         wanted.version,
         StartMode::AbortRunning,
         accepted_orders,
     );
-    let answer = call(node, engine, order, ORDER_TIMEOUT).await;
-    answer.is_some_and(|(status, _)| status.is_success())
+    let check_age_ms = check.age_ms(node.clock.now());
+    let may_send = || check.permits_order(node.clock.now());
+    let answer = call_undelayed(node, engine, order, ORDER_TIMEOUT, may_send).await;
+    log::info!(
+        event = "order",
+        version = wanted.version,
+        taken = answer.is_some_and(|(status, _)| status.is_success()),
+        check_age_ms = check_age_ms;
+        ""
+    );
 }
 
 /// Returns whether the engine may switch now: its wave has started, or the
--- a/crates/moleroad_gateway/src/front/pool.rs
+++ b/crates/moleroad_gateway/src/front/pool.rs
@@ -77,9 +77,22 @@
     /// # Errors
     /// Returns an error if the connection fails or times out; no request was sent.
     pub async fn connect(&self, address: SocketAddr) -> std::io::Result<Connection> {
-        let connecting = first_connected(|| TcpStream::connect(address));
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
-        crate::peers::configure_socket(&stream);
+        let stream = connected_stream(address).await?;
+        Self::handshake(address, stream).await
+    }
+
+    /// Opens a new connection to `address` that discards bytes not yet delivered when it
+    /// is closed, instead of sending them again until they arrive.
+    ///
+    /// # Errors
+    /// As [`Pool::connect`].
+    pub async fn connect_discarding(&self, address: SocketAddr) -> std::io::Result<Connection> {
+        let stream = connected_stream(address).await?;
+        stream.set_zero_linger()?;
+        Self::handshake(address, stream).await
+    }
+
+    async fn handshake(address: SocketAddr, stream: TcpStream) -> std::io::Result<Connection> {
         let builder = hyper::client::conn::http1::Builder::new();
         let (sender, connection) = builder
             .handshake(TokioIo::new(stream))
@@ -141,6 +154,13 @@
     }
 }
 
+async fn connected_stream(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let connecting = first_connected(|| TcpStream::connect(address));
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
+    crate::peers::configure_socket(&stream);
+    Ok(stream)
+}
+
 /// Returns how long an idle connection is kept. This is nearly as long as the
 /// target keeps it, since each entry sends to each of many targets only every few
 /// seconds.
--- a/crates/moleroad_rollout/src/lib.rs
+++ b/crates/moleroad_rollout/src/lib.rs
@@ -9,8 +9,8 @@
 //! [`backoff`] how long a failing source is left alone, [`fallback`] which version to
 //! fetch when the newest one does not arrive, [`superseded`] when a fetch is abandoned
 //! for a newer version, [`arrival`] when the weights are expected, [`waves`] when an
-//! engine may switch its weights, and [`old_weights`] until when it may serve older
-//! ones.
+//! engine may switch its weights, [`switch`] by which steps it does, [`staged_check`]
+//! what permits the order, and [`old_weights`] until when it may serve older ones.
 //!
 //! ```
 //! use moleroad_rollout::prelude::*;
@@ -27,7 +27,9 @@
 pub mod old_weights;
 pub mod schedule;
 pub mod sources;
+pub mod staged_check;
 pub mod superseded;
+pub mod switch;
 pub mod trees;
 pub mod waves;
 
@@ -46,7 +48,9 @@
         AllowedSources, DigestQueryResult, Member, TakeoverTimeouts, copy_ms,
         may_ask_origin_for_digests,
     };
+    pub use crate::staged_check::{CheckReads, PieceRead, StagedCheck};
     pub use crate::superseded::SupersededFetch;
+    pub use crate::switch::{EngineObservation, Switch, SwitchStep};
     pub use crate::trees::DistributionTrees;
     pub use crate::waves::WavePlan;
 }
