Bound what answers hold of a daemon's memory in their sum

What callers would see: an entry or agent that ends over its memory limit, with all that it serves, when targets or the origin send bytes without end; a request that waits for the whole of a rejection without end until its deadline.

Cause: each answer had a bound (16 MiB a send, 64 MiB a call of an agent), their sum had none, and a call's did not go by what was asked for. Rejections were read to their end before the request went on. Interim responses were not counted.

Ruled out: heads, chunk extensions, trailers, single events at 40 at once.

Change: `HeldBytes` counts bytes of answers until callers have taken them, a quarter of `memory_mb` together beyond 64 KiB each; calls of agents are bounded by what they ask for; rejections are read beside the request; 32 interim responses, 64 KiB of head.

--- a/crates/moleroad_gateway/src/agent/calls.rs
+++ b/crates/moleroad_gateway/src/agent/calls.rs
@@ -5,14 +5,32 @@
 use crate::node::Node;
 use crate::target_notice::AnswerHead;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Request, StatusCode};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Largest response body that is accepted, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Largest answer without content that is accepted, in bytes.
+pub const MAX_ACKNOWLEDGEMENT_BYTES: usize = 64 << 10;
+
+/// Reason why a call has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFailure {
+    /// Nothing was sent, or no complete answer arrived in time.
+    NoAnswer,
+    /// The body of the answer exceeds its limit.
+    TooLarge,
+}
+
+/// Bounds of a call.
+#[derive(Clone, Copy, Debug)]
+pub struct CallLimits {
+    /// Longest time until the answer is complete.
+    pub timeout: Duration,
+    /// Largest body of the answer, in bytes.
+    pub max_bytes: usize,
+}
 
 /// Longest time between two checks whether a requested backoff has ended.
 /// Timers do not advance while the machine is suspended, and a restart of the
@@ -20,13 +38,16 @@
 const BACKOFF_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Makes a call on a pooled connection, after any backoff that the other side
-/// requested. Returns `None` if no complete response arrived within `timeout`.
+/// requested.
+///
+/// # Errors
+/// Returns a [`CallFailure`] if no complete response arrived within the limits.
 pub async fn call(
     node: &Node,
     address: SocketAddr,
     request: OutboundRequest,
-    timeout: Duration,
-) -> Option<(StatusCode, Bytes)> {
+    limits: CallLimits,
+) -> Result<(StatusCode, Bytes), CallFailure> {
     loop {
         let left = Duration::from_millis(node.backoff_left_ms(address));
         if left.is_zero() {
@@ -34,42 +55,49 @@
         }
         tokio::time::sleep(left.min(BACKOFF_CHECK_INTERVAL)).await;
     }
-    call_pooled(node, address, request, timeout, || true).await
+    call_pooled(node, address, request, limits, || true).await
 }
 
-/// Makes a call on a pooled connection at once. Returns `None` if no complete
-/// response arrived within `timeout`, the other side requested a backoff that has not
-/// ended, or `may_send` denied the call right before it was to be sent.
+/// Makes a call on a pooled connection at once.
+///
+/// # Errors
+/// Returns a [`CallFailure`] if no complete response arrived within the limits. Nothing
+/// was sent if the other side requested a backoff that has not ended, or if `may_send`
+/// denied the call right before it was to be sent.
 pub async fn call_undelayed(
     node: &Node,
     address: SocketAddr,
     request: OutboundRequest,
-    timeout: Duration,
+    limits: CallLimits,
     may_send: impl Fn() -> bool,
-) -> Option<(StatusCode, Bytes)> {
+) -> Result<(StatusCode, Bytes), CallFailure> {
     if node.backoff_left_ms(address) > 0 {
-        return None;
+        return Err(CallFailure::NoAnswer);
     }
-    call_pooled(node, address, request, timeout, may_send).await
+    call_pooled(node, address, request, limits, may_send).await
 }
 
 async fn call_pooled(
     node: &Node,
     address: SocketAddr,
     request: OutboundRequest,
-    timeout: Duration,
+    limits: CallLimits,
     may_send: impl Fn() -> bool,
-) -> Option<(StatusCode, Bytes)> {
+) -> Result<(StatusCode, Bytes), CallFailure> {
     let calling = async {
         let mut connection = match node.pool.take(address) {
             Some(connection) => connection,
             // The engine must not get a call late that this agent has given up.
-            None => node.pool.connect_discarding(address).await.ok()?,
+            None => node
+                .pool
+                .connect_discarding(address)
+                .await
+                .map_err(no_answer)?,
         };
         if !may_send() {
-            return None;
+            return Err(CallFailure::NoAnswer);
         }
-        let answer = exchange(node, address, request, &mut connection).await?;
+        let answer = exchange(node, address, request, limits.max_bytes, &mut connection).await?;
         if !answer.closes {
             let pool = node.pool.clone();
             tokio::spawn(async move {
@@ -78,14 +106,17 @@
                 }
             });
         }
-        Some((answer.status, answer.body))
+        Ok((answer.status, answer.body))
     };
-    tokio::time::timeout(timeout, calling).await.ok().flatten()
+    let called = tokio::time::timeout(limits.timeout, calling).await;
+    called.unwrap_or(Err(CallFailure::NoAnswer))
 }
 
-/// Makes a call on a new connection and closes it. Returns `None` if no
-/// complete response arrived within `timeout`, or the other side requested a
-/// backoff that has not ended.
+/// Makes a call on a new connection and closes it.
+///
+/// # Errors
+/// Returns a [`CallFailure`] if no complete response arrived within the limits, or the
+/// other side requested a backoff that has not ended.
 ///
 /// The origin accepts fewer connections than there are agents. A connection
 /// that is kept idle, or left half open by an agent that lost power, blocks
@@ -94,20 +125,22 @@
     node: &Node,
     address: SocketAddr,
     request: OutboundRequest,
-    timeout: Duration,
-) -> Option<(StatusCode, Bytes)> {
+    limits: CallLimits,
+) -> Result<(StatusCode, Bytes), CallFailure> {
     if node.backoff_left_ms(address) > 0 {
-        return None;
+        return Err(CallFailure::NoAnswer);
     }
     let calling = async {
-        let mut connection = node.pool.connect(address).await.ok()?;
-        exchange(node, address, request, &mut connection).await
+        let mut connection = node.pool.connect(address).await.map_err(no_answer)?;
+        exchange(node, address, request, limits.max_bytes, &mut connection).await
     };
-    let answer = tokio::time::timeout(timeout, calling)
-        .await
-        .ok()
-        .flatten()?;
-    Some((answer.status, answer.body))
+    let called = tokio::time::timeout(limits.timeout, calling).await;
+    let answer = called.unwrap_or(Err(CallFailure::NoAnswer))?;
+    Ok((answer.status, answer.body))
+}
+
+fn no_answer<E>(_: E) -> CallFailure {
+    CallFailure::NoAnswer
 }
 
 /// A complete response.
@@ -122,19 +155,28 @@
     node: &Node,
     address: SocketAddr,
     request: OutboundRequest,
+    max_bytes: usize,
     connection: &mut Connection,
-) -> Option<Response> {
+) -> Result<Response, CallFailure> {
     let mut message = Request::new(Full::new(Bytes::from(request.body)));
     *message.method_mut() = request.method;
-    *message.uri_mut() = request.path.parse().ok()?;
+    *message.uri_mut() = request.path.parse().map_err(no_answer)?;
     let headers = message.headers_mut();
-    headers.insert(HOST, HeaderValue::from_str(&address.to_string()).ok()?);
+    headers.insert(
+        HOST,
+        HeaderValue::from_str(&address.to_string()).map_err(no_answer)?,
+    );
     if request.is_document {
         let kind = HeaderValue::from_static(node.interface.document_type());
         headers.insert(CONTENT_TYPE, kind);
     }
+    connection.bound_interim_responses(&mut message);
     let responder = node.responder_at(address);
-    let response = connection.sender.send_request(message).await.ok()?;
+    let response = connection
+        .sender
+        .send_request(message)
+        .await
+        .map_err(no_answer)?;
     let (head, body) = response.into_parts();
     node.apply_notice(AnswerHead {
         from: responder,
@@ -143,12 +185,15 @@
         status: head.status,
         headers: &head.headers,
     });
-    let body = Limited::new(body, MAX_RESPONSE_BYTES)
+    let body = Limited::new(body, max_bytes)
         .collect()
         .await
-        .ok()?;
+        .map_err(|error| match error.is::<LengthLimitError>() {
+            true => CallFailure::TooLarge,
+            false => CallFailure::NoAnswer,
+        })?;
     let closing = head.headers.get(hyper::header::CONNECTION);
-    Some(Response {
+    Ok(Response {
         status: head.status,
         body: body.to_bytes(),
         closes: closing.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close")),
--- a/crates/moleroad_gateway/src/agent/digests.rs
+++ b/crates/moleroad_gateway/src/agent/digests.rs
@@ -1,6 +1,6 @@
 //! Retrieves the digests of a version from another agent or the origin.
 
-use crate::agent::calls::call_once;
+use crate::agent::calls::{CallLimits, MAX_ACKNOWLEDGEMENT_BYTES, call_once};
 use crate::agent::choice::members;
 use crate::agent::offers;
 use crate::agent::update_loop::WantedVersion;
@@ -17,6 +17,8 @@
 
 /// Time limit for a digests request.
 const DIGESTS_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Largest text of one digest in an answer, in bytes.
+const MAX_DIGEST_BYTES: usize = 128;
 
 /// Returns the digests of a version. They are requested from an agent that has
 /// them, or from the origin if this agent is responsible for that or no other
@@ -53,8 +55,8 @@
         let request = node
             .interface
             .request_digests(&wanted.model.model, wanted.version);
-        let answer = call_once(node, origin.address, request, DIGESTS_TIMEOUT).await;
-        if let Some((status, body)) = answer
+        let answer = call_once(node, origin.address, request, digest_limits(wanted)).await;
+        if let Ok((status, body)) = answer
             && status.is_success()
             && let Some(digests) = node.interface.read_digests(&body)
         {
@@ -68,6 +70,14 @@
     None
 }
 
+/// Returns the limits of the origin's answer to a digests request.
+fn digest_limits(wanted: &WantedVersion) -> CallLimits {
+    CallLimits {
+        timeout: DIGESTS_TIMEOUT,
+        max_bytes: MAX_ACKNOWLEDGEMENT_BYTES + wanted.model.pieces as usize * MAX_DIGEST_BYTES,
+    }
+}
+
 /// Returns whether the agent at `address` has pieces of the version.
 fn holds_pieces(node: &Node, address: SocketAddr, wanted: &WantedVersion) -> bool {
     let view = node.view();
--- a/crates/moleroad_gateway/src/agent/store.rs
+++ b/crates/moleroad_gateway/src/agent/store.rs
@@ -1,12 +1,13 @@
 //! The store of this agent's engine. Pieces are staged there before the engine
 //! is ordered to load them.
 
-use crate::agent::calls::call;
+use crate::agent::calls::{CallFailure, CallLimits, MAX_ACKNOWLEDGEMENT_BYTES, call};
 use crate::agent::fetch::Fetched;
 use crate::agent::pieces;
 use crate::agent::update_loop::WantedVersion;
 use crate::interface::PieceDigests;
 use crate::node::Node;
+use crate::peer::CatalogModel;
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream;
@@ -70,10 +71,7 @@
 ) {
     let read = |piece: u32| async move {
         let digest = &digests.digests[piece as usize];
-        (
-            piece,
-            read_piece(node, &wanted.model.model, piece, digest).await,
-        )
+        (piece, read_piece(node, &wanted.model, piece, digest).await)
     };
     let unproven = reads.unproven();
     let mut results = stream::iter(unproven).map(read).buffered(parallel_reads);
@@ -86,16 +84,19 @@
 }
 
 /// Reads a piece from the engine's store and compares it with its digest.
-async fn read_piece(node: &Node, model: &str, piece: u32, digest: &[u8; 32]) -> PieceRead {
+async fn read_piece(node: &Node, model: &CatalogModel, piece: u32, digest: &[u8; 32]) -> PieceRead {
     let Some(engine) = node.settings.engine else {
         return PieceRead::Unanswered;
     };
     for _ in 0..MAX_READ_ATTEMPTS {
-        let request = node.interface.get_staged(model, piece);
-        let Some((status, bytes)) = call(node, engine, request, STORE_TIMEOUT).await else {
-            continue;
+        let request = node.interface.get_staged(&model.model, piece);
+        let is_intact = match call(node, engine, request, read_limits(model)).await {
+            Ok((status, bytes)) => {
+                status.is_success() && Sha256::digest(&bytes).as_slice() == digest
+            }
+            Err(CallFailure::TooLarge) => false,
+            Err(CallFailure::NoAnswer) => continue,
         };
-        let is_intact = status.is_success() && Sha256::digest(&bytes).as_slice() == digest;
         return if is_intact {
             PieceRead::Intact
         } else {
@@ -120,26 +121,39 @@
     };
     let model = &wanted.model.model;
     let put = node.interface.put_staged(model, piece, bytes.to_vec());
-    let stored = call(node, engine, put, STORE_TIMEOUT).await;
-    if stored.is_some_and(|(status, _)| status.is_success()) {
+    let limits = CallLimits {
+        timeout: STORE_TIMEOUT,
+        max_bytes: MAX_ACKNOWLEDGEMENT_BYTES,
+    };
+    let stored = call(node, engine, put, limits).await;
+    if stored.is_ok_and(|(status, _)| status.is_success()) {
         pieces::mark_staged(node, wanted.version, piece);
     }
 }
 
 /// Reads a piece from the engine's store. It may be of any version.
-pub async fn get(node: &Node, model: &str, piece: u32) -> Option<Bytes> {
-    let request = node.interface.get_staged(model, piece);
-    let (status, bytes) = call(node, node.settings.engine?, request, STORE_TIMEOUT).await?;
+pub async fn get(node: &Node, model: &CatalogModel, piece: u32) -> Option<Bytes> {
+    let request = node.interface.get_staged(&model.model, piece);
+    let engine = node.settings.engine?;
+    let (status, bytes) = call(node, engine, request, read_limits(model)).await.ok()?;
     status.is_success().then_some(bytes)
 }
 
+/// Returns the limits of a read from the engine's store.
+fn read_limits(model: &CatalogModel) -> CallLimits {
+    CallLimits {
+        timeout: STORE_TIMEOUT,
+        max_bytes: model.piece_bytes as usize,
+    }
+}
+
 /// Searches the engine's store for pieces of the version. The store survives a
 /// crash of the engine and a restart of this process.
 pub async fn find_staged(node: &Node, wanted: &WantedVersion, digests: &PieceDigests) {
     let mut missed = 0;
     let mut found = 0_u64;
     for (piece, digest) in digests.digests.iter().enumerate() {
-        let bytes = get(node, &wanted.model.model, piece as u32).await;
+        let bytes = get(node, &wanted.model, piece as u32).await;
         if bytes.is_some_and(|bytes| Sha256::digest(&bytes).as_slice() == digest) {
             pieces::record_staged_piece(node, &wanted.model, wanted.version, piece as u32);
             found += 1;
--- a/crates/moleroad_gateway/src/agent/switch.rs
+++ b/crates/moleroad_gateway/src/agent/switch.rs
@@ -1,6 +1,6 @@
 //! Switches the engine to staged weights.
 
-use crate::agent::calls::call_undelayed;
+use crate::agent::calls::{CallLimits, MAX_ACKNOWLEDGEMENT_BYTES, call_undelayed};
 use crate::agent::digests::live_agents;
 use crate::agent::fetch::Fetched;
 use crate::agent::pieces;
@@ -22,8 +22,11 @@
 /// Time that is allowed for entries to learn that the engine accepts no new
 /// requests.
 const SWITCHING_PROPAGATION: Duration = Duration::from_millis(60);
-/// Time limit for the engine to accept an order.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Limits of the engine's answer to an order.
+const ORDER_LIMITS: CallLimits = CallLimits {
+    timeout: Duration::from_millis(800),
+    max_bytes: MAX_ACKNOWLEDGEMENT_BYTES,
+};
 /// Time between two checks whether running requests have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for an engine to load weights and for entries to learn of it, in
@@ -186,11 +189,11 @@
     );
     let check_age_ms = check.age_ms(node.clock.now());
     let may_send = || check.permits_order(node.clock.now());
-    let answer = call_undelayed(node, engine, order, ORDER_TIMEOUT, may_send).await;
+    let answer = call_undelayed(node, engine, order, ORDER_LIMITS, may_send).await;
     log::info!(
         event = "order",
         version = wanted.version,
-        taken = answer.is_some_and(|(status, _)| status.is_success()),
+        taken = answer.is_ok_and(|(status, _)| status.is_success()),
         check_age_ms = check_age_ms;
         ""
     );
--- a/crates/moleroad_gateway/src/agent/transfer.rs
+++ b/crates/moleroad_gateway/src/agent/transfer.rs
@@ -1,6 +1,6 @@
 //! Retrieves one piece from a source and verifies it before it is kept.
 
-use crate::agent::calls::call_once;
+use crate::agent::calls::{CallFailure, CallLimits, call_once};
 use crate::agent::fetch::PieceSource;
 use crate::agent::update_loop::WantedVersion;
 use crate::agent::{pieces, store};
@@ -92,8 +92,15 @@
     let request = node
         .interface
         .request_piece(&wanted.model.model, wanted.version, piece);
-    let answer = call_once(node, address, request, PIECE_TIMEOUT).await;
-    let (status, bytes) = answer.ok_or(TransferResult::Unreachable)?;
+    let limits = CallLimits {
+        timeout: PIECE_TIMEOUT,
+        max_bytes: wanted.model.piece_bytes as usize,
+    };
+    let answer = call_once(node, address, request, limits).await;
+    let (status, bytes) = answer.map_err(|failure| match failure {
+        CallFailure::NoAnswer => TransferResult::Unreachable,
+        CallFailure::TooLarge => TransferResult::NotProvided,
+    })?;
     let provided = status.is_success().then_some(bytes);
     provided.ok_or(TransferResult::NotProvided)
 }
--- a/crates/moleroad_gateway/src/agent/uploads.rs
+++ b/crates/moleroad_gateway/src/agent/uploads.rs
@@ -3,6 +3,7 @@
 use crate::agent::watch::serves;
 use crate::agent::{pieces, store};
 use crate::node::Node;
+use crate::peer::CatalogModel;
 use serde_bytes::ByteBuf;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -52,7 +53,7 @@
     }
     let bytes = match pieces::get(node, version, piece) {
         Some(bytes) => bytes,
-        None => store::get(node, model, piece).await?,
+        None => store::get(node, &catalog_model(node, model)?, piece).await?,
     };
     // Another version may have been staged in the meantime.
     if !has_piece(node) {
@@ -63,6 +64,12 @@
     Some(ByteBuf::from(bytes.to_vec()))
 }
 
+fn catalog_model(node: &Node, name: &str) -> Option<CatalogModel> {
+    let view = node.view();
+    let mut models = view.catalog.models.iter();
+    models.find(|model| model.model == name).cloned()
+}
+
 /// Returns the rate at which pieces may use this instance's link, in kbit/s.
 pub fn link_kbps(node: &Node) -> f64 {
     let share = if serves(node) {
--- a/crates/moleroad_gateway/src/agent/watch.rs
+++ b/crates/moleroad_gateway/src/agent/watch.rs
@@ -1,6 +1,6 @@
 //! Polls the engine and publishes its state to entries.
 
-use crate::agent::calls::call;
+use crate::agent::calls::{CallLimits, call};
 use crate::experiments::Mechanism;
 use crate::interface::EngineState;
 use crate::node::Node;
@@ -11,6 +11,8 @@
 
 /// Time between polls of the engine.
 const POLL_INTERVAL: Duration = Duration::from_millis(120);
+/// Largest report of an engine, in bytes.
+const MAX_REPORT_BYTES: usize = 1 << 20;
 /// Time limit for a poll.
 const POLL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time limit for a poll of an engine that has not answered yet. It starts at
@@ -109,7 +111,13 @@
     if node.backoff_left_ms(engine) > 0 {
         return None;
     }
-    let (status, body) = call(node, engine, node.interface.request_state(), timeout).await?;
+    let limits = CallLimits {
+        timeout,
+        max_bytes: MAX_REPORT_BYTES,
+    };
+    let (status, body) = call(node, engine, node.interface.request_state(), limits)
+        .await
+        .ok()?;
     if !status.is_success() {
         return None;
     }
--- a/crates/moleroad_gateway/src/front/answer.rs
+++ b/crates/moleroad_gateway/src/front/answer.rs
@@ -9,6 +9,9 @@
 use std::task::{Context, Poll};
 use tokio::sync::mpsc;
 
+/// Largest part of a whole body that is handed to the HTTP server at a time, in bytes.
+const MAX_PART_BYTES: usize = 64 << 10;
+
 /// The body of an answer: complete, or forwarded in parts.
 pub enum AnswerBody {
     /// The complete body; `None` once it was taken, or if it is empty.
@@ -27,7 +30,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match &mut *self {
-            AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            AnswerBody::Whole(bytes) => Poll::Ready(next_part(bytes).map(|b| Ok(Frame::data(b)))),
             AnswerBody::Parts(parts) => parts
                 .poll_recv(context)
                 .map(|part| part.map(|part| part.map(Frame::data))),
@@ -48,6 +51,16 @@
     }
 }
 
+/// Takes the next part of a whole body. The HTTP server copies each part into its buffer,
+/// which therefore never holds all of a large body.
+fn next_part(rest: &mut Option<Bytes>) -> Option<Bytes> {
+    let mut part = rest.take()?;
+    if part.len() > MAX_PART_BYTES {
+        *rest = Some(part.split_off(MAX_PART_BYTES));
+    }
+    Some(part)
+}
+
 /// An HTTP response to a caller.
 pub type Answer = Response<AnswerBody>;
 
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -3,11 +3,13 @@
 
 use crate::acquire::{LoadEstimate, ReservedSlot};
 use crate::front::broken_sends::Progress;
+use crate::front::events::EventSplitter;
 use crate::front::exchange::{Reply, ReplyClass, SendError};
 use crate::front::give_up::GiveUp;
 use crate::front::pending_send::NoHead;
 use crate::front::request::AcceptedRequest;
 use crate::front::sends::Sends;
+use crate::held_bytes::Reservation;
 use crate::node::Node;
 use bytes::Bytes;
 use moleroad_config::prelude::Repeatability;
@@ -59,6 +61,18 @@
     pub slot: ReservedSlot,
     /// The head of the answer.
     pub reply: Reply,
+    /// What an incomplete event of the answer holds.
+    pub partial_event: Reservation,
+}
+
+impl RunningSend {
+    /// Returns whether the incomplete event of the answer is larger than is accepted, or
+    /// than this process can hold now.
+    pub(super) fn is_event_too_long(&mut self, splitter: &EventSplitter) -> bool {
+        // A buffer that grows is up to twice as large as what it holds.
+        let held = splitter.partial_len() * 2;
+        splitter.is_too_long() || !self.partial_event.resize(held)
+    }
 }
 
 impl Attempts {
@@ -183,13 +197,14 @@
         mut reply: Reply,
     ) -> Option<RunningSend> {
         match reply.class {
-            ReplyClass::Succeeded | ReplyClass::Final => Some(RunningSend { slot, reply }),
+            ReplyClass::Succeeded | ReplyClass::Final => Some(RunningSend {
+                slot,
+                reply,
+                partial_event: self.node.held_bytes.reservation(),
+            }),
             ReplyClass::Rejected => {
                 slot.set_outcome(Outcome::Rejected);
-                let whole = reply.read_whole_body(&self.node, self.request.until).await;
-                if whole.is_ok() {
-                    reply.keep_connection(&self.node);
-                }
+                reply.discard(&self.node);
                 None
             }
             ReplyClass::Failed => {
@@ -198,9 +213,7 @@
                 match reply.read_whole_body(&self.node, self.request.until).await {
                     Ok(body) => self.failed_reply = Some((reply, body)),
                     Err(error) => {
-                        if error == SendError::Broken {
-                            self.record_break(&slot, Progress::PartOfBody);
-                        }
+                        self.record_body_error(&slot, error);
                         slot.set_outcome(Outcome::Broken);
                     }
                 }
--- a/crates/moleroad_gateway/src/front/attempt_log.rs
+++ b/crates/moleroad_gateway/src/front/attempt_log.rs
@@ -128,6 +128,7 @@
             Err(SendError::Expired) => "lapsed",
             Err(SendError::Ineligible) => "barred",
             Err(SendError::Broken) => "broken",
+            Err(SendError::TooLarge) => "too_large",
             Err(SendError::InvalidAnswer) => "spoilt",
             Err(SendError::TimedOut) => "timed_out",
         };
--- a/crates/moleroad_gateway/src/front/broken_sends.rs
+++ b/crates/moleroad_gateway/src/front/broken_sends.rs
@@ -2,6 +2,7 @@
 
 use crate::acquire::ReservedSlot;
 use crate::front::attempt::Attempts;
+use crate::front::exchange::SendError;
 
 /// How much of the answer had arrived when the connection broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,6 +18,22 @@
 }
 
 impl Attempts {
+    /// Records that the body of an answer that is no stream could not be read.
+    pub(super) fn record_body_error(&self, slot: &ReservedSlot, error: SendError) {
+        match error {
+            SendError::Broken => self.record_break(slot, Progress::PartOfBody),
+            SendError::TooLarge => log::info!(
+                event = "answer_too_large",
+                request = self.request.id.to_str().unwrap_or("-"),
+                target:% = slot.candidate.id,
+                held_bytes = self.node.held_bytes.used() as u64,
+                elapsed_ms = self.node.clock.now().since(self.request.arrived);
+                ""
+            ),
+            _ => {}
+        }
+    }
+
     /// Records that the target or the link broke the connection of a send.
     pub(super) fn record_break(&self, slot: &ReservedSlot, progress: Progress) {
         self.node.metrics.count("request_broke");
--- a/crates/moleroad_gateway/src/front/buffered.rs
+++ b/crates/moleroad_gateway/src/front/buffered.rs
@@ -3,7 +3,6 @@
 
 use crate::front::answer::{Answer, AnswerBody};
 use crate::front::attempt::{Attempts, RunningSend};
-use crate::front::broken_sends::Progress;
 use crate::front::closed_answers::AnswerEnd;
 use crate::front::exchange::{ReplyClass, SendError};
 use crate::front::give_up::{GiveUp, attach_last_send, forwarded_answer};
@@ -38,9 +37,7 @@
                 return answer;
             }
             Err(error) => {
-                if error == SendError::Broken {
-                    attempts.record_break(&running.slot, Progress::PartOfBody);
-                }
+                attempts.record_body_error(&running.slot, error);
                 running.slot.set_outcome(Outcome::Broken);
                 attempts.record_broken_answer();
                 if !attempts.is_idempotent() {
--- a/crates/moleroad_gateway/src/front/events.rs
+++ b/crates/moleroad_gateway/src/front/events.rs
@@ -50,6 +50,11 @@
         !self.partial.is_empty()
     }
 
+    /// Returns the size of the incomplete event that is buffered, in bytes.
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns whether the buffered event exceeds [`MAX_EVENT_BYTES`].
     pub fn is_too_long(&self) -> bool {
         self.partial.len() > MAX_EVENT_BYTES
--- a/crates/moleroad_gateway/src/front/exchange.rs
+++ b/crates/moleroad_gateway/src/front/exchange.rs
@@ -3,9 +3,10 @@
 use crate::front::pool::Connection;
 use crate::front::request::AcceptedRequest;
 use crate::grants;
+use crate::held_bytes::HeldBody;
 use crate::node::Node;
 use crate::target_notice::AnswerHead;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -15,9 +16,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Base for the size limit of buffered answers, in bytes: an answer larger than
-/// 16 times this value counts as broken.
-pub const MAX_HELD_BYTES: usize = 1 << 20;
+/// Largest answer that is buffered, in bytes; a larger one counts as broken.
+const MAX_BODY_BYTES: usize = 16 << 20;
+/// Largest body of a rejection, in bytes, that is read to keep the connection.
+const MAX_REJECTION_BYTES: usize = 64 << 10;
+/// Longest time for reading the body of a rejection.
+const REJECTION_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Reason why a send returned no valid answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +37,8 @@
     Ineligible,
     /// The request was sent, and the connection broke before an answer.
     Broken,
+    /// The answer is larger than is accepted, or than this process can hold now.
+    TooLarge,
     /// The answer belongs to another request or is not signed.
     InvalidAnswer,
     /// No answer arrived in time.
@@ -125,6 +131,7 @@
             return Err(SendError::Expired);
         }
         set_deadline(node, request, candidate, message.headers_mut());
+        connection.bound_interim_responses(&mut message);
         let sent_at = node.clock.now();
         let sending = connection.sender.try_send_request(message);
         match tokio::time::timeout_at(limit, sending).await {
@@ -277,31 +284,57 @@
     /// Reads the whole body.
     ///
     /// # Errors
-    /// Returns [`SendError::Broken`] if the connection breaks or the body is too
-    /// large, and [`SendError::TimedOut`] if it does not arrive by `until`.
+    /// Returns [`SendError::Broken`] if the connection breaks, [`SendError::TooLarge`] if
+    /// the body is too large or this process holds too many bytes already, and
+    /// [`SendError::TimedOut`] if it does not arrive by `until`.
     pub async fn read_whole_body(
         &mut self,
         node: &Node,
         until: Millis,
     ) -> Result<Bytes, SendError> {
-        let mut bytes = BytesMut::new();
+        let mut held = HeldBody::new(&node.held_bytes);
         let limit = node.clock.instant(until);
         loop {
             let frame = tokio::time::timeout_at(limit, self.body.frame()).await;
-            match frame {
+            let data = match frame {
                 Err(_) => return Err(SendError::TimedOut),
-                Ok(None) => return Ok(bytes.freeze()),
+                Ok(None) => return Ok(held.into_bytes()),
                 Ok(Some(Err(_))) => return Err(SendError::Broken),
-                Ok(Some(Ok(frame))) => {
-                    if let Ok(data) = frame.into_data() {
-                        bytes.extend_from_slice(&data);
-                    }
-                }
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            };
+            if held.len() + data.len() > MAX_BODY_BYTES || !held.push(&data) {
+                node.metrics.count("answer_too_large");
+                return Err(SendError::TooLarge);
+            }
+        }
+    }
+
+    /// Reads the rest of a rejection beside everything else and keeps its connection, or
+    /// closes it if the body is large or late.
+    pub fn discard(mut self, node: &Arc<Node>) {
+        let node = node.clone();
+        tokio::spawn(async move {
+            let reading = self.read_small_body();
+            let whole = tokio::time::timeout(REJECTION_TIMEOUT, reading).await;
+            if whole == Ok(true) {
+                self.keep_connection(&node);
             }
-            if bytes.len() > MAX_HELD_BYTES * 16 {
-                return Err(SendError::Broken);
+        });
+    }
+
+    /// Reads and drops the body; returns whether it was small and complete.
+    async fn read_small_body(&mut self) -> bool {
+        let mut length = 0;
+        while let Some(frame) = self.body.frame().await {
+            let Ok(frame) = frame else {
+                return false;
+            };
+            length += frame.data_ref().map_or(0, Bytes::len);
+            if length > MAX_REJECTION_BYTES {
+                return false;
             }
         }
+        true
     }
 
     /// Returns the connection to the pool; to be called after the body was read.
--- a/crates/moleroad_gateway/src/front/first_events.rs
+++ b/crates/moleroad_gateway/src/front/first_events.rs
@@ -73,7 +73,7 @@
                 if !events.is_empty() {
                     return FirstEvents::Events(events);
                 }
-                if splitter.is_too_long() {
+                if running.is_event_too_long(splitter) {
                     return FirstEvents::Broken(BrokenBy::Entry);
                 }
             }
--- a/crates/moleroad_gateway/src/front/pool.rs
+++ b/crates/moleroad_gateway/src/front/pool.rs
@@ -3,10 +3,12 @@
 use crate::front::connect::first_connected;
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::Request;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -21,6 +23,11 @@
 /// timeout starts when it sends its last byte, and a request must not be in
 /// transit when the target closes the connection.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_500);
+/// Largest head of an answer, in bytes, and size of the buffer that a connection reads
+/// into.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Largest number of interim responses (1xx) before an answer.
+const MAX_INTERIM_RESPONSES: u32 = 32;
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
@@ -35,6 +42,20 @@
     idle_until: Option<Instant>,
 }
 
+impl Connection {
+    /// Closes the connection if more than [`MAX_INTERIM_RESPONSES`] precede the answer to
+    /// `message`.
+    pub fn bound_interim_responses(&self, message: &mut Request<Full<Bytes>>) {
+        let driver = self.driver.clone();
+        let received = AtomicU32::new(0);
+        hyper::ext::on_informational(message, move |_| {
+            if received.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+                driver.abort();
+            }
+        });
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -93,7 +114,8 @@
     }
 
     async fn handshake(address: SocketAddr, stream: TcpStream) -> std::io::Result<Connection> {
-        let builder = hyper::client::conn::http1::Builder::new();
+        let mut builder = hyper::client::conn::http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, connection) = builder
             .handshake(TokioIo::new(stream))
             .await
--- a/crates/moleroad_gateway/src/front/stream.rs
+++ b/crates/moleroad_gateway/src/front/stream.rs
@@ -9,12 +9,13 @@
 use crate::front::broken_sends::Progress;
 use crate::front::closed_answers::AnswerEnd;
 use crate::front::events::EventSplitter;
-use crate::front::exchange::{ReplyClass, SendError};
+use crate::front::exchange::ReplyClass;
 use crate::front::first_events::{FirstEvents, first_events};
 use crate::front::give_up::{GiveUp, attach_last_send, forwarded_answer};
 use crate::front::pending_send::{AfterSilence, BodyFrame};
 use crate::front::request::AcceptedRequest;
 use crate::front::silence_timeouts;
+use crate::held_bytes::PART_BUFFER;
 use crate::node::Node;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -25,8 +26,8 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-/// Number of parts that are buffered for a slow caller.
-const PART_BUFFER: usize = 16;
+/// Time between two checks whether held bytes have become fewer.
+const HELD_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The side that ended a stream early.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -104,9 +105,7 @@
             answer
         }
         Err(error) => {
-            if error == SendError::Broken {
-                attempts.record_break(&running.slot, Progress::PartOfBody);
-            }
+            attempts.record_body_error(&running.slot, error);
             running.slot.set_outcome(Outcome::Broken);
             EntryError::Broken.response(None)
         }
@@ -246,7 +245,7 @@
             Some(Ok(frame)) => frame.into_data().ok()?,
         };
         let events = self.splitter.push(&data);
-        if self.splitter.is_too_long() {
+        if running.is_event_too_long(&self.splitter) {
             return Some(StreamEnd::Broken(BrokenBy::Entry));
         }
         if events.is_empty() {
@@ -304,8 +303,22 @@
         }
     }
 
+    /// Counts events as held until their caller has taken them. While this process holds too
+    /// many bytes, only a caller that has taken all earlier events gets more.
+    async fn hold(&self, mut events: Bytes) -> Bytes {
+        loop {
+            match self.node.held_bytes.hold(events) {
+                Ok(held) => return held,
+                Err(events) if self.parts.capacity() == PART_BUFFER => return events,
+                Err(unheld) => events = unheld,
+            }
+            tokio::time::sleep(HELD_CHECK_INTERVAL).await;
+        }
+    }
+
     async fn deliver(&self, events: Bytes, until: Instant) -> bool {
-        let sent = tokio::time::timeout_at(until, self.parts.send(Ok(events))).await;
+        let sending = async { self.parts.send(Ok(self.hold(events).await)).await };
+        let sent = tokio::time::timeout_at(until, sending).await;
         matches!(sent, Ok(Ok(())))
     }
 
--- a/crates/moleroad_gateway/src/lib.rs
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod hall_orders;
 mod hall_updates;
 pub mod halls;
+pub mod held_bytes;
 pub mod interface;
 pub mod limit_grants;
 pub mod listening;
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -10,6 +10,7 @@
 use crate::control_state::{ControlCommand, ControlState};
 use crate::front::pool::Pool;
 use crate::halls::{UpdateSource, current_updates};
+use crate::held_bytes::HeldBytes;
 use crate::interface::{Interface, PieceDigests};
 use crate::limit_grants::LimitGrants;
 use crate::metrics::Metrics;
@@ -49,6 +50,8 @@
     pub control_member: Option<ControlMember>,
     /// Pooled connections to targets.
     pub pool: Pool,
+    /// Bytes of answers that callers have not taken yet.
+    pub held_bytes: HeldBytes,
     /// Metrics.
     pub metrics: Metrics,
     /// Wakes the task that sends this daemon's state to others.
@@ -105,6 +108,7 @@
             peers: Peers::new(metrics.peer_bytes()),
             control_member,
             pool: Pool::default(),
+            held_bytes: HeldBytes::for_memory(settings.memory_mb),
             metrics,
             state_changed: Notify::new(),
             cold_engine: ColdEngine::default(),
