End a forwarded answer as complete only if its relay says so

Cause: complete was the default. The relay took the deadline for a caller that left and returned without the error that breaks an answer off; the body took any end of its channel for the end.

Change: an answer in parts ends in order only after `PartSender::finish`; however else its sender ends, panics included, it breaks off. The hand-over says whether the caller left or the time passed. The target is freed at once and not after the slow caller has made room for an error.

Why it works: no path has to remember to send an error any more.

--- a/crates/moleroad_gateway/src/front/answer.rs
+++ b/crates/moleroad_gateway/src/front/answer.rs
@@ -1,5 +1,6 @@
 //! Answers that the entry generates itself, and the body type of all answers.
 
+use crate::front::parts::PartReceiver;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -7,7 +8,6 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use tokio::sync::mpsc;
 
 /// Largest part of a whole body that is handed to the HTTP server at a time, in bytes.
 const MAX_PART_BYTES: usize = 64 << 10;
@@ -16,9 +16,8 @@
 pub enum AnswerBody {
     /// The complete body; `None` once it was taken, or if it is empty.
     Whole(Option<Bytes>),
-    /// Parts as they arrive; an error aborts the answer so that the caller does not
-    /// take it as complete.
-    Parts(mpsc::Receiver<io::Result<Bytes>>),
+    /// Parts as they arrive.
+    Parts(PartReceiver),
 }
 
 impl Body for AnswerBody {
@@ -32,7 +31,7 @@
         match &mut *self {
             AnswerBody::Whole(bytes) => Poll::Ready(next_part(bytes).map(|b| Ok(Frame::data(b)))),
             AnswerBody::Parts(parts) => parts
-                .poll_recv(context)
+                .poll_part(context)
                 .map(|part| part.map(|part| part.map(Frame::data))),
         }
     }
--- a/crates/moleroad_gateway/src/front/mod.rs
+++ b/crates/moleroad_gateway/src/front/mod.rs
@@ -16,6 +16,7 @@
 //! - [`buffered`] reads a complete answer before forwarding it.
 //! - `first_events` waits for the beginning of a stream.
 //! - [`stream`] forwards event streams and resumes them at another target.
+//! - [`parts`] hands the parts of a stream to its caller.
 //! - [`events`] splits a byte stream into events.
 //! - [`answer`] defines the answers that the entry generates itself.
 
@@ -30,6 +31,7 @@
 pub mod exchange;
 mod first_events;
 pub mod give_up;
+pub mod parts;
 mod pending_send;
 pub mod pool;
 pub mod request;
--- a/crates/moleroad_gateway/src/front/stream.rs
+++ b/crates/moleroad_gateway/src/front/stream.rs
@@ -12,18 +12,16 @@
 use crate::front::exchange::ReplyClass;
 use crate::front::first_events::{FirstEvents, first_events};
 use crate::front::give_up::{GiveUp, attach_last_send, forwarded_answer};
+use crate::front::parts::{CallerLeft, PartSender, answer_parts};
 use crate::front::pending_send::{AfterSilence, BodyFrame};
 use crate::front::request::AcceptedRequest;
 use crate::front::silence_timeouts;
-use crate::held_bytes::PART_BUFFER;
 use crate::node::Node;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use moleroad_dispatch::prelude::Outcome;
-use std::io;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 /// Time between two checks whether held bytes have become fewer.
@@ -135,7 +133,7 @@
     splitter: EventSplitter,
     events: Bytes,
 ) -> Answer {
-    let (parts, body) = mpsc::channel(PART_BUFFER);
+    let (parts, body) = answer_parts();
     let mut answer = forwarded_answer(&running.reply, AnswerBody::Parts(body));
     attach_last_send(&attempts, &mut answer);
     let relay = Relay {
@@ -152,12 +150,12 @@
     node: Arc<Node>,
     attempts: Attempts,
     splitter: EventSplitter,
-    parts: mpsc::Sender<io::Result<Bytes>>,
+    parts: PartSender,
 }
 
 impl Relay {
     async fn run(mut self, mut running: RunningSend, first: Bytes) {
-        if self.parts.send(Ok(first)).await.is_err() {
+        if self.parts.send(first).await.is_err() {
             return;
         }
         loop {
@@ -169,10 +167,11 @@
                     }
                     running.slot.set_outcome(Outcome::Answered);
                     running.reply.keep_connection(&self.node);
-                    return self.log_end("complete");
+                    self.log_end("complete");
+                    return self.parts.finish();
                 }
                 StreamEnd::CallerLeft => return self.log_end("caller_left"),
-                StreamEnd::DeadlinePassed => return self.abort("time_over").await,
+                StreamEnd::DeadlinePassed => return self.log_end("time_over"),
                 StreamEnd::Broken(by) => {
                     if by == BrokenBy::Target {
                         self.attempts
@@ -186,7 +185,7 @@
                     self.splitter.discard_partial_event();
                     match self.resume().await {
                         Some(next) => running = next,
-                        None => return self.abort("not_resumed").await,
+                        None => return self.log_end("not_resumed"),
                     }
                 }
             }
@@ -203,7 +202,7 @@
             let limit = until.min(look);
             let frame = tokio::select! {
                 biased;
-                () = self.parts.closed() => return StreamEnd::CallerLeft,
+                () = self.parts.caller_left() => return StreamEnd::CallerLeft,
                 frame = tokio::time::timeout_at(limit, running.reply.body.frame()) => frame,
             };
             let frame = match frame {
@@ -255,8 +254,7 @@
             self.node
                 .record_sound_parts(&self.attempts.request.suspects);
         }
-        let delivered = self.deliver(events, until).await;
-        (!delivered).then_some(StreamEnd::CallerLeft)
+        self.deliver(events, until).await.err()
     }
 
     /// Looks for another target for a silent stream. Returns the next frame of the silent
@@ -267,10 +265,9 @@
         running: &mut RunningSend,
     ) -> Result<Option<BodyFrame>, StreamEnd> {
         let last = self.splitter.last_id().cloned();
-        let parts = self.parts.clone();
         let after = tokio::select! {
             biased;
-            () = parts.closed() => return Err(StreamEnd::CallerLeft),
+            () = self.parts.caller_left() => return Err(StreamEnd::CallerLeft),
             after = self.attempts.race_silent_stream(running, last.as_ref()) => after,
         };
         match after {
@@ -309,17 +306,25 @@
         loop {
             match self.node.held_bytes.hold(events) {
                 Ok(held) => return held,
-                Err(events) if self.parts.capacity() == PART_BUFFER => return events,
+                Err(events) if self.parts.is_drained() => return events,
                 Err(unheld) => events = unheld,
             }
             tokio::time::sleep(HELD_CHECK_INTERVAL).await;
         }
     }
 
-    async fn deliver(&self, events: Bytes, until: Instant) -> bool {
-        let sending = async { self.parts.send(Ok(self.hold(events).await)).await };
-        let sent = tokio::time::timeout_at(until, sending).await;
-        matches!(sent, Ok(Ok(())))
+    /// Hands events over to the caller, who may read slowly, until the deadline of the
+    /// request.
+    ///
+    /// # Errors
+    /// Returns how the stream ended if the events were not handed over.
+    async fn deliver(&self, events: Bytes, until: Instant) -> Result<(), StreamEnd> {
+        let sending = async { self.parts.send(self.hold(events).await).await };
+        match tokio::time::timeout_at(until, sending).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(CallerLeft)) => Err(StreamEnd::CallerLeft),
+            Err(_) => Err(StreamEnd::DeadlinePassed),
+        }
     }
 
     async fn resume(&mut self) -> Option<RunningSend> {
@@ -327,10 +332,9 @@
             return None;
         }
         let last = self.splitter.last_id().cloned();
-        let parts = self.parts.clone();
         let next = tokio::select! {
             biased;
-            () = parts.closed() => return None,
+            () = self.parts.caller_left() => return None,
             next = self.attempts.next_run(last.as_ref()) => next,
         };
         let outcome = match &next {
@@ -355,13 +359,6 @@
         );
     }
 
-    /// Aborts the answer so that the caller does not take it as complete.
-    async fn abort(self, reason: &str) {
-        self.log_end(reason);
-        let broken = io::Error::new(io::ErrorKind::ConnectionAborted, "stream broke off");
-        let _ = self.parts.send(Err(broken)).await;
-    }
-
     fn log_end(&self, reason: &str) {
         self.node.metrics.count(match reason {
             "complete" => "stream_complete",
