Believe the origin's digests only once two reads agree

Cause: a manifest has no checksum; it was believed at its first read, kept, handed to all agents, and nothing led back to it. The piece with the wrong digest was fetched and rejected for good.

Change: the agent that asks the origin believes digests once two of its reads agree (`AgreedReads`), four reads at a time at most; `digests_differ` says where none do.

Why it works: two reads that were corrupted alike are not to be expected, and agents hand on only what was agreed.

Open: a manifest that the origin itself sends wrong twice alike.

--- a/crates/moleroad_gateway/src/agent/digests.rs
+++ b/crates/moleroad_gateway/src/agent/digests.rs
@@ -17,9 +17,18 @@
 
 /// Time limit for a digests request.
 const DIGESTS_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Largest number of digests requests to the origin without a pause.
+const MAX_READS_AT_A_TIME: u32 = 4;
 /// Largest text of one digest in an answer, in bytes.
 const MAX_DIGEST_BYTES: usize = 128;
 
+/// What this agent knows of the origin's answers to digests requests.
+#[derive(Default)]
+pub struct OriginDigests {
+    backoff: Backoff,
+    reads: AgreedReads<PieceDigests>,
+}
+
 /// Returns the digests of a version. They are requested from an agent that has
 /// them, or from the origin if this agent is responsible for that or no other
 /// agent has had them for `idle_ms`.
@@ -27,7 +36,7 @@
     node: &Arc<Node>,
     wanted: &WantedVersion,
     idle_ms: u64,
-    origin_backoff: &mut Backoff,
+    from_origin: &mut OriginDigests,
 ) -> Option<PieceDigests> {
     let model = &wanted.model.model;
     if let Some(digests) = node.cached_digests(model, wanted.version) {
@@ -50,26 +59,56 @@
         }
     }
     let may_ask_origin = may_ask_origin_for_digests(is_responsible, holder_result)
-        && !origin_backoff.is_active(node.clock.now());
+        && !from_origin.backoff.is_active(node.clock.now());
     for origin in origins.iter().filter(|_| may_ask_origin) {
-        let request = node
-            .interface
-            .request_digests(&wanted.model.model, wanted.version);
-        let answer = call_once(node, origin.address, request, digest_limits(wanted)).await;
-        if let Ok((status, body)) = answer
-            && status.is_success()
-            && let Some(digests) = node.interface.read_digests(&body)
-        {
-            origin_backoff.record_result(node.clock.now(), true, 0);
-            if digests.version == wanted.version {
-                return store_and_forward(node, wanted, SharedDigests(digests.digests));
-            }
+        if let Some(digests) = from_origin.read(node, wanted, origin.address).await {
+            return store_and_forward(node, wanted, SharedDigests(digests.digests));
         }
-        origin_backoff.record_result(node.clock.now(), false, rand::random());
     }
     None
 }
 
+impl OriginDigests {
+    /// Requests the digests from the origin until two answers agree, which carry no checksum
+    /// of their own.
+    async fn read(
+        &mut self,
+        node: &Node,
+        wanted: &WantedVersion,
+        origin: SocketAddr,
+    ) -> Option<PieceDigests> {
+        for _ in 0..MAX_READS_AT_A_TIME {
+            let read = request_digests(node, wanted, origin).await;
+            let is_read = read.is_some();
+            self.backoff
+                .record_result(node.clock.now(), is_read, rand::random());
+            let digests = read?;
+            if let Some(agreed) = self.reads.add(digests) {
+                return Some(agreed);
+            }
+        }
+        log::info!(event = "digests_differ", version = wanted.version; "");
+        node.metrics.count("digests_differ");
+        None
+    }
+}
+
+/// Requests the digests of a version from the origin.
+async fn request_digests(
+    node: &Node,
+    wanted: &WantedVersion,
+    origin: SocketAddr,
+) -> Option<PieceDigests> {
+    let model = &wanted.model;
+    let request = node.interface.request_digests(&model.model, wanted.version);
+    let limits = digest_limits(wanted);
+    let (status, body) = call_once(node, origin, request, limits).await.ok()?;
+    let digests = node.interface.read_digests(&body).filter(|digests| {
+        digests.version == wanted.version && digests.digests.len() == model.pieces as usize
+    });
+    digests.filter(|_| status.is_success())
+}
+
 /// Returns the limits of the origin's answer to a digests request.
 fn digest_limits(wanted: &WantedVersion) -> CallLimits {
     CallLimits {
--- a/crates/moleroad_gateway/src/agent/update_loop.rs
+++ b/crates/moleroad_gateway/src/agent/update_loop.rs
@@ -2,14 +2,14 @@
 //! memory and another stages them and makes the engine load them, so that the
 //! next version is fetched while an earlier one is being loaded.
 
-use crate::agent::digests::{digests, live_agents};
+use crate::agent::digests::{OriginDigests, digests, live_agents};
 use crate::agent::fetch::{Fetch, FetchOutcome, Fetched};
 use crate::agent::{pieces, store, switch};
 use crate::experiments::Mechanism;
 use crate::node::Node;
 use crate::peer::CatalogModel;
 use moleroad_directory::target::complete_version;
-use moleroad_rollout::prelude::{Backoff, fallback};
+use moleroad_rollout::prelude::fallback;
 use moleroad_types::prelude::Millis;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,7 +37,7 @@
     tokio::spawn(load_fetched(node.clone(), fetched_receiver));
     let mut without_digests: Option<(u64, Millis)> = None;
     let mut stalled: Option<u64> = None;
-    let mut origin_backoff = Backoff::default();
+    let mut from_origin = OriginDigests::default();
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let Some(newest) = wanted_version(&node) else {
@@ -66,7 +66,7 @@
         if waited_ms == 0 {
             log::info!(event = "digests_wanted", version = wanted.version; "");
         }
-        let Some(digests) = digests(&node, &wanted, waited_ms, &mut origin_backoff).await else {
+        let Some(digests) = digests(&node, &wanted, waited_ms, &mut from_origin).await else {
             if !is_fallback && waited_ms >= DIGESTS_FALLBACK_AFTER_MS {
                 stalled = Some(wanted.version);
             }
--- a/crates/moleroad_rollout/src/lib.rs
+++ b/crates/moleroad_rollout/src/lib.rs
@@ -10,7 +10,7 @@
 //! fetch when the newest one does not arrive, [`superseded`] when a fetch is abandoned
 //! for a newer version, [`arrival`] when the weights are expected, [`waves`] when an
 //! engine may switch its weights, [`switch`] by which steps it does, [`staged_check`]
-//! what permits the order, and [`old_weights`] until when it may serve older ones.
+//! what permits the order, [`agreed_reads`] when digests are believed, and [`old_weights`] until when it may serve older ones.
 //!
 //! ```
 //! use moleroad_rollout::prelude::*;
@@ -20,6 +20,7 @@
 //! ```
 #![warn(missing_docs)]
 
+pub mod agreed_reads;
 pub mod arrival;
 pub mod backoff;
 pub mod choice;
@@ -35,6 +36,7 @@
 
 /// The types that most users of the crate need.
 pub mod prelude {
+    pub use crate::agreed_reads::AgreedReads;
     pub use crate::arrival::ArrivalEstimate;
     pub use crate::backoff::Backoff;
     pub use crate::choice::{
