Accept pieces up to 16 MiB where their size is not configured

Cause: since answers to an agent are bounded by what it asks for, pieces of a configuration without ChunkBytes (size 0) were all refused; found in reading the diff, before any landing. pieces_whose_size_is_not_configured_are_fetched failed before (not served in 40 s).

--- a/crates/moleroad_gateway/src/agent/store.rs
+++ b/crates/moleroad_gateway/src/agent/store.rs
@@ -143,7 +143,7 @@
 fn read_limits(model: &CatalogModel) -> CallLimits {
     CallLimits {
         timeout: STORE_TIMEOUT,
-        max_bytes: model.piece_bytes as usize,
+        max_bytes: model.max_piece_bytes(),
     }
 }
 
--- a/crates/moleroad_gateway/src/agent/transfer.rs
+++ b/crates/moleroad_gateway/src/agent/transfer.rs
@@ -94,7 +94,7 @@
         .request_piece(&wanted.model.model, wanted.version, piece);
     let limits = CallLimits {
         timeout: PIECE_TIMEOUT,
-        max_bytes: wanted.model.piece_bytes as usize,
+        max_bytes: wanted.model.max_piece_bytes(),
     };
     let answer = call_once(node, address, request, limits).await;
     let (status, bytes) = answer.map_err(|failure| match failure {
--- a/crates/moleroad_gateway/src/peer.rs
+++ b/crates/moleroad_gateway/src/peer.rs
@@ -71,6 +71,9 @@
     pub age_ms: u64,
 }
 
+/// Largest piece that is accepted if the size of pieces is unknown, in bytes.
+const MAX_UNKNOWN_PIECE_BYTES: usize = 16 << 20;
+
 /// A model that the engines of a service run.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CatalogModel {
@@ -82,13 +85,21 @@
     pub layers: u32,
     /// Number of pieces that the weights are split into.
     pub pieces: u32,
-    /// Size of a piece, in bytes.
+    /// Size of a piece, in bytes; 0 if unknown.
     pub piece_bytes: u64,
     /// Typical duration of a request, in milliseconds.
     pub usual_request_ms: u64,
 }
 
 impl CatalogModel {
+    /// Returns the largest size that a piece may have, in bytes.
+    pub fn max_piece_bytes(&self) -> usize {
+        match self.piece_bytes {
+            0 => MAX_UNKNOWN_PIECE_BYTES,
+            known => usize::try_from(known).unwrap_or(usize::MAX),
+        }
+    }
+
     /// Returns the part number of the digests among the distributed parts of a
     /// version. They come after the pieces.
     pub fn digests_part(&self) -> u32 {
