Put an engine back into service whose store does not answer

Callers would lose the engine for good: since orders need a recent check, an engine that answers polls but no reads from its store would be checked again and again while out of service. A check that the engine left unanswered now counts as an engine that was silent: it serves again, and the next check begins after a pause.

Test: an_engine_whose_store_does_not_answer_is_put_back_into_service failed before.

--- a/crates/moleroad_rollout/src/switch.rs
+++ b/crates/moleroad_rollout/src/switch.rs
@@ -58,6 +58,8 @@
     parallel_reads: usize,
     /// Number of reads at a time of the last check.
     checked_with: usize,
+    /// Whether the engine left a read of the last check unanswered.
+    was_silent: bool,
 }
 
 impl Switch {
@@ -70,6 +72,7 @@
             ordered_at: None,
             parallel_reads: FIRST_PARALLEL_READS,
             checked_with: 0,
+            was_silent: false,
         }
     }
 
@@ -82,6 +85,11 @@
     /// Returns the next step. `may_begin` says whether the engine may be taken out of
     /// service now.
     pub fn next(&mut self, now: Millis, engine: EngineObservation, may_begin: bool) -> SwitchStep {
+        // An engine that answers polls but no reads must not stay out of service.
+        let engine = match std::mem::take(&mut self.was_silent) {
+            true => EngineObservation::Silent,
+            false => engine,
+        };
         if let Some(ordered_at) = self.ordered_at {
             return self.after_order(now, ordered_at, engine);
         }
@@ -105,6 +113,7 @@
     /// Records the result of a check that ended at `now`; `None` if the engine did not
     /// answer all reads.
     pub fn record_check(&mut self, now: Millis, check: Option<StagedCheck>) {
+        self.was_silent = check.is_none();
         self.checked_with = self.parallel_reads;
         // More reads at a time, so that a store whose single reads are fast enough is
         // checked in time.
--- a/crates/moleroad_rollout/tests/switch.rs
+++ b/crates/moleroad_rollout/tests/switch.rs
@@ -73,6 +73,23 @@
     assert_eq!(step, SwitchStep::Check { parallel_reads: 1 });
 }
 
+/// Guards against an engine that is kept out of service since its store does not answer.
+#[test]
+fn an_engine_whose_store_does_not_answer_is_put_back_into_service() {
+    let now = Millis(10_000);
+    let mut switch = withdrawn(now);
+    let step = switch.next(now + 3_000, EngineObservation::Ready, true);
+    assert_eq!(step, SwitchStep::Check { parallel_reads: 1 });
+    switch.record_check(now + 3_100, None);
+    let step = switch.next(now + 3_100, EngineObservation::Ready, true);
+    assert_eq!(step, SwitchStep::Restore);
+    let step = switch.next(now + 3_140, EngineObservation::Ready, true);
+    assert_eq!(step, SwitchStep::Check { parallel_reads: 1 });
+    switch.record_check(now + 3_200, None);
+    let step = switch.next(now + 3_200, EngineObservation::Ready, true);
+    assert_eq!(step, SwitchStep::Wait);
+}
+
 #[test]
 fn an_engine_that_leaves_is_not_ordered_any_more() {
     let now = Millis(10_000);
