--- a/crates/moleroad_gateway/src/front/answer.rs
+++ b/crates/moleroad_gateway/src/front/answer.rs
@@ -78,6 +78,9 @@
     BodyTimeout,
     /// The body is too large.
     TooLarge,
+    /// This process holds too many bytes of requests and answers; the request did not
+    /// run.
+    OutOfMemory,
     /// No target has room; the request did not run.
     NoPlace,
     /// All targets are in evacuated data halls; the request did not run.
@@ -146,6 +149,11 @@
                 "MR-6206",
                 "the body is too large; not run",
             ),
+            OutOfMemory => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "MR-6218",
+                "this entry has no memory for its body; not run",
+            ),
             NoPlace => (
                 StatusCode::SERVICE_UNAVAILABLE,
                 "MR-6207",
--- a/crates/moleroad_gateway/src/front/request.rs
+++ b/crates/moleroad_gateway/src/front/request.rs
@@ -1,8 +1,9 @@
 //! Reads and validates a caller's request.
 
 use crate::front::answer::EntryError;
+use crate::held_bytes::HeldBody;
 use crate::node::Node;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{
@@ -220,20 +221,21 @@
         return Ok(Bytes::new());
     }
     let until = node.clock.instant(arrived + limits.header_timeout_ms);
-    let reading = collect(Limited::new(body, limits.max_body_bytes));
+    let held = HeldBody::new(&node.held_bytes);
+    let reading = collect(Limited::new(body, limits.max_body_bytes), held);
     match tokio::time::timeout_at(until, reading).await {
         Ok(result) => result,
         Err(_) => Err(EntryError::BodyTimeout),
     }
 }
 
-async fn collect(mut body: Limited<Incoming>) -> Result<Bytes, EntryError> {
-    let mut bytes = BytesMut::new();
+async fn collect(mut body: Limited<Incoming>, mut held: HeldBody) -> Result<Bytes, EntryError> {
     while let Some(frame) = body.frame().await {
         match frame {
             Ok(frame) => {
-                if let Ok(data) = frame.into_data() {
-                    bytes.extend_from_slice(&data);
+                let data = frame.into_data().unwrap_or_default();
+                if !held.push(&data) {
+                    return Err(EntryError::OutOfMemory);
                 }
             }
             Err(error) if error.is::<http_body_util::LengthLimitError>() => {
@@ -242,5 +244,5 @@
             Err(_) => return Err(EntryError::BadRequest),
         }
     }
-    Ok(bytes.freeze())
+    Ok(held.into_bytes())
 }
--- a/crates/moleroad_gateway/src/front/serve.rs
+++ b/crates/moleroad_gateway/src/front/serve.rs
@@ -93,6 +93,7 @@
     match error {
         EntryError::NoConfiguration => Some(NO_CONFIGURATION_RETRY_MS),
         EntryError::BodyTimeout => Some(0),
+        EntryError::OutOfMemory => Some(OUT_OF_MEMORY_RETRY_MS),
         _ => None,
     }
 }
@@ -100,6 +101,9 @@
 /// Retry delay while no configuration is known, in milliseconds.
 const NO_CONFIGURATION_RETRY_MS: u64 = 300;
 
+/// Retry delay while this process holds too many bytes, in milliseconds.
+const OUT_OF_MEMORY_RETRY_MS: u64 = 1_000;
+
 /// Log fields of a request that was read and validated.
 struct RequestSummary {
     route: String,
--- a/crates/moleroad_gateway/src/held_bytes.rs
+++ b/crates/moleroad_gateway/src/held_bytes.rs
@@ -1,20 +1,20 @@
-//! Bounds the bytes of answers that this process holds for callers who have not taken them
-//! yet.
+//! Bounds the bytes of requests and answers that this process holds: bodies that arrive, and
+//! answers that callers have not taken yet.
 
 use bytes::{Bytes, BytesMut};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-/// Part of the process's memory that held answers may use together, as a divisor.
+/// Part of the process's memory that held bodies may use together, as a divisor.
 const MEMORY_DIVISOR: usize = 4;
-/// Bytes of each answer that may be held in any case, so that small answers are never lost
-/// to large ones.
+/// Bytes of each body that may be held in any case, so that small ones are never lost to
+/// large ones.
 const FREE_BYTES: usize = 64 << 10;
 
 /// Number of parts of a stream that are buffered for a slow caller.
 pub const PART_BUFFER: usize = 16;
 
-/// The bytes held by all answers beyond [`FREE_BYTES`] each.
+/// The bytes held by all bodies beyond [`FREE_BYTES`] each.
 #[derive(Clone, Debug)]
 pub struct HeldBytes {
     used: Arc<AtomicUsize>,
@@ -35,7 +35,7 @@
         self.used.load(Ordering::Relaxed)
     }
 
-    /// Begins to hold an answer, of which nothing has arrived.
+    /// Begins to hold a body, of which nothing has arrived.
     pub fn reservation(&self) -> Reservation {
         Reservation {
             held: self.clone(),
@@ -47,7 +47,7 @@
     /// for a whole buffer of them to be free do not count.
     ///
     /// # Errors
-    /// Returns the part if all answers together would hold too many bytes.
+    /// Returns the part if all bodies together would hold too many bytes.
     pub fn hold(&self, part: Bytes) -> Result<Bytes, Bytes> {
         if part.len() * PART_BUFFER <= FREE_BYTES {
             return Ok(part);
@@ -74,7 +74,7 @@
     }
 }
 
-/// The bytes that one answer may hold; returned when dropped.
+/// The bytes that one body may hold; returned when dropped.
 #[derive(Debug)]
 pub struct Reservation {
     held: HeldBytes,
@@ -82,8 +82,8 @@
 }
 
 impl Reservation {
-    /// Changes the number of bytes that the answer holds. Returns false, and changes
-    /// nothing, if all answers together would hold too many.
+    /// Changes the number of bytes that the body holds. Returns false, and changes
+    /// nothing, if all bodies together would hold too many.
     pub fn resize(&mut self, bytes: usize) -> bool {
         let wanted = bytes.saturating_sub(FREE_BYTES);
         if wanted > self.reserved && !self.held.try_add(wanted - self.reserved) {
@@ -128,7 +128,7 @@
         self.bytes.is_empty()
     }
 
-    /// Adds bytes. Returns false, and adds nothing, if all answers together would hold too
+    /// Adds bytes. Returns false, and adds nothing, if all bodies together would hold too
     /// many.
     #[must_use]
     pub fn push(&mut self, bytes: &[u8]) -> bool {
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -50,7 +50,7 @@
     pub control_member: Option<ControlMember>,
     /// Pooled connections to targets.
     pub pool: Pool,
-    /// Bytes of answers that callers have not taken yet.
+    /// Bytes of requests and answers that this process holds.
     pub held_bytes: HeldBytes,
     /// Metrics.
     pub metrics: Metrics,
