--- a/crates/moleroad_gateway/src/front/pool.rs
+++ b/crates/moleroad_gateway/src/front/pool.rs
@@ -43,7 +43,7 @@
 }
 
 impl Connection {
-    /// Closes the connection if more than [`MAX_INTERIM_RESPONSES`] precede the answer to
+    /// Closes the connection if too many interim responses (1xx) precede the answer to
     /// `message`.
     pub fn bound_interim_responses(&self, message: &mut Request<Full<Bytes>>) {
         let driver = self.driver.clone();
--- a/crates/moleroad_gateway/src/held_bytes.rs
+++ b/crates/moleroad_gateway/src/held_bytes.rs
@@ -14,7 +14,7 @@
 /// Number of parts of a stream that are buffered for a slow caller.
 pub const PART_BUFFER: usize = 16;
 
-/// The bytes held by all bodies beyond [`FREE_BYTES`] each.
+/// The bytes held by all bodies together. What each may hold in any case does not count.
 #[derive(Clone, Debug)]
 pub struct HeldBytes {
     used: Arc<AtomicUsize>,
