--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! was broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 it leaves out the
 //! disruption.
 
+mod cut_engine;
 mod http;
 mod late_heartbeat;
 mod record;
@@ -23,11 +24,16 @@
 fn main() {
     let mut arguments = std::env::args().skip(1);
     let case = arguments.next().unwrap_or_default();
+    if case == "engine" {
+        let [id, address] = [(); 2].map(|()| arguments.next().unwrap_or_default());
+        return cut_engine::run_engine(&id, &address);
+    }
     let path = arguments.next().unwrap_or_else(|| "record.txt".into());
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(Path::new(&path));
     record.note(&format!("case {case}, TROUBLE={}", u8::from(trouble)));
     let play: fn(Record, bool) -> Result<Outcome, String> = match case.as_str() {
+        "cut-engine" => cut_engine::play,
         "late-heartbeat" => late_heartbeat::play,
         "removed-service" => removed_service::play,
         "stop-long" => stop_long::play,
