--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,9 +5,9 @@
 mod cut_engine;
 mod http;
 mod late_heartbeat;
+mod lost_control;
 mod record;
 mod removed_service;
-mod stop_long;
 mod stop_slow_reader;
 mod system;
 mod target;
@@ -35,8 +35,8 @@
     let play: fn(Record, bool) -> Result<Outcome, String> = match case.as_str() {
         "cut-engine" => cut_engine::play,
         "late-heartbeat" => late_heartbeat::play,
+        "lost-control" => lost_control::play,
         "removed-service" => removed_service::play,
-        "stop-long" => stop_long::play,
         "stop-slow-reader" => stop_slow_reader::play,
         _ => {
             eprintln!("no such case: {case}");
