Control members are logged by id and address

The lines could not tell two members at one address from two leaders that were really elected: control_members had counts only. Change: the line names each member by id, address and role. Ruled out: nothing yet.

--- a/crates/moleroad_gateway/src/control_member/member.rs
+++ b/crates/moleroad_gateway/src/control_member/member.rs
@@ -339,6 +339,7 @@
             voters = members.voters.len() as u64,
             learners = members.learners.len() as u64,
             changing = members.is_joint(),
+            members = describe_members(members).as_str(),
             replaced = self.replaced || members.voters.iter().any(is_new);
             ""
         );
@@ -356,6 +357,20 @@
     }
 }
 
+/// Lists the members as `id@address`, marked as voters, outgoing voters and learners.
+fn describe_members(configuration: &Configuration) -> String {
+    let describe = |info: &MemberInfo| {
+        let role = match info.id {
+            id if configuration.voters.contains(&id) => "voter",
+            id if configuration.outgoing.contains(&id) => "outgoing",
+            _ => "learner",
+        };
+        format!("{}@{} {role}", info.id, info.address)
+    };
+    let members: Vec<String> = configuration.members.values().map(describe).collect();
+    members.join(", ")
+}
+
 fn snapshot_state(restored: &Restored) -> ControlState {
     restored
         .snapshot
