A control member takes only messages that are for it

A machine that lost its disk led the group, and its control thread ended with "two leaders in one term". Cause of the panic: a message named its sender and not its receiver. A connection knows only the address, so the leader's messages to its former identity came back to itself, and an assertion took input for its own state. Ruled out: two leaders that were really elected (one address in all lines of the term); a late message of an earlier term (same term, 1 ms after the election). Change: a message names the member it is for. The sender learns who is there now. Nothing is sent to one's own address. The tests' network delivers by address.

--- a/crates/moleroad_consensus/src/member.rs
+++ b/crates/moleroad_consensus/src/member.rs
@@ -84,6 +84,15 @@
         self.voters.is_empty()
     }
 
+    /// Returns whether there are voters and every member is described.
+    pub fn is_complete(&self) -> bool {
+        !self.is_empty()
+            && self
+                .member_ids()
+                .iter()
+                .all(|id| self.members.get(id).is_some_and(|info| info.id == *id))
+    }
+
     /// Returns the ids of all voters of both sets and of all learners.
     pub fn member_ids(&self) -> BTreeSet<MemberId> {
         let voters = self.voters.union(&self.outgoing).copied();
--- a/crates/moleroad_consensus/src/replica.rs
+++ b/crates/moleroad_consensus/src/replica.rs
@@ -117,7 +117,11 @@
         let mut actions = Vec::new();
         match event {
             Event::Tick => self.tick(now, &mut actions),
-            Event::Receive { from, message } => {
+            Event::Receive { from, to, message } => {
+                if let Some(rejection) = self.rejection(now, &from, to, &message) {
+                    actions.push(Action::Dropped { from, rejection });
+                    return actions;
+                }
                 let id = from.id;
                 self.last_sender = Some(from);
                 self.receive(now, id, message, &mut actions);
@@ -292,7 +296,12 @@
 
     pub(crate) fn send(&self, to: MemberId, message: Message, actions: &mut Vec<Action>) {
         let last_sender = self.last_sender.as_ref().filter(|info| info.id == to);
-        if let Some(info) = self.configuration.members.get(&to).or(last_sender) {
+        let members = &self.configuration.members;
+        // A former identity of this instance has this member's address.
+        let own_address = members.get(&self.id).map(|own| own.address);
+        if let Some(info) = members.get(&to).or(last_sender)
+            && own_address != Some(info.address)
+        {
             actions.push(Action::Send {
                 to: info.clone(),
                 message,
--- a/crates/moleroad_consensus/tests/support/mod.rs
+++ b/crates/moleroad_consensus/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
 /// Content of a [`CrashDisk`].
@@ -160,7 +161,7 @@
 struct InFlight {
     due: u64,
     from: MemberInfo,
-    to: MemberId,
+    to: MemberInfo,
     message: Message,
 }
 
@@ -225,13 +226,25 @@
         group
     }
 
-    /// Adds a member with an empty disk and starts it.
+    /// Adds a member with an empty disk at an address of its own and starts it.
     pub fn add_member(&mut self, id: u64, instance: &str) -> MemberInfo {
-        let info = MemberInfo::new(
-            MemberId(id),
-            instance,
-            format!("127.0.0.1:{}", 1_000 + id).parse().unwrap(),
-        );
+        let address = format!("127.0.0.1:{}", 1_000 + id % 50_000)
+            .parse()
+            .unwrap();
+        self.start_empty(MemberInfo::new(MemberId(id), instance, address))
+    }
+
+    /// Starts the instance of the lost member `lost` again, at its address, with
+    /// an empty disk: as the member `id`.
+    pub fn restart_empty(&mut self, lost: &MemberInfo, id: u64) -> MemberInfo {
+        let info = MemberInfo {
+            id: MemberId(id),
+            ..lost.clone()
+        };
+        self.start_empty(info)
+    }
+
+    fn start_empty(&mut self, info: MemberInfo) -> MemberInfo {
         let clock_offset = self.random.random_range(0..100_000);
         let member = Member {
             info: info.clone(),
@@ -329,7 +342,7 @@
             return false;
         }
         match action {
-            Action::Send { to, message } => self.send(info, to.id, message),
+            Action::Send { to, message } => self.send(info, to, message),
             Action::Apply(entries) => entries.into_iter().for_each(|entry| self.apply(id, entry)),
             Action::Restore(snapshot) => {
                 running.state = decode(&snapshot.state);
@@ -381,10 +394,8 @@
         }
     }
 
-    fn send(&mut self, from: MemberInfo, to: MemberId, message: Message) {
-        if self.blocked_links.contains(&(from.id, to))
-            || self.random.random_ratio(self.loss_percent, 100)
-        {
+    fn send(&mut self, from: MemberInfo, to: MemberInfo, message: Message) {
+        if self.is_blocked(&from, &to) || self.random.random_ratio(self.loss_percent, 100) {
             return;
         }
         let copies = if self.random.random_ratio(2, 100) {
@@ -397,12 +408,40 @@
             self.network.push(InFlight {
                 due,
                 from: from.clone(),
-                to,
+                to: to.clone(),
                 message: message.clone(),
             });
         }
     }
 
+    /// Announces each running member to the leader, as far as they reach each other.
+    pub fn announce_all(&mut self) {
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        let is_announced = |member: &&Member| {
+            let link = (member.info.id, leader);
+            member.running.is_some() && !member.frozen && !self.blocked_links.contains(&link)
+        };
+        let announced = self.members.values().filter(is_announced);
+        let infos: Vec<MemberInfo> = announced.map(|member| member.info.clone()).collect();
+        for info in infos {
+            self.event(leader, Event::SpareSeen(info));
+        }
+    }
+
+    /// Returns the member that listens at `address`.
+    pub fn member_at(&self, address: SocketAddr) -> Option<MemberId> {
+        let members = self.members.values();
+        let mut listening = members.filter(|member| member.info.address == address);
+        listening.next().map(|member| member.info.id)
+    }
+
+    fn is_blocked(&self, from: &MemberInfo, to: &MemberInfo) -> bool {
+        self.member_at(to.address)
+            .is_some_and(|receiver| self.blocked_links.contains(&(from.id, receiver)))
+    }
+
     /// Advances the simulation by `milliseconds`.
     pub fn run(&mut self, milliseconds: u64) {
         let end = self.now + milliseconds;
@@ -417,8 +456,13 @@
                 from, to, message, ..
             } in due
             {
-                if !self.blocked_links.contains(&(from.id, to)) {
-                    self.event(to, Event::Receive { from, message });
+                if self.is_blocked(&from, &to) {
+                    continue;
+                }
+                // The network knows addresses only.
+                if let Some(receiver) = self.member_at(to.address) {
+                    let to = to.id;
+                    self.event(receiver, Event::Receive { from, to, message });
                 }
             }
             let ids: Vec<MemberId> = self.members.keys().copied().collect();
--- a/crates/moleroad_gateway/src/control_member/member.rs
+++ b/crates/moleroad_gateway/src/control_member/member.rs
@@ -40,6 +40,7 @@
     proposals_by_index: BTreeMap<LogIndex, (Term, ProposalTicket)>,
     published_leader: Option<(Term, Option<MemberId>)>,
     logged_members: Option<Configuration>,
+    last_dropped: Option<(MemberId, Rejection)>,
     /// Whether a new voter has joined the group since this process started.
     replaced: bool,
     reopen_at: Millis,
@@ -74,6 +75,7 @@
             proposals_by_index: BTreeMap::new(),
             published_leader: None,
             logged_members: None,
+            last_dropped: None,
             replaced: false,
             reopen_at: Millis(0),
             retired: false,
@@ -117,8 +119,8 @@
 
     fn handle_input(&mut self, input: MemberInput, proposals: &mut Vec<Proposal>) {
         match input {
-            MemberInput::Receive(from, message) => {
-                self.handle_event(Event::Receive { from, message })
+            MemberInput::Receive { from, to, message } => {
+                self.handle_event(Event::Receive { from, to, message })
             }
             MemberInput::Spare(info) => self.handle_event(Event::SpareSeen(info)),
             MemberInput::Propose(command, reply) => {
@@ -196,6 +198,7 @@
             Action::Send { to, message } => {
                 let _ = self.output.send(MemberOutput::Send(to, message));
             }
+            Action::Dropped { from, rejection } => self.report_dropped(from, rejection),
             Action::Restore(snapshot) => {
                 self.state = Arc::new(decode_state(&snapshot));
                 self.publish_state();
@@ -220,6 +223,22 @@
         Ok(())
     }
 
+    /// Counts a dropped message, and logs the first one of a series.
+    fn report_dropped(&mut self, from: MemberInfo, rejection: Rejection) {
+        let latest = Some((from.id, rejection));
+        if self.last_dropped != latest {
+            self.last_dropped = latest;
+            log::warn!(
+                event = "control_message_dropped",
+                from:% = from.id,
+                at:% = from.address,
+                reason:? = rejection;
+                ""
+            );
+        }
+        let _ = self.output.send(MemberOutput::Dropped(from, rejection));
+    }
+
     fn apply(&mut self, entries: Vec<Entry>) {
         let mut changed = false;
         let mut done = Vec::new();
--- a/crates/moleroad_gateway/src/control_member/mod.rs
+++ b/crates/moleroad_gateway/src/control_member/mod.rs
@@ -42,8 +42,15 @@
 
 /// Messages to the member's thread.
 pub enum MemberInput {
-    /// A consensus message from another member.
-    Receive(MemberInfo, Message),
+    /// A consensus message that arrived here.
+    Receive {
+        /// Sender.
+        from: MemberInfo,
+        /// Member that it was sent to.
+        to: MemberId,
+        /// The message.
+        message: Message,
+    },
     /// Proposes a change and reports its outcome.
     Propose(ControlCommand, oneshot::Sender<ProposalOutcome>),
     /// Reads the current state, if this member is the leader and holds its
@@ -61,6 +68,8 @@
 pub enum MemberOutput {
     /// Send this message to a member.
     Send(MemberInfo, Message),
+    /// A message from this member was dropped.
+    Dropped(MemberInfo, Rejection),
     /// The committed state.
     State(Arc<ControlState>),
     /// The state including log entries found at startup that may not be
--- a/crates/moleroad_gateway/src/peer.rs
+++ b/crates/moleroad_gateway/src/peer.rs
@@ -4,7 +4,7 @@
 use crate::evacuations::HallOrderResult;
 use crate::halls::HallUpdates;
 use moleroad_config::prelude::ConfigVersion;
-use moleroad_consensus::prelude::{MemberInfo, Message};
+use moleroad_consensus::prelude::{MemberId, MemberInfo, Message};
 use moleroad_directory::prelude::*;
 use moleroad_membership::prelude::CallerUpdate;
 use moleroad_quarantine::prelude::TerminationReport;
@@ -287,8 +287,9 @@
 pub trait Peer {
     /// Exchanges gossip updates.
     async fn hello(hello: Hello) -> HelloAnswer;
-    /// Delivers a consensus message from a member of the control group.
-    async fn consensus(from: MemberInfo, message: Message);
+    /// Delivers a consensus message to the member `to` of the control group. If another
+    /// member runs at the callee, returns that member; it drops the message.
+    async fn consensus(from: MemberInfo, to: MemberId, message: Message) -> Option<MemberInfo>;
     /// Delivers updates of targets.
     async fn targets(news: Vec<TargetUpdate>);
     /// Delivers updates of targets, which the callee forwards to the entries
--- a/crates/moleroad_gateway/src/peer_server.rs
+++ b/crates/moleroad_gateway/src/peer_server.rs
@@ -13,7 +13,7 @@
 use crate::peers::transport;
 use crate::stop::StopPhase;
 use futures::StreamExt;
-use moleroad_consensus::prelude::{MemberInfo, Message};
+use moleroad_consensus::prelude::{MemberId, MemberInfo, Message};
 use serde_bytes::ByteBuf;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -54,10 +54,17 @@
         crate::gossip::answer::answer(&self.node, hello)
     }
 
-    async fn consensus(self, _: Context, from: MemberInfo, message: Message) {
-        if let Some(control_member) = &self.node.control_member {
-            control_member.send(MemberInput::Receive(from, message));
-        }
+    async fn consensus(
+        self,
+        _: Context,
+        from: MemberInfo,
+        to: MemberId,
+        message: Message,
+    ) -> Option<MemberInfo> {
+        let control_member = self.node.control_member.as_ref()?;
+        control_member.send(MemberInput::Receive { from, to, message });
+        let own = &control_member.own;
+        (own.id != to).then(|| own.clone())
     }
 
     async fn targets(self, _: Context, updates: Vec<TargetUpdate>) {
--- a/crates/moleroad_gateway/src/run.rs
+++ b/crates/moleroad_gateway/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::agent;
 use crate::clock::Clock;
-use crate::control_member::{ControlMember, MemberOutput, MemberSettings};
+use crate::control_member::{ControlMember, MemberInput, MemberOutput, MemberSettings};
 use crate::control_state::ControlState;
 use crate::front;
 use crate::gossip;
@@ -172,6 +172,7 @@
             MemberOutput::Send(to, message) => {
                 tokio::spawn(send(node.clone(), to, message));
             }
+            MemberOutput::Dropped(..) => node.metrics.count("control_message_dropped"),
             MemberOutput::State(state) => {
                 node.merge_state(&state, UpdateSource::Log);
                 push(&node, &state, &mut pushed);
@@ -204,10 +205,15 @@
     else {
         return;
     };
+    let receiver = to.id;
     let call = |client: crate::peer::PeerClient, context| async move {
-        client.consensus(context, from, message).await
+        client.consensus(context, from, receiver, message).await
     };
-    let _ = node.peers.call(to.address, MESSAGE_TIMEOUT, call).await;
+    let answer = node.peers.call(to.address, MESSAGE_TIMEOUT, call).await;
+    // The receiver's disk is lost, and another member runs at its address.
+    if let (Ok(Some(successor)), Some(own)) = (answer, &node.control_member) {
+        own.send(MemberInput::Spare(successor));
+    }
 }
 
 /// Pushes the control state to a few relays in every data hall if it changed since the
