An instance has one vote, and an empty disk succeeds its own former identity only

Cause: lost_voter took the first lost voter by id, and any spare for it. The wiped machine's new identity took the vote of another machine, its former identity kept its own, and nothing was left to replace that one. Quorum and losses_tolerated counted ids. Found on the way: a member that announces itself was recorded as a spare of its own instance, so a voter silent for 0.45 s counted as one with another disk and lost its vote while a spare was there. Ruled out: the second vote as a passing state (schedules keep it to their end). Change: is_same_instance compares name and address. A learner or spare whose instance has another vote is no successor (Configuration::replacing and adding refuse it).

--- a/crates/moleroad_consensus/src/member.rs
+++ b/crates/moleroad_consensus/src/member.rs
@@ -40,6 +40,12 @@
             address,
         }
     }
+
+    /// Returns whether both stand for the same instance, under one disk or another: it
+    /// keeps its name or its address when its disk is lost.
+    pub fn is_same_instance(&self, other: &Self) -> bool {
+        self.instance == other.instance || self.address == other.address
+    }
 }
 
 /// Membership of the group: one set of voters, or two sets that must both agree
@@ -120,24 +126,51 @@
         Some(reached(&self.outgoing).map_or(incoming, |outgoing| incoming.min(outgoing)))
     }
 
-    /// Returns the joint configuration that replaces voter `lost` with
-    /// `replacement`.
-    pub fn replacing(&self, lost: MemberId, replacement: MemberId) -> Self {
-        let mut next = self.clone();
-        next.outgoing = self.voters.clone();
+    /// Returns a voter of the same instance as `info` other than `except`. An instance
+    /// has one vote.
+    pub fn voter_of_instance(
+        &self,
+        info: &MemberInfo,
+        except: Option<MemberId>,
+    ) -> Option<MemberId> {
+        let mut voters = self.voters.iter().copied();
+        voters.find(|id| {
+            let is_same = |other: &MemberInfo| other.is_same_instance(info);
+            *id != info.id && Some(*id) != except && self.members.get(id).is_some_and(is_same)
+        })
+    }
+
+    /// Returns the joint configuration that replaces voter `lost` with the learner
+    /// `replacement`, or `None` if the instance of the learner has another vote.
+    pub fn replacing(&self, lost: MemberId, replacement: MemberId) -> Option<Self> {
+        let mut next = self.with_vote_of(replacement, Some(lost))?;
         next.voters.remove(&lost);
-        next.voters.insert(replacement);
-        next.learners.remove(&replacement);
-        next
+        Some(next)
     }
 
     /// Returns the joint configuration that promotes the learner `joining` to a
-    /// voter.
-    pub fn adding(&self, joining: MemberId) -> Self {
+    /// voter, or `None` if its instance has a vote.
+    pub fn adding(&self, joining: MemberId) -> Option<Self> {
+        self.with_vote_of(joining, None)
+    }
+
+    fn with_vote_of(&self, joining: MemberId, lost: Option<MemberId>) -> Option<Self> {
+        let info = self.members.get(&joining)?;
+        if self.voter_of_instance(info, lost).is_some() {
+            return None;
+        }
         let mut next = self.clone();
         next.outgoing = self.voters.clone();
         next.voters.insert(joining);
         next.learners.remove(&joining);
+        Some(next)
+    }
+
+    /// Returns the joint configuration without the voter `lost`.
+    pub fn without_voter(&self, lost: MemberId) -> Self {
+        let mut next = self.clone();
+        next.outgoing = self.voters.clone();
+        next.voters.remove(&lost);
         next
     }
 
--- a/crates/moleroad_consensus/tests/support/mod.rs
+++ b/crates/moleroad_consensus/tests/support/mod.rs
@@ -186,7 +186,8 @@
     history: BTreeMap<LogIndex, Vec<u8>>,
     next_ticket: u64,
     pending: BTreeMap<ProposalTicket, Vec<u8>>,
-    timing: Timing,
+    /// Timing of members that are started from now on.
+    pub timing: Timing,
     compact_after: usize,
     /// Desired number of voters for members that are started from now on.
     pub desired_voters: usize,
