A panic of what decides ends its process

Ruled out: ending the process on any panic: the task of one request or call shares its thread with all others, and those are to be answered. Change: spawn_deciding and run_deciding, for the control member, its outputs, gossip, housekeeping, the servers' accept loops, reload, and an agent's watch, update and load loops.

--- a/crates/moleroad_gateway/src/agent/mod.rs
+++ b/crates/moleroad_gateway/src/agent/mod.rs
@@ -27,12 +27,13 @@
 pub mod uploads;
 pub mod watch;
 
+use crate::deciding::spawn_deciding;
 use crate::node::Node;
 use std::sync::Arc;
 
 /// Starts the tasks of an agent.
 pub fn start(node: &Arc<Node>) {
-    tokio::spawn(watch::watch(node.clone()));
-    tokio::spawn(update_loop::run(node.clone()));
+    spawn_deciding("engine_watch", watch::watch(node.clone()));
+    spawn_deciding("weights", update_loop::run(node.clone()));
     tokio::spawn(cold::log_grants(node.clone()));
 }
--- a/crates/moleroad_gateway/src/agent/update_loop.rs
+++ b/crates/moleroad_gateway/src/agent/update_loop.rs
@@ -5,6 +5,7 @@
 use crate::agent::digests::{OriginDigests, digests, live_agents};
 use crate::agent::fetch::{Fetch, FetchOutcome, Fetched};
 use crate::agent::{pieces, store, switch};
+use crate::deciding::spawn_deciding;
 use crate::experiments::Mechanism;
 use crate::node::Node;
 use crate::peer::CatalogModel;
@@ -34,7 +35,7 @@
 /// Loads wanted versions until the process ends.
 pub async fn run(node: Arc<Node>) {
     let (fetched_sender, fetched_receiver) = mpsc::channel(1);
-    tokio::spawn(load_fetched(node.clone(), fetched_receiver));
+    spawn_deciding("load", load_fetched(node.clone(), fetched_receiver));
     let mut without_digests: Option<(u64, Millis)> = None;
     let mut stalled: Option<u64> = None;
     let mut from_origin = OriginDigests::default();
--- a/crates/moleroad_gateway/src/control_member/mod.rs
+++ b/crates/moleroad_gateway/src/control_member/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::Clock;
 use crate::control_state::{ControlCommand, ControlState, DocumentId};
+use crate::deciding::run_deciding;
 use crate::evacuations::HallOrderResult;
 use member::{MemberThread, open};
 use moleroad_consensus::prelude::*;
@@ -132,8 +133,10 @@
             .name("control".into())
             .stack_size(512 << 10)
             .spawn(move || {
-                member.begin(founding);
-                member.run(&inputs);
+                run_deciding("control", || {
+                    member.begin(founding);
+                    member.run(&inputs);
+                });
             })?;
         Ok(Self {
             input,
--- a/crates/moleroad_gateway/src/lib.rs
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod control_member;
 pub mod control_state;
 pub mod counted_stream;
+pub mod deciding;
 pub mod evacuations;
 pub mod experiments;
 pub mod front;
--- a/crates/moleroad_gateway/src/run.rs
+++ b/crates/moleroad_gateway/src/run.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use crate::control_member::{ControlMember, MemberInput, MemberOutput, MemberSettings};
 use crate::control_state::ControlState;
+use crate::deciding::spawn_deciding;
 use crate::front;
 use crate::gossip;
 use crate::halls::UpdateSource;
@@ -64,14 +65,14 @@
         ""
     );
     let peers = listen(node.settings.peer_address())?;
-    tokio::spawn(peer_server::serve(node.clone(), peers));
+    spawn_deciding("peers", peer_server::serve(node.clone(), peers));
     match node.settings.role {
         RoleSetting::Entry => start_entry(&node, outputs)?,
         RoleSetting::Agent => agent::start(&node),
         RoleSetting::Control => start_control(&node, outputs)?,
     }
-    tokio::spawn(gossip::run_gossip(node.clone()));
-    tokio::spawn(reload(node.clone(), hangups, settings_path));
+    spawn_deciding("gossip", gossip::run_gossip(node.clone()));
+    spawn_deciding("reload", reload(node.clone(), hangups, settings_path));
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -85,10 +86,11 @@
     outputs: mpsc::UnboundedReceiver<MemberOutput>,
 ) -> std::io::Result<()> {
     if let Some(address) = node.settings.listen.frontend {
-        tokio::spawn(front::serve::serve(node.clone(), listen(address)?));
+        let frontend = front::serve::serve(node.clone(), listen(address)?);
+        spawn_deciding("frontend", frontend);
     }
     start_control(node, outputs)?;
-    tokio::spawn(run_housekeeping(node.clone()));
+    spawn_deciding("housekeeping", run_housekeeping(node.clone()));
     Ok(())
 }
 
@@ -107,9 +109,13 @@
     addresses.sort();
     addresses.dedup();
     for address in addresses {
-        tokio::spawn(management_api::serve(node.clone(), listen(address)?));
+        let management = management_api::serve(node.clone(), listen(address)?);
+        spawn_deciding("management", management);
     }
-    tokio::spawn(handle_member_outputs(node.clone(), outputs));
+    spawn_deciding(
+        "member_outputs",
+        handle_member_outputs(node.clone(), outputs),
+    );
     Ok(())
 }
 
