The target heard from last holds an address, and no call makes that final

Cause: a record with an unknown id marked all others at its address as gone, by the time of arrival; gone is final and spreads. One value stood for "it said so" and for "another one was heard there". Change: gone is what a target says of itself. Who holds an address is derived from who was heard from last (addresses.rs); a further call takes it back. The holder is forwarded where another daemon may believe otherwise, also if that one's record was ignored here. A call that was overtaken counts for nothing where it arrives; an end that is learned before its target is known is kept. Logged and counted as address_passed_on.

--- a/crates/moleroad_directory/src/changes.rs
+++ b/crates/moleroad_directory/src/changes.rs
@@ -52,7 +52,7 @@
 pub struct ChangePositions {
     /// Position of the last change of anything other than load and pieces.
     pub record: u64,
-    /// Time of that change.
+    /// Time when the subject was last heard from as of that change.
     pub record_at: Millis,
     /// Position of the last change of load.
     pub load: u64,
--- a/crates/moleroad_directory/src/directory.rs
+++ b/crates/moleroad_directory/src/directory.rs
@@ -1,5 +1,6 @@
 //! The tables of targets and daemons, and how records are merged into them.
 
+use crate::addresses::{Addresses, EndedUnknown};
 use crate::changes::{ChangePositions, RecordDiff};
 use crate::daemon::{DaemonRecord, DaemonRole, DaemonState};
 use crate::limit::LimitUpdateTimes;
@@ -58,6 +59,8 @@
 pub struct Directory {
     pub(crate) daemons: BTreeMap<InstanceId, Observed<DaemonRecord>>,
     pub(crate) targets: BTreeMap<TargetId, Observed<TargetRecord>>,
+    pub(crate) addresses: Addresses,
+    ended_unknown: EndedUnknown,
     /// Position of the last change; each change gets the next number.
     pub(crate) position: u64,
     pub(crate) slots: Slots,
@@ -75,16 +78,41 @@
         self.position
     }
 
-    /// Merges the record that a target sent `age_ms` ago.
+    /// Merges the record in a call that this daemon just received from a target. A call
+    /// that was overtaken by a later one does not say that the target lives.
+    pub fn hear_target(&mut self, now: Millis, record: TargetRecord) -> TargetChange {
+        let known = self.targets.get(&record.id).map(|known| &known.record);
+        let is_overtaken = known.is_some_and(|known| {
+            is_same_incarnation(known, record.born_ms)
+                && record.sequence < known.sequence
+                && record.life <= known.life
+        });
+        if is_overtaken {
+            return TargetChange::Stale;
+        }
+        self.merge_target(now, record, 0)
+    }
+
+    /// Merges the record that a target sent `age_ms` ago according to another daemon.
     pub fn merge_target(&mut self, now: Millis, record: TargetRecord, age_ms: u64) -> TargetChange {
+        let (address, id) = (record.address, record.id.clone());
         let at = Millis(now.0.saturating_sub(age_ms));
+        let holder = self.holder(address).map(|holder| holder.record.id.clone());
+        let change = self.merge_record(now, at, record);
+        if self.update_holder(address, holder, &id, at) {
+            TargetChange::Changed
+        } else {
+            change
+        }
+    }
+
+    fn merge_record(&mut self, now: Millis, at: Millis, record: TargetRecord) -> TargetChange {
         let Some(known) = self.targets.get(&record.id) else {
             return self.add_target(at, record);
         };
         match compare_birth(&known.record, record.born_ms) {
             BirthOrder::Later => {
-                self.targets.remove(&record.id);
-                self.limits_updated_at.remove(&record.id);
+                self.remove_target(&record.id);
                 return self.add_target(at, record);
             }
             BirthOrder::Earlier => return TargetChange::Stale,
@@ -106,19 +134,24 @@
             return TargetChange::Stale;
         };
         let life = known.record.life.max(record.life);
+        let has_longer_cold_period = extends_cold_period(known, &record, at);
+        let passed_ms = at.since(known.last_seen);
+        // What arrives after a target has ended does not say that it lives.
+        if known.record.life != TargetLifecycle::Gone {
+            known.last_seen = known.last_seen.max(at);
+        }
         if record.sequence < known.record.sequence {
+            // Another daemon, which knows of no later call, has heard from it.
+            known.record.cold_left_ms = known.record.cold_left_ms.saturating_sub(passed_ms);
             // A late call still counts if it announces that the target is shutting down.
             let changed = life > known.record.life;
             known.record.life = life;
             if !changed {
                 return TargetChange::Stale;
             }
-            known.changes.mark_record(position, at);
-            self.position = position;
+            self.forward_target(&record.id);
             return TargetChange::Changed;
         }
-        let has_longer_cold_period = extends_cold_period(known, &record, at);
-        known.last_seen = known.last_seen.max(at);
         // A record without a birth time belongs to the known incarnation and does not
         // erase its birth time.
         let born_ms = record.born_ms.max(known.record.born_ms);
@@ -136,6 +169,11 @@
         } else {
             TargetChange::Changed
         };
+        let former_address = known.record.address;
+        if former_address != next.address {
+            self.addresses.remove(former_address, &next.id);
+            self.addresses.add(next.address, &next.id);
+        }
         known.record = next;
         let forwarded_at = known.changes.record_at;
         if change == TargetChange::Changed
@@ -151,20 +189,12 @@
         if self.targets.len() >= MAX_TARGETS {
             return TargetChange::Stale;
         }
-        // An address belongs to one incarnation at a time: the one heard from last.
-        let others = self.targets.values_mut().filter(|other| {
-            other.record.address == record.address && other.record.life != TargetLifecycle::Gone
-        });
-        let mut life = record.life;
-        for other in others {
-            if other.last_seen <= at {
-                other.record.life = TargetLifecycle::Gone;
-                self.position += 1;
-                other.changes.mark_record(self.position, at);
-            } else {
-                life = TargetLifecycle::Gone;
-            }
-        }
+        let has_ended = record.born_ms == 0 && self.ended_unknown.contains_key(&record.id);
+        let life = if has_ended {
+            TargetLifecycle::Gone
+        } else {
+            record.life
+        };
         let record = TargetRecord { life, ..record };
         self.position += 1;
         let changes = ChangePositions::new(self.position, at);
@@ -173,32 +203,41 @@
             last_seen: at,
             changes,
         };
-        self.targets.insert(observed.record.id.clone(), observed);
+        let id = observed.record.id.clone();
+        self.addresses.add(observed.record.address, &id);
+        self.targets.insert(id, observed);
         TargetChange::Changed
     }
 
-    /// Marks a target as gone. Returns whether this is a change.
+    fn remove_target(&mut self, id: &TargetId) {
+        if let Some(removed) = self.targets.remove(id) {
+            self.addresses.remove(removed.record.address, id);
+            self.limits_updated_at.remove(id);
+        }
+    }
+
+    /// Marks a target as gone, because it said so. Returns whether this is a change of a
+    /// known target.
     pub fn mark_target_gone(&mut self, now: Millis, id: &TargetId) -> bool {
-        match self.targets.get_mut(id) {
-            Some(known) => {
-                let is_change = known.record.life != TargetLifecycle::Gone;
-                known.record.life = TargetLifecycle::Gone;
-                known.last_seen = known.last_seen.max(now);
-                if is_change {
-                    self.position += 1;
-                    known.changes.mark_record(self.position, now);
-                }
-                is_change
+        let Some(known) = self.targets.get_mut(id) else {
+            if self.ended_unknown.len() < MAX_TARGETS {
+                self.ended_unknown.insert(id.clone(), now);
             }
-            None => false,
+            return false;
+        };
+        let is_change = known.record.life != TargetLifecycle::Gone;
+        known.record.life = TargetLifecycle::Gone;
+        if is_change {
+            self.forward_target(id);
         }
+        is_change
     }
 
     /// Marks a target as draining, because the incarnation born at `born_ms` announced in
     /// a response that it is shutting down. Returns whether this is a change. The
     /// announcement may be missing from the target's heartbeats, and the heartbeats may
     /// not be acknowledged anywhere.
-    pub fn mark_target_draining(&mut self, now: Millis, id: &TargetId, born_ms: u64) -> bool {
+    pub fn mark_target_draining(&mut self, id: &TargetId, born_ms: u64) -> bool {
         let Some(known) = self.targets.get_mut(id) else {
             return false;
         };
@@ -208,19 +247,10 @@
             return false;
         }
         known.record.life = TargetLifecycle::Draining;
-        self.position += 1;
-        known.changes.mark_record(self.position, now);
+        self.forward_target(id);
         true
     }
 
-    /// Returns the target at `address` that is not gone, if there is one.
-    pub fn target_at(&self, address: SocketAddr) -> Option<&Observed<TargetRecord>> {
-        let is_match = |observed: &&Observed<TargetRecord>| {
-            observed.record.address == address && observed.record.life != TargetLifecycle::Gone
-        };
-        self.targets.values().find(is_match)
-    }
-
     /// Merges the record that a daemon sent `age_ms` ago. Returns whether more than the
     /// time of last contact changed, or the daemon was unknown.
     pub fn merge_daemon(&mut self, now: Millis, record: DaemonRecord, age_ms: u64) -> bool {
@@ -279,13 +309,20 @@
             }
             is_kept
         });
-        self.targets.retain(|_, target| {
+        let addresses = &mut self.addresses;
+        self.targets.retain(|id, target| {
             let limit = match target.record.life {
                 TargetLifecycle::Gone => TOMBSTONE_TTL_MS,
                 _ => TARGET_EXPIRY_MS,
             };
-            now.since(target.last_seen) < limit
+            let is_kept = now.since(target.last_seen) < limit;
+            if !is_kept {
+                addresses.remove(target.record.address, id);
+            }
+            is_kept
         });
+        self.ended_unknown
+            .retain(|_, learned_at| now.since(*learned_at) < TOMBSTONE_TTL_MS);
         self.expire_limits();
     }
 
--- a/crates/moleroad_directory/src/lib.rs
+++ b/crates/moleroad_directory/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 #![warn(missing_docs)]
 
+pub mod addresses;
 pub mod apply;
 pub mod changes;
 pub mod daemon;
@@ -31,6 +32,7 @@
 
 /// The types most users of the crate need.
 pub mod prelude {
+    pub use crate::addresses::HolderChange;
     pub use crate::apply::DeltaOutcome;
     pub use crate::changes::{Aged, DaemonLoad, RecordVersion};
     pub use crate::daemon::{DaemonRecord, DaemonRole, DaemonState, EngineReport, PieceMap};
--- a/crates/moleroad_directory/src/limit.rs
+++ b/crates/moleroad_directory/src/limit.rs
@@ -107,8 +107,7 @@
             rate,
         };
         self.limits_updated_at.insert(id.clone(), now);
-        self.position += 1;
-        known.changes.mark_record(self.position, now);
+        self.forward_target(id);
         true
     }
 
@@ -123,8 +122,7 @@
         if is_change {
             known.record.limit = newer;
             self.limits_updated_at.insert(record.id.clone(), now);
-            self.position += 1;
-            known.changes.mark_record(self.position, now);
+            self.forward_target(&record.id);
         }
         is_change
     }
--- a/crates/moleroad_directory/tests/directory.rs
+++ b/crates/moleroad_directory/tests/directory.rs
@@ -26,7 +26,7 @@
 
 fn lifecycle_of(directory: &Directory, id: &str) -> Option<TargetLifecycle> {
     let observed = directory.target(&TargetId::new(id))?;
-    Some(observed.record.life)
+    Some(directory.lifecycle(observed))
 }
 
 #[test]
@@ -387,12 +387,9 @@
     directory.merge_target(Millis(100), born(2_000, 5), 0);
     let id = TargetId::new("t-1");
     let position = directory.position();
-    assert!(directory.mark_target_draining(Millis(200), &id, 2_000));
+    assert!(directory.mark_target_draining(&id, 2_000));
     assert!(directory.position() > position, "the change is forwarded");
-    assert!(
-        !directory.mark_target_draining(Millis(210), &id, 2_000),
-        "no change"
-    );
+    assert!(!directory.mark_target_draining(&id, 2_000), "no change");
     directory.merge_target(Millis(300), born(2_000, 6), 0);
     directory.merge_target(Millis(400), born(0, 7), 0);
     assert_eq!(
@@ -412,14 +409,14 @@
     let mut directory = Directory::new();
     directory.merge_target(Millis(100), born(2_000, 5), 0);
     let id = TargetId::new("t-1");
-    assert!(!directory.mark_target_draining(Millis(200), &id, 1_000));
-    assert!(!directory.mark_target_draining(Millis(200), &TargetId::new("unknown"), 0));
+    assert!(!directory.mark_target_draining(&id, 1_000));
+    assert!(!directory.mark_target_draining(&TargetId::new("unknown"), 0));
     assert_eq!(
         lifecycle_of(&directory, "t-1"),
         Some(TargetLifecycle::Ready)
     );
     directory.mark_target_gone(Millis(300), &id);
-    assert!(!directory.mark_target_draining(Millis(400), &id, 2_000));
+    assert!(!directory.mark_target_draining(&id, 2_000));
     assert_eq!(lifecycle_of(&directory, "t-1"), Some(TargetLifecycle::Gone));
 }
 
@@ -431,7 +428,7 @@
         directory.merge_target(Millis(100), born(2_000, 5), 0);
     }
     let id = TargetId::new("t-1");
-    sender.mark_target_draining(Millis(200), &id, 2_000);
+    sender.mark_target_draining(&id, 2_000);
     let update = sender.target(&id).unwrap().aged(Millis(250));
     let change = receiver.merge_target(Millis(1_000), update.record, update.age_ms);
     assert_eq!(change, TargetChange::Changed);
--- a/crates/moleroad_gateway/src/candidates.rs
+++ b/crates/moleroad_gateway/src/candidates.rs
@@ -51,7 +51,7 @@
             let Some(service) = table.service(&record.service) else {
                 continue;
             };
-            if record.life != TargetLifecycle::Ready {
+            if self.directory.lifecycle(observed) != TargetLifecycle::Ready {
                 continue;
             }
             let agent = agents.get(&record.address).copied();
--- a/crates/moleroad_gateway/src/target_notice.rs
+++ b/crates/moleroad_gateway/src/target_notice.rs
@@ -202,10 +202,9 @@
 
     fn record_leaving(&self, from: &Responder, request: &str) {
         let changed = {
-            let now = self.clock.now();
             let mut view = self.view();
             let directory = &mut view.directory;
-            let changed = directory.mark_target_draining(now, &from.target, from.born_ms);
+            let changed = directory.mark_target_draining(&from.target, from.born_ms);
             if changed {
                 view.announce(&from.target);
             }
--- a/crates/moleroad_gateway/src/target_updates.rs
+++ b/crates/moleroad_gateway/src/target_updates.rs
@@ -29,7 +29,7 @@
     let (change, current) = {
         let mut view = node.view();
         let id = record.id.clone();
-        let change = view.directory.merge_target(now, record, 0);
+        let change = view.directory.hear_target(now, record);
         view.announce(&id);
         let current = view
             .directory
@@ -92,10 +92,26 @@
 /// Applies changes of the directory to candidates and waiting requests.
 pub fn refresh_targets(node: &Node) {
     let now = node.clock.now();
+    report_holder_changes(node);
     node.view().refresh_candidates(now, &node.settings);
     node.serve_waiting();
 }
 
+/// Logs and counts addresses that passed from one target to another.
+fn report_holder_changes(node: &Node) {
+    let changes = node.view().directory.take_holder_changes();
+    for change in changes {
+        node.metrics.count("address_passed_on");
+        log::info!(
+            event = "address_passed_on",
+            address:% = change.address,
+            from:% = change.from,
+            to:% = change.to;
+            ""
+        );
+    }
+}
+
 async fn broadcast(node: &Arc<Node>, update: TargetUpdate) {
     let branches = fan_out(other_entries(node));
     let calls = branches
