Targets of a service that is listed no more are kept up to date while requests wait for them

Cause: candidates were rebuilt for listed services only. A service that a new configuration lists no more kept those of the last refresh, which nothing updated: state of life, weights' version, evacuated halls, limits, backoffs. Change: View::service gives the listed service, or the former one that still has requests; candidates, versions and cold limits go by it. A former service ends with its last request, wherever that runs (any_in_flight; a target that had left the list counted as idle).

--- a/crates/moleroad_dispatch/src/targets.rs
+++ b/crates/moleroad_dispatch/src/targets.rs
@@ -44,6 +44,12 @@
         self.candidates = candidates;
     }
 
+    /// Returns whether requests of this daemon are in flight at any target, also at one
+    /// that left the list.
+    pub fn any_in_flight(&self) -> bool {
+        self.loads.values().any(|load| load.own_in_flight() > 0)
+    }
+
     /// Returns the targets that may get requests.
     pub fn candidates(&self) -> &[Candidate] {
         &self.candidates
--- a/crates/moleroad_gateway/src/candidates.rs
+++ b/crates/moleroad_gateway/src/candidates.rs
@@ -46,9 +46,12 @@
         for service in table.services() {
             lists.entry(&service.name).or_default();
         }
+        for name in self.former_services.keys() {
+            lists.entry(name).or_default();
+        }
         for observed in self.directory.targets() {
             let record = &observed.record;
-            let Some(service) = table.service(&record.service) else {
+            let Some(service) = self.service(&record.service) else {
                 continue;
             };
             if self.directory.lifecycle(observed) != TargetLifecycle::Ready {
@@ -79,21 +82,29 @@
                 lists.entry(&service.name).or_default().push(candidate);
             }
         }
-        for (name, candidates) in lists {
+        let lists: Vec<_> = lists
+            .into_iter()
+            .map(|(name, candidates)| {
+                let prefill = self
+                    .service(name)
+                    .and_then(|service| reading_speed(service));
+                (name.to_string(), candidates, prefill)
+            })
+            .collect();
+        for (name, candidates, prefill) in lists {
             let bounds = &settings.bounds;
             let slots = self
                 .services
-                .entry(name.to_string())
+                .entry(name)
                 .or_insert_with(|| ServiceSlots::new(bounds));
-            slots.targets.prefill = table
-                .service(name)
-                .and_then(|service| reading_speed(service));
+            slots.targets.prefill = prefill;
             slots.targets.ignores_failures = !settings.experiments.is_enabled(Mechanism::Avoidance);
             slots.targets.set(candidates);
         }
         self.update_arrivals(now, &table);
         self.services
             .retain(|name, slots| table.service(name).is_some() || !slots.is_idle());
+        self.drop_former_services();
     }
 
     /// Returns whether requests may currently go to the target only with a grant.
--- a/crates/moleroad_gateway/src/cold_targets.rs
+++ b/crates/moleroad_gateway/src/cold_targets.rs
@@ -95,7 +95,9 @@
         settings: &Settings,
         table: &RouteTable,
     ) -> HashMap<TargetId, Arc<ColdTarget>> {
-        if table.services().all(|s| cold_limit(settings, s).is_none()) {
+        let former = self.former_services.values();
+        let mut services = table.services().chain(former);
+        if services.all(|s| cold_limit(settings, s).is_none()) {
             return HashMap::new();
         }
         self.cold.update_targets(now, &self.directory);
@@ -104,7 +106,7 @@
         let mut cold_targets = HashMap::new();
         for observed in self.directory.targets() {
             let id = &observed.record.id;
-            let Some((start, requires_grant)) = table
+            let Some((start, requires_grant)) = self
                 .service(&observed.record.service)
                 .and_then(|service| cold_limit(settings, service))
             else {
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -312,8 +312,7 @@
     /// Returns the lowest allowed version of weights for `service`; see
     /// [`View::min_version`].
     pub fn min_version(&self, view: &View, service: &str) -> Option<u64> {
-        let table = view.table.as_ref()?;
-        let service = table.service(service)?;
+        let service = view.service(service)?;
         view.min_version(self.clock.now(), service, self.settings.bounds.version_ms)
     }
 
@@ -321,8 +320,7 @@
     /// the newest; see [`View::old_weights`].
     pub fn old_weights(&self, service: &str, version: Option<u64>) -> Option<OldWeightsCutoff> {
         let view = self.view();
-        let table = view.table.as_ref()?;
-        let service = table.service(service)?;
+        let service = view.service(service)?;
         view.old_weights(service, version?, self.settings.bounds.version_ms)
     }
 
--- a/crates/moleroad_gateway/src/places.rs
+++ b/crates/moleroad_gateway/src/places.rs
@@ -115,8 +115,7 @@
 
     /// Returns whether no request waits or is in flight.
     pub fn is_idle(&self) -> bool {
-        let in_flight = |c: &Candidate| self.targets.load(&c.id).own_in_flight() > 0;
-        self.waiting.is_empty() && !self.targets.candidates().iter().any(in_flight)
+        self.waiting.is_empty() && !self.targets.any_in_flight()
     }
 
     /// Returns the number of waiting requests.
--- a/crates/moleroad_gateway/src/view.rs
+++ b/crates/moleroad_gateway/src/view.rs
@@ -40,6 +40,9 @@
     pub config_digest: u64,
     /// Current configuration, compiled for request lookup.
     pub table: Option<Arc<RouteTable>>,
+    /// Services that the configuration lists no more and that still have requests, as they
+    /// were last listed.
+    pub former_services: HashMap<String, Arc<Service>>,
     /// Parts of the configuration that agents need.
     pub catalog: Catalog,
     /// Versions that were named, by model.
@@ -83,6 +86,7 @@
             state: ControlState::default(),
             config_digest: 0,
             table: None,
+            former_services: HashMap::new(),
             catalog: Catalog::default(),
             named: BTreeMap::new(),
             prepared: BTreeMap::new(),
@@ -164,14 +168,40 @@
                 let table = RouteTable::compile(&configuration);
                 warn_unknown_reading_speeds(&table);
                 self.catalog = catalog_of(&table);
-                self.table = Some(Arc::new(table));
                 log::info!(event = "configuration_in_force", version = document.version.0; "");
+                let former = self.table.replace(Arc::new(table));
+                self.keep_former_services(former.as_deref());
             }
             // It was validated before it was accepted.
             Err(error) => log::error!(event = "configuration_unreadable"; "{error}"),
         }
     }
 
+    /// Keeps the services of the former configuration that have slots and are not listed
+    /// any more.
+    fn keep_former_services(&mut self, former: Option<&RouteTable>) {
+        let listed = former.into_iter().flat_map(RouteTable::services);
+        let listed = listed.map(|service| (service.name.clone(), service.clone()));
+        self.former_services.extend(listed);
+        self.drop_former_services();
+    }
+
+    /// Drops former services that are listed again or whose requests have ended.
+    pub(crate) fn drop_former_services(&mut self) {
+        let (table, slots) = (&self.table, &self.services);
+        self.former_services.retain(|name, _| {
+            let is_listed = |table: &Arc<RouteTable>| table.service(name).is_some();
+            slots.contains_key(name) && !table.as_ref().is_some_and(is_listed)
+        });
+    }
+
+    /// Returns the service with this name: the one that the configuration lists, or a
+    /// former one that still has requests.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        let listed = self.table.as_ref().and_then(|table| table.service(name));
+        listed.or_else(|| self.former_services.get(name))
+    }
+
     /// Applies the current configuration to waiting requests.
     pub fn refresh_residency(&mut self) {
         let Some(table) = &self.table else {
