A caller may read late, up to the time-out of its route

Cause: TCP_USER_TIMEOUT of 2.5 s on every connection. The kernel applies it to a peer that is alive, answers its probes and has no room, so a closed window counted as silence. Ruled out: the stop (it waits for slow callers; the cut comes without it as well). Change: callers' connections have the longest time-out of the routes, 60 s at most. A caller that is gone without a word is found that much later; what answers hold stays bounded by held_bytes. Peers and targets keep 2.5 s.

--- a/crates/moleroad_config/src/route_table.rs
+++ b/crates/moleroad_config/src/route_table.rs
@@ -18,6 +18,7 @@
     services: HashMap<String, Arc<Service>>,
     limits: Limits,
     needs_key: bool,
+    max_timeout_ms: u64,
 }
 
 impl RouteTable {
@@ -45,6 +46,8 @@
                 keys.insert(key.clone(), shared.clone());
             }
         }
+        let timeouts = configuration.routes.iter().map(|route| route.timeout_ms);
+        let max_timeout_ms = timeouts.max();
         let services = configuration.services.iter();
         let services = services.map(|service| (service.name.clone(), Arc::new(service.clone())));
         Self {
@@ -56,6 +59,7 @@
             services: services.collect(),
             limits: configuration.limits,
             needs_key: !configuration.accounts.is_empty(),
+            max_timeout_ms: max_timeout_ms.unwrap_or_default(),
         }
     }
 
@@ -69,6 +73,11 @@
         self.limits
     }
 
+    /// Returns the longest time-out of a route, in milliseconds; 0 without routes.
+    pub fn max_timeout_ms(&self) -> u64 {
+        self.max_timeout_ms
+    }
+
     /// Returns the route of a request: of the routes of its host, the one with
     /// the longest matching prefix.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/crates/moleroad_gateway/src/front/serve.rs
+++ b/crates/moleroad_gateway/src/front/serve.rs
@@ -9,6 +9,7 @@
 use crate::front::{buffered, request, stream};
 use crate::listening::accept_connections;
 use crate::node::Node;
+use crate::peers::allow_unacknowledged;
 use crate::stop::StopPhase;
 use crate::trial;
 use hyper::Request;
@@ -24,6 +25,9 @@
 const CLOSES_AT: StopPhase = StopPhase::ClosingFront;
 /// Idle timeout of a connection before a configuration is known, in milliseconds.
 const DEFAULT_IDLE_MS: u64 = 15_000;
+/// Longest time for which a caller may read nothing of its answer, in milliseconds, however
+/// long the time-outs of routes are.
+const MAX_UNREAD_MS: u64 = 60_000;
 /// Largest request head before a configuration is known, in bytes.
 const DEFAULT_HEAD_BYTES: usize = 64 << 10;
 
@@ -36,6 +40,14 @@
 }
 
 async fn serve_connection(node: Arc<Node>, connection: TcpStream) {
+    // A caller may read its answer late, up to the time-out of its route.
+    let max_timeout_ms = node
+        .view()
+        .table
+        .as_ref()
+        .map(|table| table.max_timeout_ms());
+    let unread_ms = max_timeout_ms.unwrap_or_default().min(MAX_UNREAD_MS);
+    allow_unacknowledged(&connection, Duration::from_millis(unread_ms));
     let limits = node.view().table.as_ref().map(|table| table.limits());
     let idle_ms = limits.map_or(DEFAULT_IDLE_MS, |limits| limits.idle_timeout_ms);
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| {
--- a/crates/moleroad_gateway/src/peers.rs
+++ b/crates/moleroad_gateway/src/peers.rs
@@ -165,8 +165,15 @@
 /// the other side is silent.
 pub fn configure_socket(stream: &TcpStream) {
     let _ = stream.set_nodelay(true);
+    allow_unacknowledged(stream, UNACKNOWLEDGED_TIMEOUT);
+}
+
+/// Sets the time after which a connection with unacknowledged data is closed. A peer that
+/// is alive and reads nothing counts as silent, too: its receive window is closed.
+pub fn allow_unacknowledged(stream: &TcpStream, limit: Duration) {
     let socket = socket2::SockRef::from(stream);
-    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+    let limit = limit.max(UNACKNOWLEDGED_TIMEOUT);
+    let _ = socket.set_tcp_user_timeout(Some(limit));
 }
 
 /// Wraps a connection in the transport between daemons: length-delimited frames
