The end of an answer is believed only of the target that gave it

Cause: an open port was taken for the process that gave the answer. The target had crashed behind a cut, another start listened at its address when the end of the connection came. Ruled out: the case without a cut (the port refuses, 502); a reset taken for an end (the script's connection ends in order). Change: where the target was silent for half a second or more while it ran the request, another process may be there: the new connection asks the service's health path with the id that is expected, and 421, or no answer within 0.1 s, means that the answer may lack its end. Shorter silences go by the port as before. Services without a health path stay unverified.

--- a/crates/moleroad_config/src/configuration.rs
+++ b/crates/moleroad_config/src/configuration.rs
@@ -123,6 +123,8 @@
     /// Maximum number of connections that one target accepts from all callers;
     /// 0 if unset.
     pub max_connections: u32,
+    /// Path at which its targets answer whether they are healthy; `None` if unset.
+    pub health_path: Option<String>,
     /// Requests that one target processes concurrently; 0 if the targets report
     /// it.
     pub slots: u32,
--- a/crates/moleroad_config/tests/config.rs
+++ b/crates/moleroad_config/tests/config.rs
@@ -29,6 +29,7 @@
     Service {
         name: name.into(),
         max_connections: 10,
+        health_path: None,
         slots: 0,
         models: Vec::new(),
         steps: None,
--- a/crates/moleroad_gateway/src/front/buffered.rs
+++ b/crates/moleroad_gateway/src/front/buffered.rs
@@ -57,7 +57,8 @@
 ) -> Result<(Bytes, AnswerEnd), SendError> {
     let until = attempts.request.until;
     let body = running.reply.read_whole_body(node, until).await?;
-    let end = running.reply.end(node, running.slot.candidate.address);
+    let target = &running.slot.candidate;
+    let end = running.reply.end(node, &attempts.request.service, target);
     match end.await {
         AnswerEnd::TargetTerminated => Err(SendError::Broken),
         end => Ok((body, end)),
--- a/crates/moleroad_gateway/src/front/exchange.rs
+++ b/crates/moleroad_gateway/src/front/exchange.rs
@@ -1,5 +1,6 @@
 //! Performs one send of a request to a target.
 
+use crate::front::closed_answers::Silence;
 use crate::front::pool::Connection;
 use crate::front::request::AcceptedRequest;
 use crate::grants;
@@ -8,13 +9,14 @@
 use crate::target_notice::AnswerHead;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, StatusCode, http};
 use moleroad_dispatch::prelude::{Candidate, Requirements, Responder, exclusion};
 use moleroad_types::prelude::Millis;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Largest answer that is buffered, in bytes; a larger one counts as broken.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -80,6 +82,8 @@
     pub class: ReplyClass,
     /// The connection; closed when dropped.
     pub connection: Connection,
+    /// Silence of the target while it ran the request.
+    pub silence: Silence,
 }
 
 /// Sends `request` to `candidate` and waits for the head of the answer, until the deadline
@@ -133,6 +137,7 @@
         set_deadline(node, request, candidate, message.headers_mut());
         connection.bound_interim_responses(&mut message);
         let sent_at = node.clock.now();
+        let mut silence = Silence::begin(Instant::now());
         let sending = connection.sender.try_send_request(message);
         match tokio::time::timeout_at(limit, sending).await {
             Err(_) => return Err(SendError::TimedOut),
@@ -145,7 +150,8 @@
                     status: response.status(),
                     headers: response.headers(),
                 });
-                return classify_reply(node, request, response, connection);
+                silence.end(Instant::now());
+                return classify_reply(node, request, response, connection, silence);
             }
             Ok(Err(mut error)) => match error.take_message() {
                 // The pooled connection was closed before anything was sent.
@@ -240,6 +246,7 @@
     request: &AcceptedRequest,
     response: http::Response<Incoming>,
     connection: Connection,
+    silence: Silence,
 ) -> Result<Reply, SendError> {
     let names = node.interface.headers();
     let (head, body) = response.into_parts();
@@ -272,6 +279,7 @@
         body,
         class,
         connection,
+        silence,
     })
 }
 
@@ -281,6 +289,14 @@
 }
 
 impl Reply {
+    /// Waits for the next frame of the body; `None` at its end. Nothing is lost if the
+    /// caller stops waiting.
+    pub async fn next_frame(&mut self) -> Option<hyper::Result<Frame<Bytes>>> {
+        let frame = self.body.frame().await;
+        self.silence.end(Instant::now());
+        frame
+    }
+
     /// Reads the whole body.
     ///
     /// # Errors
@@ -295,7 +311,7 @@
         let mut held = HeldBody::new(&node.held_bytes);
         let limit = node.clock.instant(until);
         loop {
-            let frame = tokio::time::timeout_at(limit, self.body.frame()).await;
+            let frame = tokio::time::timeout_at(limit, self.next_frame()).await;
             let data = match frame {
                 Err(_) => return Err(SendError::TimedOut),
                 Ok(None) => return Ok(held.into_bytes()),
@@ -325,7 +341,7 @@
     /// Reads and drops the body; returns whether it was small and complete.
     async fn read_small_body(&mut self) -> bool {
         let mut length = 0;
-        while let Some(frame) = self.body.frame().await {
+        while let Some(frame) = self.next_frame().await {
             let Ok(frame) = frame else {
                 return false;
             };
--- a/crates/moleroad_gateway/src/front/first_events.rs
+++ b/crates/moleroad_gateway/src/front/first_events.rs
@@ -7,7 +7,6 @@
 use crate::front::stream::BrokenBy;
 use crate::node::Node;
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use moleroad_dispatch::prelude::Outcome;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -36,7 +35,7 @@
     let mut silent_at = Instant::now() + timeout;
     loop {
         let look = Instant::now() + RETARGET_CHECK_INTERVAL;
-        let frame = match tokio::time::timeout_at(until.min(look), running.reply.body.frame()).await
+        let frame = match tokio::time::timeout_at(until.min(look), running.reply.next_frame()).await
         {
             Ok(frame) => frame,
             Err(_) => {
--- a/crates/moleroad_gateway/src/front/pending_send.rs
+++ b/crates/moleroad_gateway/src/front/pending_send.rs
@@ -11,7 +11,6 @@
 use crate::node::Node;
 use bytes::Bytes;
 use futures::future::BoxFuture;
-use http_body_util::BodyExt;
 use hyper::body::Frame;
 use moleroad_dispatch::prelude::{Candidate, Outcome};
 use std::pin::pin;
@@ -209,7 +208,7 @@
         let has_begun = silent.slot.has_event();
         tokio::select! {
             biased;
-            frame = silent.reply.body.frame() => AfterSilence::Frame(frame),
+            frame = silent.reply.next_frame() => AfterSilence::Frame(frame),
             other = self.next_run(last_event) => match other {
                 Ok(run) if run.reply.class == ReplyClass::Succeeded => {
                     AfterSilence::Replaced(Box::new(run))
--- a/crates/moleroad_gateway/src/front/stream.rs
+++ b/crates/moleroad_gateway/src/front/stream.rs
@@ -18,7 +18,6 @@
 use crate::front::silence_timeouts;
 use crate::node::Node;
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use moleroad_dispatch::prelude::Outcome;
 use std::sync::Arc;
 use std::time::Duration;
@@ -203,7 +202,7 @@
             let frame = tokio::select! {
                 biased;
                 () = self.parts.caller_left() => return StreamEnd::CallerLeft,
-                frame = tokio::time::timeout_at(limit, running.reply.body.frame()) => frame,
+                frame = tokio::time::timeout_at(limit, running.reply.next_frame()) => frame,
             };
             let frame = match frame {
                 Ok(frame) => frame,
@@ -293,8 +292,9 @@
         if running.reply.ends_with_connection() && !has_events {
             return StreamEnd::Broken(BrokenBy::Target);
         }
-        let address = running.slot.candidate.address;
-        match running.reply.end(&self.node, address).await {
+        let service = &self.attempts.request.service;
+        let target = &running.slot.candidate;
+        match running.reply.end(&self.node, service, target).await {
             AnswerEnd::TargetTerminated => StreamEnd::Broken(BrokenBy::Target),
             end => StreamEnd::Complete(end),
         }
--- a/crates/moleroad_gateway/tests/cold.rs
+++ b/crates/moleroad_gateway/tests/cold.rs
@@ -45,6 +45,7 @@
     let service = Service {
         name: "chat".into(),
         max_connections: 0,
+        health_path: None,
         slots: 12,
         models: if is_engine { vec![model] } else { Vec::new() },
         steps: is_engine.then_some(STEPS),
--- a/crates/moleroad_gateway/tests/support/service.rs
+++ b/crates/moleroad_gateway/tests/support/service.rs
@@ -7,6 +7,7 @@
     Service {
         name: "plain".into(),
         max_connections: 0,
+        health_path: None,
         models: Vec::new(),
         slots: 0,
         steps: None,
