--- a/crates/moleroad_consensus/tests/lost_disks.rs
+++ b/crates/moleroad_consensus/tests/lost_disks.rs
@@ -6,7 +6,7 @@
 use moleroad_consensus::prelude::*;
 use rand::Rng;
 use std::collections::BTreeMap;
-use support::Group;
+use support::{Group, run_schedules};
 
 /// Number of schedules to run; the seeds are fixed.
 const SCHEDULES: u64 = 2_000;
@@ -241,17 +241,7 @@
 /// and panicked, and the group stopped with no more lost than it tolerates.
 #[test]
 fn lost_disks_beside_other_losses_stop_nothing() {
-    std::thread::scope(|scope| {
-        let threads = 4;
-        for thread in 0..threads {
-            scope.spawn(move || {
-                for seed in (thread..SCHEDULES).step_by(threads as usize) {
-                    let outcome = std::panic::catch_unwind(|| run_schedule(seed));
-                    assert!(outcome.is_ok(), "schedule {seed} failed");
-                }
-            });
-        }
-    });
+    run_schedules(SCHEDULES, run_schedule);
 }
 
 /// Announces all members to the leader again and again for `span` milliseconds.
