--- a/crates/moleroad_directory/src/lib.rs
+++ b/crates/moleroad_directory/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod relays;
 pub mod slots;
 pub mod target;
+pub mod target_merge;
 
 /// The types most users of the crate need.
 pub mod prelude {
--- a/crates/moleroad_directory/src/limit.rs
+++ b/crates/moleroad_directory/src/limit.rs
@@ -5,8 +5,9 @@
 //! assigns it the next revision and forwards it to all others, so that entries need
 //! no common clock.
 
-use crate::directory::{Directory, is_same_incarnation};
+use crate::directory::Directory;
 use crate::target::{TargetId, TargetRecord};
+use crate::target_merge::is_same_incarnation;
 use moleroad_types::prelude::Millis;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
--- a/crates/moleroad_gateway/src/control_member/member.rs
+++ b/crates/moleroad_gateway/src/control_member/member.rs
@@ -31,18 +31,18 @@
     settings: MemberSettings,
     own: MemberInfo,
     clock: Clock,
-    output: mpsc::UnboundedSender<MemberOutput>,
+    pub(super) output: mpsc::UnboundedSender<MemberOutput>,
     storage: Option<Storage<FolderDisk>>,
-    replica: Replica,
+    pub(super) replica: Replica,
     state: Arc<ControlState>,
     next_ticket: u64,
     replies: BTreeMap<ProposalTicket, oneshot::Sender<ProposalOutcome>>,
     proposals_by_index: BTreeMap<LogIndex, (Term, ProposalTicket)>,
     published_leader: Option<(Term, Option<MemberId>)>,
-    logged_members: Option<Configuration>,
-    last_dropped: Option<(MemberId, Rejection)>,
+    pub(super) logged_members: Option<Configuration>,
+    pub(super) last_dropped: Option<(MemberId, Rejection)>,
     /// Whether a new voter has joined the group since this process started.
-    replaced: bool,
+    pub(super) replaced: bool,
     reopen_at: Millis,
     retired: bool,
 }
@@ -223,22 +223,6 @@
         Ok(())
     }
 
-    /// Counts a dropped message, and logs the first one of a series.
-    fn report_dropped(&mut self, from: MemberInfo, rejection: Rejection) {
-        let latest = Some((from.id, rejection));
-        if self.last_dropped != latest {
-            self.last_dropped = latest;
-            log::warn!(
-                event = "control_message_dropped",
-                from:% = from.id,
-                at:% = from.address,
-                reason:? = rejection;
-                ""
-            );
-        }
-        let _ = self.output.send(MemberOutput::Dropped(from, rejection));
-    }
-
     fn apply(&mut self, entries: Vec<Entry>) {
         let mut changed = false;
         let mut done = Vec::new();
@@ -344,28 +328,6 @@
         let _ = self.output.send(MemberOutput::State(self.state.clone()));
     }
 
-    /// Logs a change of the group's members, and whether a new voter has joined
-    /// since this process started.
-    fn log_members(&mut self) {
-        let members = self.replica.configuration();
-        if self.logged_members.as_ref() == Some(members) {
-            return;
-        }
-        let earlier = self.logged_members.as_ref();
-        let is_new = |id: &MemberId| earlier.is_some_and(|e| !e.voters.contains(id));
-        log::info!(
-            event = "control_members",
-            voters = members.voters.len() as u64,
-            learners = members.learners.len() as u64,
-            changing = members.is_joint(),
-            members = describe_members(members).as_str(),
-            replaced = self.replaced || members.voters.iter().any(is_new);
-            ""
-        );
-        self.replaced |= members.voters.iter().any(is_new);
-        self.logged_members = Some(members.clone());
-    }
-
     fn publish_leader(&mut self) {
         let leader = self.replica.leader_info().cloned();
         let now = (self.replica.term(), leader.as_ref().map(|info| info.id));
@@ -376,20 +338,6 @@
     }
 }
 
-/// Lists the members as `id@address`, marked as voters, outgoing voters and learners.
-fn describe_members(configuration: &Configuration) -> String {
-    let describe = |info: &MemberInfo| {
-        let role = match info.id {
-            id if configuration.voters.contains(&id) => "voter",
-            id if configuration.outgoing.contains(&id) => "outgoing",
-            _ => "learner",
-        };
-        format!("{}@{} {role}", info.id, info.address)
-    };
-    let members: Vec<String> = configuration.members.values().map(describe).collect();
-    members.join(", ")
-}
-
 fn snapshot_state(restored: &Restored) -> ControlState {
     restored
         .snapshot
--- a/crates/moleroad_gateway/src/control_member/mod.rs
+++ b/crates/moleroad_gateway/src/control_member/mod.rs
@@ -3,6 +3,7 @@
 //! process.
 
 mod member;
+mod report;
 
 use crate::clock::Clock;
 use crate::control_state::{ControlCommand, ControlState, DocumentId};
