A dropped message of the control group is counted without its details

Cause: read as a newcomer, the output carried what nobody used. Change: MemberOutput::Dropped is a unit; the log line names sender and reason.

--- a/crates/moleroad_gateway/src/control_member/member.rs
+++ b/crates/moleroad_gateway/src/control_member/member.rs
@@ -198,7 +198,7 @@
             Action::Send { to, message } => {
                 let _ = self.output.send(MemberOutput::Send(to, message));
             }
-            Action::Dropped { from, rejection } => self.report_dropped(from, rejection),
+            Action::Dropped { from, rejection } => self.report_dropped(&from, rejection),
             Action::Restore(snapshot) => {
                 self.state = Arc::new(decode_state(&snapshot));
                 self.publish_state();
--- a/crates/moleroad_gateway/src/control_member/mod.rs
+++ b/crates/moleroad_gateway/src/control_member/mod.rs
@@ -70,8 +70,8 @@
 pub enum MemberOutput {
     /// Send this message to a member.
     Send(MemberInfo, Message),
-    /// A message from this member was dropped.
-    Dropped(MemberInfo, Rejection),
+    /// A received message was dropped.
+    Dropped,
     /// The committed state.
     State(Arc<ControlState>),
     /// The state including log entries found at startup that may not be
--- a/crates/moleroad_gateway/src/control_member/report.rs
+++ b/crates/moleroad_gateway/src/control_member/report.rs
@@ -6,7 +6,7 @@
 
 impl MemberThread {
     /// Counts a dropped message, and logs the first one of a series.
-    pub(super) fn report_dropped(&mut self, from: MemberInfo, rejection: Rejection) {
+    pub(super) fn report_dropped(&mut self, from: &MemberInfo, rejection: Rejection) {
         let latest = Some((from.id, rejection));
         if self.last_dropped != latest {
             self.last_dropped = latest;
@@ -18,7 +18,7 @@
                 ""
             );
         }
-        let _ = self.output.send(MemberOutput::Dropped(from, rejection));
+        let _ = self.output.send(MemberOutput::Dropped);
     }
 
     /// Logs a change of the group's members, and whether a new voter has joined
--- a/crates/moleroad_gateway/src/run.rs
+++ b/crates/moleroad_gateway/src/run.rs
@@ -178,7 +178,7 @@
             MemberOutput::Send(to, message) => {
                 tokio::spawn(send(node.clone(), to, message));
             }
-            MemberOutput::Dropped(..) => node.metrics.count("control_message_dropped"),
+            MemberOutput::Dropped => node.metrics.count("control_message_dropped"),
             MemberOutput::State(state) => {
                 node.merge_state(&state, UpdateSource::Log);
                 push(&node, &state, &mut pushed);
