Log what a stopping entry takes, what it leaves, and how late it heard the signal

Ruled out: a line for each request of a running process; only stopping ones write them. Change: log lines alone. stop_begins says how old the signal may be, by the last but one pass of the housekeeping (Ticks); taken_while_stopping has limit, expected times and the time to the exit; left_unanswered has route, phase, arrival after the signal, limit, sends, last send and bytes written; stop says whether the exit was the planned one. No decision reads any of it.

--- a/crates/moleroad_gateway/src/connections/open_answers.rs
+++ b/crates/moleroad_gateway/src/connections/open_answers.rs
@@ -6,6 +6,7 @@
 use moleroad_config::prelude::Route;
 use moleroad_types::prelude::Millis;
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// Share of the answers that end within the time that is likely.
@@ -20,6 +21,61 @@
     pub longest_ms: u64,
 }
 
+/// How far the answer to a request has come.
+#[derive(Debug, Default)]
+pub struct AnswerProgress {
+    sends: AtomicU32,
+    last_sent_at: AtomicU64,
+    has_head: AtomicBool,
+    written_bytes: AtomicU64,
+}
+
+impl AnswerProgress {
+    /// Records that the request was passed on to a target at `now`.
+    pub fn record_send(&self, now: Millis) {
+        self.sends.fetch_add(1, Ordering::Relaxed);
+        self.last_sent_at.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Records that the head of the answer was handed to the connection.
+    pub fn record_head(&self) {
+        self.has_head.store(true, Ordering::Relaxed);
+    }
+
+    /// Records bytes of the answer, with its head, that were written to the caller's
+    /// connection.
+    pub fn record_written(&self, bytes: usize) {
+        self.written_bytes
+            .fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Returns how often the request was passed on to a target.
+    pub fn sends(&self) -> u32 {
+        self.sends.load(Ordering::Relaxed)
+    }
+
+    /// Returns when the request was last passed on to a target; `None` if it was not.
+    pub fn last_sent_at(&self) -> Option<Millis> {
+        (self.sends() > 0).then(|| Millis(self.last_sent_at.load(Ordering::Relaxed)))
+    }
+
+    /// Returns the bytes of the answer that were written to the caller's connection.
+    pub fn written_bytes(&self) -> u64 {
+        self.written_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Returns the step that the answer waits in, for the log.
+    pub fn phase(&self) -> &'static str {
+        if self.has_head.load(Ordering::Relaxed) {
+            "writing"
+        } else if self.sends() > 0 {
+            "sent"
+        } else {
+            "not_sent"
+        }
+    }
+}
+
 /// A request whose answer is not completely written.
 #[derive(Clone, Debug)]
 pub struct OpenAnswer {
@@ -29,6 +85,23 @@
     pub arrived: Millis,
     /// Route of the request; `None` until it is known.
     pub route: Option<Arc<Route>>,
+    /// Deadline for the answer; `None` until it is known.
+    pub until: Option<Millis>,
+    /// How far the answer has come.
+    pub progress: Arc<AnswerProgress>,
+}
+
+impl OpenAnswer {
+    /// Creates the record of a request that has just arrived.
+    pub fn new(id: Option<HeaderValue>, arrived: Millis) -> Self {
+        Self {
+            id,
+            arrived,
+            route: None,
+            until: None,
+            progress: Arc::default(),
+        }
+    }
 }
 
 /// The open answers of one process.
@@ -63,10 +136,12 @@
         let mut state = self.lock();
         let number = state.next_number;
         state.next_number += 1;
+        let progress = answer.progress.clone();
         state.open.insert(number, answer);
         OpenAnswerGuard {
             answers: self.clone(),
             number,
+            progress,
         }
     }
 
@@ -104,15 +179,22 @@
 pub struct OpenAnswerGuard {
     answers: OpenAnswers,
     number: u64,
+    progress: Arc<AnswerProgress>,
 }
 
 impl OpenAnswerGuard {
-    /// Sets the route of the request.
-    pub fn set_route(&self, route: &Arc<Route>) {
+    /// Sets the route of the request and the deadline for its answer.
+    pub fn set_route(&self, route: &Arc<Route>, until: Millis) {
         if let Some(open) = self.answers.lock().open.get_mut(&self.number) {
             open.route = Some(route.clone());
+            open.until = Some(until);
         }
     }
+
+    /// Returns how far the answer has come.
+    pub fn progress(&self) -> &Arc<AnswerProgress> {
+        &self.progress
+    }
 }
 
 impl Drop for OpenAnswerGuard {
--- a/crates/moleroad_gateway/src/connections/tracked.rs
+++ b/crates/moleroad_gateway/src/connections/tracked.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use moleroad_config::prelude::Route;
+use moleroad_types::prelude::Millis;
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -35,7 +36,7 @@
     /// The answer is being prepared, or parts of its body are still to come.
     InProgress(OpenAnswerGuard),
     /// The whole answer was encoded; some of it may still be buffered.
-    Encoded { _open: OpenAnswerGuard },
+    Encoded { open: OpenAnswerGuard },
 }
 
 impl CurrentAnswer {
@@ -44,15 +45,18 @@
         *self.lock() = AnswerState::InProgress(open);
     }
 
-    /// Sets the route of the request.
-    pub fn set_route(&self, route: &Arc<Route>) {
+    /// Sets the route of the request and the deadline for its answer.
+    pub fn set_route(&self, route: &Arc<Route>, until: Millis) {
         if let AnswerState::InProgress(open) = &*self.lock() {
-            open.set_route(route);
+            open.set_route(route, until);
         }
     }
 
     /// Returns `body` such that its end is noticed.
     pub fn track(&self, body: AnswerBody) -> TrackedBody {
+        if let AnswerState::InProgress(open) = &*self.lock() {
+            open.progress().record_head();
+        }
         TrackedBody {
             body,
             answer: self.clone(),
@@ -61,8 +65,15 @@
 
     fn encoded(&self) {
         let mut state = self.lock();
-        if let AnswerState::InProgress(_open) = std::mem::take(&mut *state) {
-            *state = AnswerState::Encoded { _open };
+        if let AnswerState::InProgress(open) = std::mem::take(&mut *state) {
+            *state = AnswerState::Encoded { open };
+        }
+    }
+
+    /// Records bytes of the answer that were written to the connection.
+    fn written(&self, bytes: usize) {
+        if let AnswerState::InProgress(open) | AnswerState::Encoded { open } = &*self.lock() {
+            open.progress().record_written(bytes);
         }
     }
 
@@ -197,7 +208,9 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, buffer)
+        let written = ready!(Pin::new(&mut self.stream).poll_write(context, buffer))?;
+        self.answer.written(written);
+        Poll::Ready(Ok(written))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/moleroad_gateway/src/front/exchange.rs
+++ b/crates/moleroad_gateway/src/front/exchange.rs
@@ -137,6 +137,7 @@
         set_deadline(node, request, candidate, message.headers_mut());
         connection.bound_interim_responses(&mut message);
         let sent_at = node.clock.now();
+        request.progress.record_send(sent_at);
         let mut silence = Silence::begin(Instant::now());
         let sending = connection.sender.try_send_request(message);
         match tokio::time::timeout_at(limit, sending).await {
--- a/crates/moleroad_gateway/src/front/request.rs
+++ b/crates/moleroad_gateway/src/front/request.rs
@@ -1,5 +1,6 @@
 //! Reads and validates a caller's request.
 
+use crate::connections::open_answers::AnswerProgress;
 use crate::front::answer::EntryError;
 use crate::held_bytes::HeldBody;
 use crate::node::Node;
@@ -65,6 +66,8 @@
     /// Whether the first send is a trial, allowed although the request is
     /// quarantined.
     pub is_trial: bool,
+    /// How far the answer has come.
+    pub progress: Arc<AnswerProgress>,
 }
 
 /// Reads and validates a request.
@@ -75,6 +78,7 @@
     node: &Node,
     request: Request<Incoming>,
     arrived: Millis,
+    progress: Arc<AnswerProgress>,
 ) -> Result<AcceptedRequest, EntryError> {
     let Some(table) = node.view().table.clone() else {
         return Err(EntryError::NoConfiguration);
@@ -127,6 +131,7 @@
     Ok(AcceptedRequest {
         suspects: RequestSuspects::new(content.fingerprint(), account_name, &prompt_parts),
         is_trial: false,
+        progress,
         method: head.method.clone(),
         path_and_query,
         headers,
--- a/crates/moleroad_gateway/src/front/serve.rs
+++ b/crates/moleroad_gateway/src/front/serve.rs
@@ -66,18 +66,18 @@
     let arrived = node.clock.now();
     let id = message.headers().get(&node.interface.headers().request_id);
     let id = id.cloned();
-    current.begin(node.open_answers.begin(OpenAnswer {
-        id: id.clone(),
-        arrived,
-        route: None,
-    }));
+    let open = node
+        .open_answers
+        .begin(OpenAnswer::new(id.clone(), arrived));
+    let progress = open.progress().clone();
+    current.begin(open);
     let mut guard = DisconnectGuard::new(&node, id.clone());
-    let result = request::accept(&node, message, arrived).await;
+    let result = request::accept(&node, message, arrived, progress).await;
     let mut summary = None;
     let mut answer = match result {
         Err(error) => error.response(retry_after_ms(error)),
         Ok(mut accepted) => {
-            current.set_route(&accepted.route);
+            current.set_route(&accepted.route, accepted.until);
             accepted.is_trial = trial::obtain(&node, &accepted).await;
             summary = Some(RequestSummary::of(&accepted));
             if accepted.route.streaming {
--- a/crates/moleroad_gateway/src/front/waiting.rs
+++ b/crates/moleroad_gateway/src/front/waiting.rs
@@ -35,14 +35,18 @@
             return self.find_slot().await;
         }
         let (node, request) = (self.node.clone(), self.request.clone());
-        tokio::select! {
+        let slot = tokio::select! {
             biased;
             () = stop::too_late_for(&node, &request) => {
                 node.metrics.count("refused_by_stop");
                 Err(GiveUp::Stopping)
             }
             slot = self.find_slot() => slot,
+        };
+        if slot.is_ok() {
+            stop::log_taken(&node, &request);
         }
+        slot
     }
 
     async fn find_slot(&mut self) -> Result<ReservedSlot, GiveUp> {
--- a/crates/moleroad_gateway/src/lib.rs
+++ b/crates/moleroad_gateway/src/lib.rs
@@ -58,5 +58,6 @@
 mod target_limits;
 pub mod target_notice;
 pub mod target_updates;
+pub mod ticks;
 pub mod trial;
 pub mod view;
--- a/crates/moleroad_gateway/src/management_api.rs
+++ b/crates/moleroad_gateway/src/management_api.rs
@@ -48,11 +48,8 @@
     http.timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT);
     let handler = |request, current: CurrentAnswer| {
-        current.begin(node.open_calls.begin(OpenAnswer {
-            id: None,
-            arrived: node.clock.now(),
-            route: None,
-        }));
+        let call = OpenAnswer::new(None, node.clock.now());
+        current.begin(node.open_calls.begin(call));
         handle(node.clone(), request)
     };
     serve_requests(connection, &http, &node, CLOSES_AT, handler).await;
--- a/crates/moleroad_gateway/src/node.rs
+++ b/crates/moleroad_gateway/src/node.rs
@@ -22,6 +22,7 @@
 use crate::stop::{StopPhase, StopPlan, StopSignal};
 use crate::suspension::SuspensionDetector;
 use crate::target_ends::TargetEnds;
+use crate::ticks::Ticks;
 use crate::view::View;
 use moleroad_consensus::prelude::MemberInfo;
 use moleroad_directory::prelude::*;
@@ -81,6 +82,7 @@
     pull_in_progress: AtomicBool,
     suspension: Mutex<SuspensionDetector>,
     target_ends: Mutex<TargetEnds>,
+    ticks: Mutex<Ticks>,
     view: Mutex<View>,
 }
 
@@ -126,6 +128,7 @@
             pull_in_progress: AtomicBool::new(false),
             suspension: Mutex::new(suspension),
             target_ends: Mutex::default(),
+            ticks: Mutex::default(),
             view: Mutex::new(View::new(own)),
             settings,
         }
@@ -143,6 +146,12 @@
         ends.unwrap_or_else(|error| error.into_inner())
     }
 
+    /// Locks the times at which this process is known to have run. The guard must not be
+    /// held across an await.
+    pub fn ticks(&self) -> MutexGuard<'_, Ticks> {
+        self.ticks.lock().unwrap_or_else(|error| error.into_inner())
+    }
+
     /// Locks the suspension detector, updated with the current time. The guard must not be
     /// held across an await.
     pub fn suspension_detector(&self) -> MutexGuard<'_, SuspensionDetector> {
--- a/crates/moleroad_gateway/src/run.rs
+++ b/crates/moleroad_gateway/src/run.rs
@@ -270,6 +270,7 @@
     loop {
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
         let now = node.clock.now();
+        node.ticks().tick(now);
         {
             let mut view = node.view();
             let own = view.own.clone();
--- a/crates/moleroad_gateway/src/stop.rs
+++ b/crates/moleroad_gateway/src/stop.rs
@@ -96,6 +96,8 @@
 /// Times of a graceful stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopPlan {
+    /// The process began to stop then.
+    pub began_at: Millis,
     /// Until then lists of entries may name this process.
     pub lists_expire_at: Millis,
     /// Until then callers may still come.
@@ -113,6 +115,7 @@
             RoleSetting::Agent => (0, 0),
         };
         Self {
+            began_at: now,
             lists_expire_at: now + lists_ms,
             callers_leave_at: now + drain_ms.min(grace_ms * MAX_DRAIN_QUARTERS / 4),
             exits_at: now + grace_ms.saturating_sub(EXIT_MARGIN_MS),
@@ -164,9 +167,15 @@
 
 /// Stops the process gracefully; returns when it may exit.
 pub async fn shut_down(node: &Arc<Node>) {
-    log::info!(event = "stop_begins"; "");
     let settings = &node.settings;
-    let plan = StopPlan::new(node.clock.now(), settings.bounds.grace_ms, settings.role);
+    let now = node.clock.now();
+    let plan = StopPlan::new(now, settings.bounds.grace_ms, settings.role);
+    log::info!(
+        event = "stop_begins",
+        signal_age_ms = now.since(node.ticks().earliest_event(now)),
+        in_flight = node.open_answers.count() as u64;
+        ""
+    );
     node.leave(plan);
     if let Some(control_member) = &node.control_member {
         control_member.send(MemberInput::Retire);
@@ -177,7 +186,7 @@
     close(node, StopPhase::ClosingFront, &node.open_answers, plan).await;
     close(node, StopPhase::ClosingManagement, &node.open_calls, plan).await;
     node.stop.enter(StopPhase::Exiting);
-    log_open_answers(node);
+    log_open_answers(node, plan);
 }
 
 /// Enters a phase that closes connections, and waits until their answers are written and
@@ -194,22 +203,63 @@
     }
 }
 
-fn log_open_answers(node: &Node) {
+/// Logs a request that is passed on to a target although the process stops.
+pub fn log_taken(node: &Node, request: &AcceptedRequest) {
+    let Some(plan) = node.stop.plan.get() else {
+        return;
+    };
+    let now = node.clock.now();
+    let expected = node.open_answers.expected_time(&request.route.name);
+    node.metrics.count("taken_while_stopping");
+    log::info!(
+        event = "taken_while_stopping",
+        request = request.id.to_str().unwrap_or("-"),
+        route = request.route.name.as_str(),
+        arrived_after_ms = request.arrived.since(plan.began_at),
+        waited_ms = now.since(request.arrived),
+        limit_ms = request.until.since(now),
+        likely_ms = expected.map_or(0, |expected| expected.likely_ms),
+        longest_ms = expected.map_or(0, |expected| expected.longest_ms),
+        exit_in_ms = plan.exits_at.since(now);
+        ""
+    );
+}
+
+/// Logs what the process leaves behind at its exit.
+fn log_open_answers(node: &Node, plan: StopPlan) {
     let now = node.clock.now();
-    for OpenAnswer { id, arrived, .. } in node.open_answers.oldest(MAX_LOGGED_ANSWERS) {
+    for answer in node.open_answers.oldest(MAX_LOGGED_ANSWERS) {
         node.metrics.count("left_unanswered");
-        let id = id.as_ref().and_then(|id| id.to_str().ok());
-        log::warn!(
-            event = "left_unanswered",
-            request = id.unwrap_or("-"),
-            elapsed_ms = now.since(arrived);
-            ""
-        );
+        log_left_answer(now, &answer, plan);
     }
     log::info!(
         event = "stop",
+        after_ms = now.since(plan.began_at),
+        is_planned_end = now >= plan.exits_at,
         in_flight = node.open_answers.count() as u64,
-        calls = node.open_calls.count() as u64;
+        calls = node.open_calls.count() as u64,
+        closing = node.closing_connections.count() as u64;
+        ""
+    );
+}
+
+fn log_left_answer(now: Millis, answer: &OpenAnswer, plan: StopPlan) {
+    let id = answer.id.as_ref().and_then(|id| id.to_str().ok());
+    let route = answer.route.as_ref();
+    let until = answer.until.unwrap_or(answer.arrived);
+    let progress = &answer.progress;
+    let sent_at = progress.last_sent_at().unwrap_or(answer.arrived);
+    log::warn!(
+        event = "left_unanswered",
+        request = id.unwrap_or("-"),
+        route = route.map_or("-", |route| route.name.as_str()),
+        phase = progress.phase(),
+        arrived_after_ms = answer.arrived.since(plan.began_at),
+        elapsed_ms = now.since(answer.arrived),
+        limit_ms = until.since(answer.arrived),
+        sends = progress.sends(),
+        last_sent_after_ms = sent_at.since(answer.arrived),
+        written_bytes = progress.written_bytes();
         ""
     );
 }
--- a/crates/moleroad_gateway/tests/support/mod.rs
+++ b/crates/moleroad_gateway/tests/support/mod.rs
@@ -318,5 +318,6 @@
         last_event: None,
         suspects: suspects(0, &[]),
         is_trial: false,
+        progress: Arc::default(),
     }
 }
