Begin a request at a stopping entry only if its limit ends before the exit

What callers saw: a request that came 3 s or more after the signal was taken, passed on, and cut at the planned exit, with a status and a part of a body, or with nothing. Cause: StopPlan::latest_begin let it begin if twice the longest of its route's recent answers still fitted. That is what other answers took, not what this one may take. Nothing enforces it, so that a slower target, a longer prompt or a start without history breaks it. The arrival of the head also counted as the arrival of a request whose body came seconds later. Ruled out: a larger factor (a bound made from a sample stays one); the limit from the signal on (it refuses all callers of a route whose time-out is near the grace period while lists still name the entry). Change: may_begin asks whether the deadline or the time-out ends before the exit, less 0.1 s for the last bytes. Until lists have expired, reckoned to the last byte of the request, a request that may be sent again needs only a likely end, as before; one that may run once needs a certain one at any time. The test of latest_begin goes with that function; its successors ask more: every 7 ms of the stop, with each kind of limit and history, no request begins that may outlast the process, and none is refused that can't.

--- a/crates/moleroad_gateway/src/connections/open_answers.rs
+++ b/crates/moleroad_gateway/src/connections/open_answers.rs
@@ -12,15 +12,6 @@
 /// Share of the answers that end within the time that is likely.
 const LIKELY_SHARE: f64 = 0.99;
 
-/// How long answers of one route take, in milliseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ExpectedTime {
-    /// Time within which nearly all recent answers ended.
-    pub likely_ms: u64,
-    /// Time of the longest recent answer, or of one that is open.
-    pub longest_ms: u64,
-}
-
 /// How far the answer to a request has come.
 #[derive(Debug, Default)]
 pub struct AnswerProgress {
@@ -155,19 +146,11 @@
         self.lock().open.values().take(most).cloned().collect()
     }
 
-    /// Returns how long answers of `route` have recently taken; `None` if there was none.
-    pub fn expected_time(&self, route: &str) -> Option<ExpectedTime> {
+    /// Returns the time within which nearly all recent answers of `route` ended, in
+    /// milliseconds; `None` if there was none.
+    pub fn likely_ms(&self, route: &str) -> Option<u64> {
         let now = self.clock.now();
-        let mut state = self.lock();
-        let open = state.open.values();
-        let open = open.filter(|open| open.route.as_ref().is_some_and(|r| r.name == route));
-        let open_ms = open.map(|open| now.since(open.arrived)).max();
-        let likely_ms = state.times.quantile_ms(now, route, LIKELY_SHARE)?;
-        let longest_ms = state.times.quantile_ms(now, route, 1.0)?;
-        Some(ExpectedTime {
-            likely_ms,
-            longest_ms: longest_ms.max(open_ms.unwrap_or(0)),
-        })
+        self.lock().times.quantile_ms(now, route, LIKELY_SHARE)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/moleroad_gateway/src/front/attempt.rs
+++ b/crates/moleroad_gateway/src/front/attempt.rs
@@ -12,7 +12,6 @@
 use crate::held_bytes::Reservation;
 use crate::node::Node;
 use bytes::Bytes;
-use moleroad_config::prelude::Repeatability;
 use moleroad_directory::prelude::TargetId;
 use moleroad_dispatch::prelude::{Choice, Outcome, Requirements};
 use std::sync::Arc;
@@ -102,12 +101,7 @@
 
     /// Returns whether the request may run at more than one target.
     pub fn is_idempotent(&self) -> bool {
-        let route = &self.request.route;
-        if route.streaming {
-            route.resumable
-        } else {
-            route.repeatability == Repeatability::Idempotent
-        }
+        self.request.is_idempotent()
     }
 
     /// Sends the request to one target after another until one begins to answer.
--- a/crates/moleroad_gateway/src/front/request.rs
+++ b/crates/moleroad_gateway/src/front/request.rs
@@ -12,7 +12,7 @@
     TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{Method, Request};
-use moleroad_config::prelude::{ClientAccount, Residency, Route, RouteTable};
+use moleroad_config::prelude::{ClientAccount, Repeatability, Residency, Route, RouteTable};
 use moleroad_quarantine::prelude::{RequestContent, RequestSuspects};
 use moleroad_types::prelude::Millis;
 use std::sync::Arc;
@@ -45,8 +45,10 @@
     pub config_version: u64,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
-    /// Arrival time.
+    /// Arrival time of the head.
     pub arrived: Millis,
+    /// Time at which the whole request was read.
+    pub received: Millis,
     /// Deadline stated by the caller, if any.
     pub caller_deadline: Option<Millis>,
     /// Deadline for the answer.
@@ -70,6 +72,17 @@
     pub progress: Arc<AnswerProgress>,
 }
 
+impl AcceptedRequest {
+    /// Returns whether the request may run at more than one target.
+    pub fn is_idempotent(&self) -> bool {
+        if self.route.streaming {
+            self.route.resumable
+        } else {
+            self.route.repeatability == Repeatability::Idempotent
+        }
+    }
+}
+
 /// Reads and validates a request.
 ///
 /// # Errors
@@ -142,6 +155,7 @@
         priority: priority.unwrap_or(route.priority),
         route,
         arrived,
+        received: node.clock.now(),
         caller_deadline: deadline_ms.map(|deadline| arrived + deadline),
         until,
         residency,
--- a/crates/moleroad_gateway/src/stop.rs
+++ b/crates/moleroad_gateway/src/stop.rs
@@ -4,7 +4,7 @@
 //! when the answers that it waits for are written, and all of them end within the grace
 //! period.
 
-use crate::connections::open_answers::{ExpectedTime, OpenAnswer, OpenAnswers};
+use crate::connections::open_answers::{OpenAnswer, OpenAnswers};
 use crate::control_member::MemberInput;
 use crate::front::request::AcceptedRequest;
 use crate::node::Node;
@@ -19,6 +19,9 @@
 /// Time before the end of the grace period at which the process exits even if answers
 /// are open, in milliseconds.
 const EXIT_MARGIN_MS: u64 = 250;
+/// Time before the exit by which answers must end, in milliseconds: their last bytes are
+/// written in it.
+const WRITE_MARGIN_MS: u64 = 100;
 /// Time for which callers keep a list of entries, in milliseconds: three times the time to
 /// live of a directory answer (1 s).
 const LIST_LIFETIME_MS: u64 = 3_000;
@@ -29,12 +32,8 @@
 const CALL_DRAIN_MS: u64 = 1_000;
 /// Callers may come for at most this many quarters of the grace period.
 const MAX_DRAIN_QUARTERS: u64 = 3;
-/// An answer takes certainly no longer than this many times the longest recent one of its
-/// route.
-const CERTAINTY_FACTOR: u64 = 2;
-/// Interval at which a waiting request checks whether it can still be answered, in
-/// milliseconds.
-const LATE_CHECK_INTERVAL_MS: u64 = 100;
+/// Interval at which a waiting request checks whether it can still be answered.
+const LATE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of open answers that are logged at the exit.
 const MAX_LOGGED_ANSWERS: usize = 64;
 
@@ -102,10 +101,26 @@
     pub lists_expire_at: Millis,
     /// Until then callers may still come.
     pub callers_leave_at: Millis,
+    /// An answer that ends by then is written before the process exits.
+    pub answers_end_by: Millis,
     /// The process exits then, whatever is open.
     pub exits_at: Millis,
 }
 
+/// What is known of a request that has not begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PendingRequest {
+    /// Time at which the whole request was read.
+    pub received: Millis,
+    /// Deadline for the answer, which ends by then in any case.
+    pub until: Millis,
+    /// Time within which nearly all recent answers of the route ended, in milliseconds;
+    /// `None` if too few are known.
+    pub likely_ms: Option<u64>,
+    /// Whether a caller whose answer is cut may send the request again.
+    pub is_idempotent: bool,
+}
+
 impl StopPlan {
     /// Plans a stop that was requested at `now` and must end within `grace_ms`.
     pub fn new(now: Millis, grace_ms: u64, role: RoleSetting) -> Self {
@@ -114,34 +129,30 @@
             RoleSetting::Control => (0, CALL_DRAIN_MS),
             RoleSetting::Agent => (0, 0),
         };
+        let run_ms = grace_ms.saturating_sub(EXIT_MARGIN_MS);
         Self {
             began_at: now,
             lists_expire_at: now + lists_ms,
             callers_leave_at: now + drain_ms.min(grace_ms * MAX_DRAIN_QUARTERS / 4),
-            exits_at: now + grace_ms.saturating_sub(EXIT_MARGIN_MS),
+            answers_end_by: now + run_ms.saturating_sub(WRITE_MARGIN_MS),
+            exits_at: now + run_ms,
         }
     }
 
-    /// Returns the latest time at which a request may begin, so that its answer ends
-    /// before the process exits. `limit_ms` is the longest time that it may take.
+    /// Returns whether `request` may begin at `now`.
     ///
-    /// While lists of entries may still name this one, its callers come in good faith, and
-    /// the answer must be likely to end. For requests that arrive later it must be certain,
-    /// as far as recent answers tell.
-    pub fn latest_begin(
-        &self,
-        arrived: Millis,
-        limit_ms: u64,
-        expected: Option<ExpectedTime>,
-    ) -> Millis {
-        let needs_ms = expected.map_or(limit_ms, |expected| {
-            if arrived <= self.lists_expire_at {
-                expected.likely_ms
-            } else {
-                expected.longest_ms * CERTAINTY_FACTOR
-            }
-        });
-        Millis(self.exits_at.0.saturating_sub(needs_ms.min(limit_ms)))
+    /// Its deadline must be before the end of the process: how long other answers took
+    /// says what is likely, not what is certain. While lists of entries may still name
+    /// this one, its callers come in good faith; it is then enough that the answer is
+    /// likely to end, if the caller can send the request again.
+    pub fn may_begin(&self, now: Millis, request: PendingRequest) -> bool {
+        if request.until <= self.answers_end_by {
+            return true;
+        }
+        let is_early = request.received <= self.lists_expire_at;
+        let likely_end = request.likely_ms.map(|likely_ms| now + likely_ms);
+        let is_likely = likely_end.is_some_and(|end| end <= self.answers_end_by);
+        is_early && request.is_idempotent && is_likely
     }
 }
 
@@ -152,16 +163,23 @@
     let Some(plan) = node.stop.plan.get() else {
         return std::future::pending().await;
     };
-    loop {
-        let now = node.clock.now();
-        let limit_ms = request.until.since(now);
-        let expected = node.open_answers.expected_time(&request.route.name);
-        let latest = plan.latest_begin(request.arrived, limit_ms, expected);
-        if now > latest {
-            return;
-        }
-        let next = latest.min(now + LATE_CHECK_INTERVAL_MS);
-        tokio::time::sleep_until(node.clock.instant(next + 1)).await;
+    while plan.may_begin(node.clock.now(), pending(node, request)) {
+        tokio::time::sleep(LATE_CHECK_INTERVAL).await;
+    }
+}
+
+async fn sleep_until(node: &Node, at: Millis) {
+    while node.clock.now() < at {
+        tokio::time::sleep_until(node.clock.instant(at)).await;
+    }
+}
+
+fn pending(node: &Node, request: &AcceptedRequest) -> PendingRequest {
+    PendingRequest {
+        received: request.received,
+        until: request.until,
+        likely_ms: node.open_answers.likely_ms(&request.route.name),
+        is_idempotent: request.is_idempotent(),
     }
 }
 
@@ -180,9 +198,7 @@
     if let Some(control_member) = &node.control_member {
         control_member.send(MemberInput::Retire);
     }
-    while node.clock.now() < plan.callers_leave_at {
-        tokio::time::sleep_until(node.clock.instant(plan.callers_leave_at)).await;
-    }
+    sleep_until(node, plan.callers_leave_at).await;
     close(node, StopPhase::ClosingFront, &node.open_answers, plan).await;
     close(node, StopPhase::ClosingManagement, &node.open_calls, plan).await;
     node.stop.enter(StopPhase::Exiting);
@@ -209,7 +225,7 @@
         return;
     };
     let now = node.clock.now();
-    let expected = node.open_answers.expected_time(&request.route.name);
+    let likely_ms = node.open_answers.likely_ms(&request.route.name);
     node.metrics.count("taken_while_stopping");
     log::info!(
         event = "taken_while_stopping",
@@ -218,8 +234,7 @@
         arrived_after_ms = request.arrived.since(plan.began_at),
         waited_ms = now.since(request.arrived),
         limit_ms = request.until.since(now),
-        likely_ms = expected.map_or(0, |expected| expected.likely_ms),
-        longest_ms = expected.map_or(0, |expected| expected.longest_ms),
+        likely_ms = likely_ms.unwrap_or(0),
         exit_in_ms = plan.exits_at.since(now);
         ""
     );
--- a/crates/moleroad_gateway/tests/stop_plan.rs
+++ b/crates/moleroad_gateway/tests/stop_plan.rs
@@ -1,9 +1,8 @@
 //! Times of a graceful stop: when the process exits and which requests it still takes.
 
 use moleroad_gateway::answer_times::AnswerTimes;
-use moleroad_gateway::connections::open_answers::ExpectedTime;
 use moleroad_gateway::settings::RoleSetting;
-use moleroad_gateway::stop::{StopPhase, StopPlan, StopSignal};
+use moleroad_gateway::stop::{PendingRequest, StopPhase, StopPlan, StopSignal};
 use moleroad_types::prelude::Millis;
 
 const START: Millis = Millis(1_000_000);
@@ -28,33 +27,73 @@
     }
 }
 
-fn expected(likely_ms: u64, longest_ms: u64) -> Option<ExpectedTime> {
-    Some(ExpectedTime {
+/// A request that is read `after_ms` after the signal and may take `limit_ms`.
+fn request(after_ms: u64, limit_ms: u64, likely_ms: Option<u64>) -> PendingRequest {
+    let received = START + after_ms;
+    PendingRequest {
+        received,
+        until: received + limit_ms,
         likely_ms,
-        longest_ms,
-    })
+        is_idempotent: true,
+    }
+}
+
+fn may_begin_at_once(request: PendingRequest) -> bool {
+    plan(GRACE_MS, RoleSetting::Entry).may_begin(request.received, request)
 }
 
+// Guards against an estimate that stands where the end of an answer must be certain.
 #[test]
-fn an_answer_that_may_outlast_the_process_is_not_begun() {
+fn a_request_whose_limit_outlasts_the_process_does_not_begin_late() {
     let plan = plan(GRACE_MS, RoleSetting::Entry);
-    let early = START + 500;
-    let late = plan.lists_expire_at + 1;
-    for (arrived, limit_ms, expected, needs_ms) in [
-        (early, 6_000, None, 6_000),
-        (late, 1_000, None, 1_000),
-        (early, 6_000, expected(1_500, 5_000), 1_500),
-        (late, 6_000, expected(1_500, 5_000), 6_000),
-        (late, 6_000, expected(1_500, 2_000), 4_000),
-        (late, 600_000, expected(1_500, 2_000), 4_000),
-        (early, 1_000, expected(1_500, 2_000), 1_000),
+    for after_ms in (3_001..GRACE_MS).step_by(7) {
+        for limit_ms in [1, 50, 1_500, 6_000, 600_000] {
+            for likely_ms in [None, Some(50), Some(2_000)] {
+                let request = request(after_ms, limit_ms, likely_ms);
+                let is_certain = request.until < plan.exits_at;
+                let begins = may_begin_at_once(request);
+                assert!(is_certain || !begins, "{request:?}");
+                let has_time = request.until + 100 <= plan.exits_at;
+                assert!(begins || !has_time, "{request:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn while_lists_name_the_entry_an_answer_must_be_likely_to_end() {
+    for (limit_ms, likely_ms, begins) in [
+        (6_000, None, false),
+        (6_000, Some(1_500), true),
+        (6_000, Some(5_500), false),
+        (600_000, Some(1_500), true),
+        (600_000, None, false),
+        (1_000, None, true),
+        (1_000, Some(5_500), true),
     ] {
-        let latest = plan.latest_begin(arrived, limit_ms, expected);
-        let case = format!("{arrived:?} {limit_ms} {expected:?}");
-        assert_eq!(latest + needs_ms, plan.exits_at, "{case}");
+        let request = request(2_500, limit_ms, likely_ms);
+        assert_eq!(may_begin_at_once(request), begins, "{request:?}");
     }
-    // Without any knowledge, a limit beyond the grace period means not at all.
-    assert!(plan.latest_begin(early, 600_000, None) < START);
+}
+
+// Guards against cutting a request that its caller can't send again.
+#[test]
+fn a_request_that_may_run_once_begins_only_if_its_limit_ends_in_time() {
+    for (limit_ms, begins) in [(1_500, true), (6_000, false)] {
+        let request = PendingRequest {
+            is_idempotent: false,
+            ..request(2_500, limit_ms, Some(50))
+        };
+        assert_eq!(may_begin_at_once(request), begins, "{request:?}");
+    }
+}
+
+#[test]
+fn a_request_that_waits_is_refused_once_its_answer_would_come_too_late() {
+    let plan = plan(GRACE_MS, RoleSetting::Entry);
+    let request = request(2_000, 60_000, Some(1_500));
+    assert!(plan.may_begin(plan.answers_end_by - 1_500, request));
+    assert!(!plan.may_begin(plan.answers_end_by - 1_499, request));
 }
 
 /// Asserts that `ms` is `at_least`, rounded up by a quarter at most.
--- a/crates/moleroad_gateway/tests/support/mod.rs
+++ b/crates/moleroad_gateway/tests/support/mod.rs
@@ -310,6 +310,7 @@
         config_version: 0,
         priority: 1,
         arrived,
+        received: arrived,
         caller_deadline: None,
         until: arrived + ms,
         prompt_tokens: 0,
