Count a stop from when its signal may have been sent

What callers saw: requests taken 3.1 to 5.3 s after the signal and cut by SIGKILL, by an entry that had been frozen across the signal or was too busy to handle it. The process logs neither left_unanswered nor stop. Cause: the plan of a stop counted from the handling of the signal, the platform's grace period counts from its sending. Ruled out: an exit that is earlier by the same time; answers that are open may end if the signal is not that old, and a kill takes no more from their callers than an exit. Change: nothing tells when a signal was sent, but it was not pending in the last but one pass of the housekeeping. What is begun, and for how long in good faith, counts from that pass.

--- a/crates/moleroad_gateway/src/stop.rs
+++ b/crates/moleroad_gateway/src/stop.rs
@@ -101,7 +101,7 @@
     pub lists_expire_at: Millis,
     /// Until then callers may still come.
     pub callers_leave_at: Millis,
-    /// An answer that ends by then is written before the process exits.
+    /// An answer that ends by then is written before the process exits or is killed.
     pub answers_end_by: Millis,
     /// The process exits then, whatever is open.
     pub exits_at: Millis,
@@ -122,8 +122,9 @@
 }
 
 impl StopPlan {
-    /// Plans a stop that was requested at `now` and must end within `grace_ms`.
-    pub fn new(now: Millis, grace_ms: u64, role: RoleSetting) -> Self {
+    /// Plans a stop whose signal is handled at `now` and was sent at `sent_at` or later.
+    /// The process is killed `grace_ms` after the signal was sent.
+    pub fn new(now: Millis, sent_at: Millis, grace_ms: u64, role: RoleSetting) -> Self {
         let (lists_ms, drain_ms) = match role {
             RoleSetting::Entry => (LIST_LIFETIME_MS, LIST_LIFETIME_MS + LIST_MARGIN_MS),
             RoleSetting::Control => (0, CALL_DRAIN_MS),
@@ -132,9 +133,9 @@
         let run_ms = grace_ms.saturating_sub(EXIT_MARGIN_MS);
         Self {
             began_at: now,
-            lists_expire_at: now + lists_ms,
+            lists_expire_at: sent_at + lists_ms,
             callers_leave_at: now + drain_ms.min(grace_ms * MAX_DRAIN_QUARTERS / 4),
-            answers_end_by: now + run_ms.saturating_sub(WRITE_MARGIN_MS),
+            answers_end_by: sent_at + run_ms.saturating_sub(WRITE_MARGIN_MS),
             exits_at: now + run_ms,
         }
     }
@@ -187,10 +188,11 @@
 pub async fn shut_down(node: &Arc<Node>) {
     let settings = &node.settings;
     let now = node.clock.now();
-    let plan = StopPlan::new(now, settings.bounds.grace_ms, settings.role);
+    let sent_at = node.ticks().earliest_event(now);
+    let plan = StopPlan::new(now, sent_at, settings.bounds.grace_ms, settings.role);
     log::info!(
         event = "stop_begins",
-        signal_age_ms = now.since(node.ticks().earliest_event(now)),
+        signal_age_ms = now.since(sent_at),
         in_flight = node.open_answers.count() as u64;
         ""
     );
--- a/crates/moleroad_gateway/tests/stop_plan.rs
+++ b/crates/moleroad_gateway/tests/stop_plan.rs
@@ -9,7 +9,7 @@
 const GRACE_MS: u64 = 8_000;
 
 fn plan(grace_ms: u64, role: RoleSetting) -> StopPlan {
-    StopPlan::new(START, grace_ms, role)
+    StopPlan::new(START, START, grace_ms, role)
 }
 
 #[test]
@@ -76,6 +76,20 @@
     }
 }
 
+// Guards against a plan that counts from a signal which was handled late.
+#[test]
+fn a_signal_that_may_be_old_leaves_less_time_for_requests() {
+    let age_ms = 1_900;
+    let late = StopPlan::new(START + age_ms, START, GRACE_MS, RoleSetting::Entry);
+    let at_once = plan(GRACE_MS, RoleSetting::Entry);
+    assert_eq!(late.answers_end_by, at_once.answers_end_by);
+    assert_eq!(late.lists_expire_at, at_once.lists_expire_at);
+    // Answers that are open may still end if the signal is not that old.
+    assert_eq!(late.exits_at, at_once.exits_at + age_ms);
+    let request = request(age_ms, GRACE_MS - age_ms, None);
+    assert!(!late.may_begin(request.received, request));
+}
+
 // Guards against cutting a request that its caller can't send again.
 #[test]
 fn a_request_that_may_run_once_begins_only_if_its_limit_ends_in_time() {
