Learn how long answers take from whole answers of targets alone

What callers saw: nothing that is known; a request that an entry takes as likely to end, in the first 3 s after the signal, may be cut all the same. Cause: the times of answers held refusals, errors and answers that their callers gave up, all short, so that "99 of 100" said little of those that run; one answer was enough to tell it; targets that have become slower showed only once their answers had ended. Change: an answer counts when its last byte is flushed and a target gave it; fewer than 100 tell nothing; an answer that is open for longer raises the time.

--- a/crates/moleroad_gateway/src/answer_times.rs
+++ b/crates/moleroad_gateway/src/answer_times.rs
@@ -6,6 +6,10 @@
 /// Time for which an answer is remembered at least, in milliseconds; at most twice as
 /// long.
 const WINDOW_MS: u64 = 60_000;
+/// Share of the answers that end within the time that is likely.
+const LIKELY_SHARE: f64 = 0.99;
+/// Number of recent answers from which that share can be told.
+const MIN_KNOWN_ANSWERS: u64 = 100;
 /// Upper bound of the first bucket, in milliseconds.
 const FIRST_BOUND_MS: f64 = 50.0;
 /// Ratio of the upper bounds of two successive buckets.
@@ -60,6 +64,24 @@
         }
     }
 
+    /// Returns the time within which an answer of `route` is likely to end, in
+    /// milliseconds; `None` if too few are known.
+    pub fn likely_ms(&mut self, now: Millis, route: &str) -> Option<u64> {
+        if self.count(now, route) < MIN_KNOWN_ANSWERS {
+            return None;
+        }
+        self.quantile_ms(now, route, LIKELY_SHARE)
+    }
+
+    /// Returns the number of recent answers of `route`.
+    fn count(&mut self, now: Millis, route: &str) -> u64 {
+        self.advance(now);
+        let windows = [&self.current, &self.previous].into_iter();
+        let histograms = windows.filter_map(|window| window.get(route));
+        let counts = histograms.flat_map(|histogram| histogram.counts);
+        counts.map(u64::from).sum()
+    }
+
     /// Returns the time within which the given share of the recent answers of `route`
     /// ended, in milliseconds, rounded up by a quarter at most; `None` if there was none.
     pub fn quantile_ms(&mut self, now: Millis, route: &str, share: f64) -> Option<u64> {
--- a/crates/moleroad_gateway/src/connections/open_answers.rs
+++ b/crates/moleroad_gateway/src/connections/open_answers.rs
@@ -9,15 +9,13 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// Share of the answers that end within the time that is likely.
-const LIKELY_SHARE: f64 = 0.99;
-
 /// How far the answer to a request has come.
 #[derive(Debug, Default)]
 pub struct AnswerProgress {
     sends: AtomicU32,
     last_sent_at: AtomicU64,
     has_head: AtomicBool,
+    is_from_target: AtomicBool,
     written_bytes: AtomicU64,
 }
 
@@ -33,6 +31,11 @@
         self.has_head.store(true, Ordering::Relaxed);
     }
 
+    /// Records that a target ran the request and its answer is being delivered.
+    pub fn record_target_answer(&self) {
+        self.is_from_target.store(true, Ordering::Relaxed);
+    }
+
     /// Records bytes of the answer, with its head, that were written to the caller's
     /// connection.
     pub fn record_written(&self, bytes: usize) {
@@ -93,6 +96,11 @@
             progress: Arc::default(),
         }
     }
+
+    fn is_sent_to(&self, route: &str) -> bool {
+        let is_on_route = self.route.as_ref().is_some_and(|own| own.name == route);
+        is_on_route && self.progress.sends() > 0
+    }
 }
 
 /// The open answers of one process.
@@ -146,11 +154,16 @@
         self.lock().open.values().take(most).cloned().collect()
     }
 
-    /// Returns the time within which nearly all recent answers of `route` ended, in
-    /// milliseconds; `None` if there was none.
+    /// Returns the time within which an answer of a target to a request of `route` is
+    /// likely to end, in milliseconds; `None` if too few are known. An answer that is
+    /// already open for longer counts as well: targets may have become slower.
     pub fn likely_ms(&self, route: &str) -> Option<u64> {
         let now = self.clock.now();
-        self.lock().times.quantile_ms(now, route, LIKELY_SHARE)
+        let mut state = self.lock();
+        let ended_ms = state.times.likely_ms(now, route)?;
+        let sent = state.open.values().filter(|open| open.is_sent_to(route));
+        let open_ms = sent.map(|open| now.since(open.arrived)).max();
+        Some(ended_ms.max(open_ms.unwrap_or(0)))
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -178,20 +191,28 @@
     pub fn progress(&self) -> &Arc<AnswerProgress> {
         &self.progress
     }
-}
 
-impl Drop for OpenAnswerGuard {
-    fn drop(&mut self) {
+    /// Ends an answer that was completely written.
+    pub fn complete(self) {
+        if !self.progress.is_from_target.load(Ordering::Relaxed) {
+            return;
+        }
         let now = self.answers.clock.now();
         let mut state = self.answers.lock();
-        let ended = state.open.remove(&self.number);
+        let state = &mut *state;
         if let Some(OpenAnswer {
             arrived,
             route: Some(route),
             ..
-        }) = ended
+        }) = state.open.get(&self.number)
         {
-            state.times.record(now, &route.name, now.since(arrived));
+            state.times.record(now, &route.name, now.since(*arrived));
         }
     }
 }
+
+impl Drop for OpenAnswerGuard {
+    fn drop(&mut self) {
+        self.answers.lock().open.remove(&self.number);
+    }
+}
--- a/crates/moleroad_gateway/src/connections/tracked.rs
+++ b/crates/moleroad_gateway/src/connections/tracked.rs
@@ -80,8 +80,9 @@
     /// Records that all encoded bytes are written to the connection.
     fn flushed(&self) {
         let mut state = self.lock();
-        if matches!(&*state, AnswerState::Encoded { .. }) {
-            *state = AnswerState::None;
+        match std::mem::take(&mut *state) {
+            AnswerState::Encoded { open } => open.complete(),
+            other => *state = other,
         }
     }
 
--- a/crates/moleroad_gateway/src/front/serve.rs
+++ b/crates/moleroad_gateway/src/front/serve.rs
@@ -72,7 +72,7 @@
     let progress = open.progress().clone();
     current.begin(open);
     let mut guard = DisconnectGuard::new(&node, id.clone());
-    let result = request::accept(&node, message, arrived, progress).await;
+    let result = request::accept(&node, message, arrived, progress.clone()).await;
     let mut summary = None;
     let mut answer = match result {
         Err(error) => error.response(retry_after_ms(error)),
@@ -88,6 +88,10 @@
         }
     };
     guard.answered();
+    let is_own = answer.extensions().get::<EntryError>().is_some();
+    if !is_own && answer.status().is_success() {
+        progress.record_target_answer();
+    }
     if let Some(id) = id {
         let name = &node.interface.headers().request_id;
         if !answer.headers().contains_key(name) {
