Wait for callers' answers in every phase of a stop

What callers saw: a request that came right before the exit, on a new connection with half a head since before, was passed on and cut. While an operator's call was open, that could last for seconds. Cause: the phase that waits for calls looked at calls alone. Ruled out: closing such connections at once; what is read of them may be a whole request. Change: each closing phase waits until no answer to a caller is open either.

--- a/crates/moleroad_gateway/src/stop.rs
+++ b/crates/moleroad_gateway/src/stop.rs
@@ -4,7 +4,7 @@
 //! when the answers that it waits for are written, and all of them end within the grace
 //! period.
 
-use crate::connections::open_answers::{OpenAnswer, OpenAnswers};
+use crate::connections::open_answers::OpenAnswer;
 use crate::control_member::MemberInput;
 use crate::front::request::AcceptedRequest;
 use crate::node::Node;
@@ -201,26 +201,35 @@
         control_member.send(MemberInput::Retire);
     }
     sleep_until(node, plan.callers_leave_at).await;
-    close(node, StopPhase::ClosingFront, &node.open_answers, plan).await;
-    close(node, StopPhase::ClosingManagement, &node.open_calls, plan).await;
+    close(node, StopPhase::ClosingFront, plan).await;
+    close(node, StopPhase::ClosingManagement, plan).await;
     node.stop.enter(StopPhase::Exiting);
     log_open_answers(node, plan);
 }
 
 /// Enters a phase that closes connections, and waits until their answers are written and
 /// their callers have closed them.
-async fn close(node: &Node, phase: StopPhase, answers: &OpenAnswers, plan: StopPlan) {
+async fn close(node: &Node, phase: StopPhase, plan: StopPlan) {
     node.stop.enter(phase);
     loop {
         // The connections take what they have received before they close.
         tokio::time::sleep(POLL_INTERVAL).await;
-        let is_done = answers.count() == 0 && node.closing_connections.count() == 0;
-        if is_done || node.clock.now() >= plan.exits_at {
+        if open_count(node, phase) == 0 || node.clock.now() >= plan.exits_at {
             return;
         }
     }
 }
 
+/// Returns the number of answers and connections that `phase` waits for. A connection whose
+/// request arrives late may begin an answer in any phase.
+fn open_count(node: &Node, phase: StopPhase) -> usize {
+    let calls = match phase {
+        StopPhase::ClosingManagement => node.open_calls.count(),
+        _ => 0,
+    };
+    node.open_answers.count() + node.closing_connections.count() + calls
+}
+
 /// Logs a request that is passed on to a target although the process stops.
 pub fn log_taken(node: &Node, request: &AcceptedRequest) {
     let Some(plan) = node.stop.plan.get() else {
