Answer what has no answer before a stopping entry exits

What callers saw: the connection closed, without a word on whether the request had run. Cause: the exit cut each open answer alike, also those of which nothing had been sent. Ruled out: 503 for what was sent; that status promises that it did not run.

--- a/crates/moleroad_gateway/src/front/answer.rs
+++ b/crates/moleroad_gateway/src/front/answer.rs
@@ -105,6 +105,8 @@
     Broken,
     /// The deadline passed; the request may have run.
     TimedOut,
+    /// This process ends before an answer arrived; the request may have run.
+    StoppedWhileSent,
 }
 
 impl EntryError {
@@ -114,7 +116,7 @@
         match self {
             NoAllowedTarget => "no_allowed_target",
             NoCommonRegion => "no_common_region",
-            Broken | TimedOut => "failed",
+            Broken | TimedOut | StoppedWhileSent => "failed",
             _ => "refused",
         }
     }
@@ -209,6 +211,11 @@
                 "MR-6212",
                 "its time is over; it may have run",
             ),
+            StoppedWhileSent => (
+                StatusCode::BAD_GATEWAY,
+                "MR-6219",
+                "this entry stops before its answer came; it may have run",
+            ),
         }
     }
 
--- a/crates/moleroad_gateway/src/front/serve.rs
+++ b/crates/moleroad_gateway/src/front/serve.rs
@@ -1,6 +1,6 @@
 //! Accepts callers' connections and handles their requests.
 
-use crate::connections::open_answers::OpenAnswer;
+use crate::connections::open_answers::{AnswerProgress, OpenAnswer};
 use crate::connections::serve::serve_requests;
 use crate::connections::tracked::CurrentAnswer;
 use crate::front::answer::{Answer, EntryError, close_after};
@@ -10,7 +10,7 @@
 use crate::listening::accept_connections;
 use crate::node::Node;
 use crate::peers::allow_unacknowledged;
-use crate::stop::StopPhase;
+use crate::stop::{self, StopPhase};
 use crate::trial;
 use hyper::Request;
 use hyper::body::Incoming;
@@ -72,20 +72,13 @@
     let progress = open.progress().clone();
     current.begin(open);
     let mut guard = DisconnectGuard::new(&node, id.clone());
-    let result = request::accept(&node, message, arrived, progress.clone()).await;
     let mut summary = None;
-    let mut answer = match result {
-        Err(error) => error.response(retry_after_ms(error)),
-        Ok(mut accepted) => {
-            current.set_route(&accepted.route, accepted.until);
-            accepted.is_trial = trial::obtain(&node, &accepted).await;
-            summary = Some(RequestSummary::of(&accepted));
-            if accepted.route.streaming {
-                stream::answer_stream(&node, accepted).await
-            } else {
-                buffered::answer_buffered(&node, accepted).await
-            }
-        }
+    let accepting = request::accept(&node, message, arrived, progress.clone());
+    let answering = answer(&node, accepting, &current, &mut summary);
+    let mut answer = tokio::select! {
+        biased;
+        answer = answering => answer,
+        () = stop::out_of_time(&node) => give_up_by_stop(&node, &progress),
     };
     guard.answered();
     let is_own = answer.extensions().get::<EntryError>().is_some();
@@ -105,6 +98,37 @@
     answer
 }
 
+/// Answers a request once it is accepted; sets `summary` then.
+async fn answer(
+    node: &Arc<Node>,
+    accepting: impl Future<Output = Result<AcceptedRequest, EntryError>>,
+    current: &CurrentAnswer,
+    summary: &mut Option<RequestSummary>,
+) -> Answer {
+    let mut accepted = match accepting.await {
+        Ok(accepted) => accepted,
+        Err(error) => return error.response(retry_after_ms(error)),
+    };
+    current.set_route(&accepted.route, accepted.until);
+    accepted.is_trial = trial::obtain(node, &accepted).await;
+    *summary = Some(RequestSummary::of(&accepted));
+    if accepted.route.streaming {
+        stream::answer_stream(node, accepted).await
+    } else {
+        buffered::answer_buffered(node, accepted).await
+    }
+}
+
+/// Answers a request that has no answer when this process must exit.
+fn give_up_by_stop(node: &Node, progress: &AnswerProgress) -> Answer {
+    if progress.sends() == 0 {
+        node.metrics.count("refused_by_stop");
+        return EntryError::Stopping.response(Some(0));
+    }
+    node.metrics.count("given_up_by_stop");
+    EntryError::StoppedWhileSent.response(None)
+}
+
 fn retry_after_ms(error: EntryError) -> Option<u64> {
     match error {
         EntryError::NoConfiguration => Some(NO_CONFIGURATION_RETRY_MS),
--- a/crates/moleroad_gateway/src/stop.rs
+++ b/crates/moleroad_gateway/src/stop.rs
@@ -103,6 +103,8 @@
     pub callers_leave_at: Millis,
     /// An answer that ends by then is written before the process exits or is killed.
     pub answers_end_by: Millis,
+    /// A request that has no answer by then gets a failure, written before the exit.
+    pub gives_up_at: Millis,
     /// The process exits then, whatever is open.
     pub exits_at: Millis,
 }
@@ -136,6 +138,7 @@
             lists_expire_at: sent_at + lists_ms,
             callers_leave_at: now + drain_ms.min(grace_ms * MAX_DRAIN_QUARTERS / 4),
             answers_end_by: sent_at + run_ms.saturating_sub(WRITE_MARGIN_MS),
+            gives_up_at: now + run_ms.saturating_sub(WRITE_MARGIN_MS),
             exits_at: now + run_ms,
         }
     }
@@ -169,6 +172,15 @@
     }
 }
 
+/// Waits until the process stops and has no more time to wait for targets.
+pub async fn out_of_time(node: &Node) {
+    node.stop.reached(StopPhase::Leaving).await;
+    let Some(plan) = node.stop.plan.get() else {
+        return std::future::pending().await;
+    };
+    sleep_until(node, plan.gives_up_at).await;
+}
+
 async fn sleep_until(node: &Node, at: Millis) {
     while node.clock.now() < at {
         tokio::time::sleep_until(node.clock.instant(at)).await;
