Write log lines in pieces that a pipe takes as a whole

Lines that a process queues before its exit are written at once, so that left_unanswered and stop, the last ones, are the first to be lost. Cause: up to 0.1 s of lines went out in one write, however long, and its reader keeps a part. Whether the users' record lost lines in this way can't be told; it would explain requests without any line. Ruled out: a full queue (it drops whole lines and counts them). Change: a write holds whole lines of 4,096 bytes at most, or one longer line.

--- a/crates/moleroad_gateway/src/logging.rs
+++ b/crates/moleroad_gateway/src/logging.rs
@@ -16,6 +16,8 @@
 const MAX_QUEUED_LINES: usize = 4_096;
 /// Interval between writes.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+/// Largest write, in bytes: a pipe takes up to so many (`PIPE_BUF`) as a whole.
+const MAX_WRITE_BYTES: usize = 4_096;
 /// Time after which [`flush`] gives up if standard output accepts nothing.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -114,11 +116,33 @@
             text.extend_from_slice(&line);
         }
         let mut output = std::io::stdout();
-        let _ = output.write_all(&text).and_then(|()| output.flush());
+        for piece in pieces(&text) {
+            let _ = output.write_all(piece).and_then(|()| output.flush());
+        }
         drop(flush_request);
     }
 }
 
+/// Splits lines into pieces of whole lines that a pipe takes in one write, or of one
+/// longer line.
+pub fn pieces(mut text: &[u8]) -> Vec<&[u8]> {
+    let mut pieces = Vec::new();
+    while !text.is_empty() {
+        let (piece, rest) = text.split_at(piece_len(text));
+        pieces.push(piece);
+        text = rest;
+    }
+    pieces
+}
+
+fn piece_len(text: &[u8]) -> usize {
+    let is_line_end = |byte: &u8| *byte == b'\n';
+    let head = &text[..text.len().min(MAX_WRITE_BYTES)];
+    let fitting = head.iter().rposition(is_line_end);
+    let end = fitting.or_else(|| text.iter().position(is_line_end));
+    end.map_or(text.len(), |end| end + 1)
+}
+
 fn format_line(instance: &str, record: &log::Record) -> serde_json::Value {
     let mut fields = serde_json::Map::new();
     let up_ms = CLOCK.get().map_or(0, Clock::uptime_ms);
