Test that a leaving entry of moleroadd refuses late requests and ends

After SIGTERM its entry takes every request while any other is open, as if the open ones had to end first; nobody promises that. Its callers keep it open until somebody kills it, and then their answers are cut, whatever their limits. When taking is forbidden at last, the threads that receive end within 0.5 s, so that a late request has no response until the exit. Ruled out: the agent (it forbids taking at the signal) and its switch of weights (it waits for every running request, however long), by reading.

--- a/crates/moleroad_daemon/tests/http_server.rs
+++ b/crates/moleroad_daemon/tests/http_server.rs
@@ -4,13 +4,17 @@
 use moleroad_daemon::http::{Exchange, HttpServer};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Barrier};
 use std::time::Duration;
 
 /// Time that the handler takes for a request.
 const WORK: Duration = Duration::from_millis(300);
 
+/// Time after the beginning of a stop at which a late request is sent: idle threads of the
+/// server have noticed the stop by then.
+const LATE: Duration = Duration::from_secs(1);
+
 /// Time that a caller waits for a response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -27,26 +31,41 @@
     response
 }
 
-/// Starts a server that counts the requests that it handles.
-fn start(handled: &Arc<AtomicUsize>) -> (HttpServer, SocketAddr) {
+/// Starts a server that counts the requests that it handles; `work` runs for each of them.
+fn start(
+    handled: &Arc<AtomicUsize>,
+    work: impl Fn() + Send + Sync + 'static,
+) -> (HttpServer, SocketAddr) {
     let free = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = free.local_addr().expect("its address");
     drop(free);
     let handled = Arc::clone(handled);
     let handler = Arc::new(move |exchange: Exchange| {
         handled.fetch_add(1, Ordering::SeqCst);
-        std::thread::sleep(WORK);
+        work();
         exchange.respond(FullResponse::json(&"done"));
     });
     let server = HttpServer::start(address, 8, handler).expect("the server starts");
     (server, address)
 }
 
+/// Handles a request that takes a short time.
+fn short_work() {
+    std::thread::sleep(WORK);
+}
+
+/// Waits until the server handles a request.
+fn wait_for_request(handled: &AtomicUsize) {
+    while handled.load(Ordering::SeqCst) == 0 {
+        std::thread::yield_now();
+    }
+}
+
 // Guards against taking a request that the exit of the process cuts.
 #[test]
 fn a_stopped_server_handles_no_further_request() {
     let handled = Arc::new(AtomicUsize::new(0));
-    let (server, address) = start(&handled);
+    let (server, address) = start(&handled, short_work);
     assert!(call(address).contains("done"));
     server.stop();
     let response = call(address);
@@ -58,12 +77,32 @@
 #[test]
 fn a_stop_waits_for_the_responses_in_progress() {
     let handled = Arc::new(AtomicUsize::new(0));
-    let (server, address) = start(&handled);
+    let (server, address) = start(&handled, short_work);
     let caller = std::thread::spawn(move || call(address));
-    while handled.load(Ordering::SeqCst) == 0 {
-        std::thread::yield_now();
-    }
+    wait_for_request(&handled);
     server.stop();
     assert_eq!(server.active(), 0);
     assert!(caller.join().expect("a response").contains("done"));
 }
+
+// Guards against leaving a late request without a response until the exit.
+#[test]
+fn a_stopping_server_rejects_a_late_request_while_others_are_in_progress() {
+    let handled = Arc::new(AtomicUsize::new(0));
+    let work_ends = Arc::new(Barrier::new(2));
+    let work_end = Arc::clone(&work_ends);
+    let (server, address) = start(&handled, move || {
+        work_end.wait();
+    });
+    let caller = std::thread::spawn(move || call(address));
+    wait_for_request(&handled);
+    let stopping = std::thread::spawn(move || server.stop());
+    std::thread::sleep(LATE);
+    let late = call(address);
+    work_ends.wait();
+    stopping.join().expect("the server stops");
+    assert!(late.starts_with("HTTP/1.1 503"), "{late}");
+    assert!(late.contains("MR-2008"), "{late}");
+    assert!(caller.join().expect("a response").contains("done"));
+    assert_eq!(handled.load(Ordering::SeqCst), 1);
+}
