--- a/crates/moleroad_consensus/tests/lost_disks.rs
+++ b/crates/moleroad_consensus/tests/lost_disks.rs
@@ -6,7 +6,8 @@
 use moleroad_consensus::prelude::*;
 use rand::Rng;
 use std::collections::BTreeMap;
-use support::{Group, run_schedules};
+use support::Group;
+use support::schedule::run_schedules;
 
 /// Number of schedules to run; the seeds are fixed.
 const SCHEDULES: u64 = 2_000;
@@ -254,7 +255,7 @@
 
 fn configuration(group: &mut Group) -> Configuration {
     let leader = group.await_leader();
-    let running = group.members[&leader].running.as_ref().unwrap();
+    let running = group.running(leader);
     running.replica.configuration().clone()
 }
 
--- a/crates/moleroad_consensus/tests/support/mod.rs
+++ b/crates/moleroad_consensus/tests/support/mod.rs
@@ -5,6 +5,8 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 mod disk;
+mod outcome;
+pub mod schedule;
 
 pub use disk::CrashDisk;
 use moleroad_consensus::prelude::*;
@@ -173,7 +175,8 @@
         self.members.remove(&id);
     }
 
-    fn clock_of(&self, id: MemberId) -> Millis {
+    /// Returns the time by the clock of a member.
+    pub fn clock_of(&self, id: MemberId) -> Millis {
         Millis(self.now + self.members[&id].clock_offset)
     }
 
@@ -365,46 +368,6 @@
         self.event(id, Event::Compact { index, state });
     }
 
-    /// Checks that at most one member holds a lease.
-    fn check_leases(&self) {
-        let holders = self.members.values().filter(|member| {
-            let now = Millis(self.now + member.clock_offset);
-            !member.frozen
-                && member
-                    .running
-                    .as_ref()
-                    .is_some_and(|running| running.replica.holds_lease(now))
-        });
-        assert!(holders.count() <= 1, "two members hold a lease");
-    }
-
-    /// Returns the leader that holds a lease, if there is one.
-    pub fn leader(&self) -> Option<MemberId> {
-        let leads = |member: &&Member| {
-            let now = Millis(self.now + member.clock_offset);
-            !member.frozen
-                && member
-                    .running
-                    .as_ref()
-                    .is_some_and(|running| running.replica.holds_lease(now))
-        };
-        self.members
-            .values()
-            .find(leads)
-            .map(|member| member.info.id)
-    }
-
-    /// Runs until a leader holds a lease.
-    pub fn await_leader(&mut self) -> MemberId {
-        for _ in 0..2_000 {
-            if let Some(leader) = self.leader() {
-                return leader;
-            }
-            self.run(20);
-        }
-        panic!("no leader after a long time");
-    }
-
     /// Unblocks all links, ends message loss and freezes, and starts members
     /// that are down.
     pub fn heal(&mut self) {
@@ -418,71 +381,6 @@
             }
         }
     }
-
-    /// Proposes a command to the member `id`.
-    pub fn propose(&mut self, id: MemberId, data: &[u8]) {
-        self.next_ticket += 1;
-        let ticket = ProposalTicket(self.next_ticket);
-        self.pending.insert(ticket, data.to_vec());
-        self.event(
-            id,
-            Event::Propose(vec![Proposal {
-                ticket,
-                data: data.to_vec(),
-            }]),
-        );
-    }
-
-    /// Proposes a command to the leader until it is accepted.
-    pub fn propose_until_accepted(&mut self, data: &[u8]) {
-        for _ in 0..200 {
-            let leader = self.await_leader();
-            self.propose(leader, data);
-            for _ in 0..50 {
-                self.run(10);
-                if self.accepted.values().any(|accepted| accepted == data) {
-                    return;
-                }
-            }
-        }
-        panic!("never accepted");
-    }
-
-    /// Lets all members catch up, then checks that the leader's state holds
-    /// every accepted command and that the states of the voters are equal.
-    pub fn check_nothing_lost(&mut self) {
-        self.run(200);
-        let leader = self.await_leader();
-        self.run(3_000);
-        let reference = self.members[&leader]
-            .running
-            .as_ref()
-            .unwrap()
-            .state
-            .clone();
-        for data in self.accepted.values() {
-            assert!(reference.contains(data), "an accepted command is lost");
-        }
-        let voters = self.members[&leader]
-            .running
-            .as_ref()
-            .unwrap()
-            .replica
-            .configuration()
-            .voters
-            .clone();
-        for id in voters {
-            let Some(member) = self.members.get(&id) else {
-                continue;
-            };
-            let Some(running) = &member.running else {
-                continue;
-            };
-            if !member.frozen {
-                assert_eq!(running.state, reference, "states differ on member {id}");
-            }
-        }
-    }
 }
 
 fn encode(state: &[Vec<u8>]) -> Vec<u8> {
@@ -496,21 +394,3 @@
         rmp_serde::from_slice(bytes).unwrap()
     }
 }
-
-/// Number of threads that run schedules.
-const THREADS: u64 = 4;
-
-/// Runs `schedule` with each of the seeds below `count`.
-pub fn run_schedules(count: u64, schedule: impl Fn(u64) + Sync + std::panic::RefUnwindSafe) {
-    let schedule = &schedule;
-    std::thread::scope(|scope| {
-        for thread in 0..THREADS {
-            scope.spawn(move || {
-                for seed in (thread..count).step_by(THREADS as usize) {
-                    let outcome = std::panic::catch_unwind(|| schedule(seed));
-                    assert!(outcome.is_ok(), "schedule {seed} failed");
-                }
-            });
-        }
-    });
-}
