--- a/crates/moleroad_fakes/src/deployment/mod.rs
+++ b/crates/moleroad_fakes/src/deployment/mod.rs
@@ -106,6 +106,11 @@
         &self.entries
     }
 
+    /// Returns the HTTP addresses of the entries.
+    pub fn entry_addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|(_, address)| *address).collect()
+    }
+
     /// Returns the HTTP address of the entry at `position`.
     pub fn entry(&self, position: usize) -> SocketAddr {
         self.entries[position].1
--- a/crates/moleroad_fakes/src/deployment/operate.rs
+++ b/crates/moleroad_fakes/src/deployment/operate.rs
@@ -3,6 +3,7 @@
 use super::{Deployment, account_key};
 use crate::wait::wait_until;
 use moleroad_rpc::message::{ReplicaCounts, SystemStatus};
+use moleroad_types::label::Operator;
 use moleroad_types::object::*;
 use moleroad_types::prelude::*;
 use std::io;
@@ -130,6 +131,25 @@
         self.apply(name, Spec::Selector(spec)).map(|_| ())
     }
 
+    /// Places the newest version of a model on all instances.
+    ///
+    /// # Errors
+    /// The error of the operator call.
+    pub fn select_everywhere(
+        &mut self,
+        name: &str,
+        account: &str,
+        model: &str,
+    ) -> Result<(), MoleroadError> {
+        // Every instance has a region.
+        let everywhere = Requirement {
+            key: REGION_LABEL.into(),
+            operator: Operator::Exists,
+            values: vec![],
+        };
+        self.select(name, account, model, vec![everywhere], Replicas::All)
+    }
+
     /// Returns the state of the system, if it is available.
     pub fn status(&self) -> Option<SystemStatus> {
         self.client().status().ok()
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,8 +5,6 @@
 use moleroad_fakes::caller::{caller_get, caller_post};
 use moleroad_fakes::deployment::{account_key, generate_weights};
 use moleroad_fakes::prelude::*;
-use moleroad_types::label::Operator;
-use moleroad_types::object::{REGION_LABEL, Replicas};
 use moleroad_types::prelude::*;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -32,13 +30,8 @@
     deployment
         .add_service("depot-api", &["pallets", "labs"])
         .unwrap();
-    let everywhere = vec![Requirement {
-        key: REGION_LABEL.into(),
-        operator: Operator::Exists,
-        values: vec![],
-    }];
     deployment
-        .select("notes", "pallets", "notes", everywhere, Replicas::All)
+        .select_everywhere("notes", "pallets", "notes")
         .unwrap();
     let root = deployment
         .publish(
