--- a/crates/moleroad_rollout/tests/model/mod.rs
+++ b/crates/moleroad_rollout/tests/model/mod.rs
@@ -2,6 +2,11 @@
 //! other, an origin with few connections, delayed updates, and dead agents. The
 //! decisions are those of the crate.
 
+mod agent;
+mod choice;
+mod links;
+
+use agent::Agent;
 use moleroad_rollout::prelude::*;
 use moleroad_types::prelude::{InstanceId, Millis};
 use rand::rngs::SmallRng;
@@ -52,14 +57,12 @@
 const DIRECTORY_DELAY_MS: u64 = 400;
 /// Number of pieces that an agent fetches concurrently.
 const CONCURRENT_FETCHES: usize = 4;
-/// Number of pieces that may queue for an agent's link before it refuses.
-const MAX_QUEUED_SENDS: u64 = 2;
-/// Maximum number of holders of a piece that are counted.
-const MAX_COUNTED: usize = 8;
 /// Interval at which an agent looks for pieces to fetch, in milliseconds.
 const POLL_MS: u64 = 40;
 /// How long a source that refused is left alone, in milliseconds.
 const BACKOFF_MS: u64 = 40;
+/// When the children of a dead agent get its offers instead, in milliseconds.
+const SKIP_MS: u64 = 300;
 /// When a simulation that does not complete ends, in milliseconds.
 const TIME_LIMIT_MS: u64 = 60_000;
 
@@ -104,44 +107,6 @@
     },
 }
 
-struct Agent {
-    name: InstanceId,
-    region: usize,
-    is_dead: bool,
-    started_ms: u64,
-    /// Start of the schedule of pieces at the origin.
-    schedule_start_ms: u64,
-    schedule: OriginSchedule,
-    progress_ms: u64,
-    held: HashSet<u32>,
-    offers: HashMap<u32, Vec<usize>>,
-    announced: HashMap<u32, u64>,
-    announced_own: HashMap<u32, u64>,
-    in_flight: HashMap<u32, Source>,
-    backoffs: HashMap<(u32, Source), u64>,
-    origin_backoff: Backoff,
-    origin_failed_ms: Option<u64>,
-    far_holders_known_ms: HashMap<u32, u64>,
-    up_free_ms: u64,
-    down_free_ms: u64,
-    trees: DistributionTrees,
-}
-
-impl Agent {
-    fn note_progress(&mut self, now: u64, pieces: u32, from: Source) {
-        if now - self.progress_ms >= STALL_MS {
-            self.schedule_start_ms = now;
-            let missing: Vec<u32> = (0..pieces).filter(|p| !self.held.contains(p)).collect();
-            self.schedule = OriginSchedule::of_missing(&missing);
-            self.origin_backoff.reset();
-            if from == Source::Origin {
-                self.origin_failed_ms = None;
-            }
-        }
-        self.progress_ms = now;
-    }
-}
-
 /// A running simulation.
 pub struct Swarm {
     setup: Setup,
@@ -175,32 +140,14 @@
             dead.insert(random.random_range(0..setup.agents));
         }
         let agents: Vec<Agent> = (0..setup.agents)
-            .map(|index| Agent {
-                name: name(index),
-                region: region_of(index),
-                is_dead: dead.contains(&index),
-                started_ms: random.random_range(0..200),
-                // All know when the version was announced.
-                schedule_start_ms: 0,
-                schedule: OriginSchedule::all(),
-                progress_ms: 0,
-                held: HashSet::new(),
-                offers: HashMap::new(),
-                announced: HashMap::new(),
-                announced_own: HashMap::new(),
-                in_flight: HashMap::new(),
-                backoffs: HashMap::new(),
-                origin_backoff: Backoff::with_max(400),
-                origin_failed_ms: None,
-                far_holders_known_ms: HashMap::new(),
-                up_free_ms: 0,
-                down_free_ms: 0,
-                trees: DistributionTrees::new(
-                    &name(index),
-                    &members,
-                    Some("region-0"),
-                    setup.pieces,
-                ),
+            .map(|index| {
+                let trees =
+                    DistributionTrees::new(&name(index), &members, Some("region-0"), setup.pieces);
+                Agent {
+                    is_dead: dead.contains(&index),
+                    started_ms: random.random_range(0..200),
+                    ..Agent::new(name(index), region_of(index), trees)
+                }
             })
             .collect();
         let mut swarm = Self {
@@ -272,14 +219,8 @@
             }
             Event::Offer { to, from, piece } => {
                 if self.is_dead(to, now) {
-                    self.at(
-                        now + 300,
-                        Event::Skipped {
-                            agent: to,
-                            from,
-                            piece,
-                        },
-                    );
+                    let agent = to;
+                    self.at(now + SKIP_MS, Event::Skipped { agent, from, piece });
                     return;
                 }
                 self.agents[to].offers.entry(piece).or_default().push(from);
@@ -394,160 +335,4 @@
             self.request(now, index, from, piece);
         }
     }
-
-    fn next(&mut self, now: u64, index: usize, may_fetch_more: bool) -> Option<(u32, Source)> {
-        let mut far_holders_known_ms = std::mem::take(&mut self.agents[index].far_holders_known_ms);
-        let agent = &self.agents[index];
-        let conditions = FetchConditions {
-            timeouts: TakeoverTimeouts::for_pieces(self.setup.link_piece_ms * 1_000 / 8, 1.0),
-            elapsed_ms: now - agent.schedule_start_ms,
-            schedule: agent.schedule.clone(),
-            origin_piece_ms: self.setup.origin_piece_ms,
-            link_piece_ms: self.setup.link_piece_ms,
-            can_ask_origin: !agent.origin_backoff.is_active(Millis(now))
-                && !agent.in_flight.values().any(|from| *from == Source::Origin),
-            may_cross_regions: true,
-            highest_seen: agent.held.iter().chain(agent.offers.keys()).max().copied(),
-            origin_failed_ms: agent.origin_failed_ms.map(|failed| now - failed),
-        };
-        let missing = (0..self.setup.pieces).filter(|piece| !agent.held.contains(piece));
-        let due: Vec<u32> = missing
-            .filter(|piece| should_announce(*piece, &agent.trees, &conditions))
-            .collect();
-        due.into_iter()
-            .for_each(|piece| self.announce(now, index, piece));
-        let agent = &self.agents[index];
-        let is_backed_off = |piece, from| {
-            agent
-                .backoffs
-                .get(&(piece, from))
-                .is_some_and(|until| now < *until)
-        };
-        let mut best: Option<(u32, SourceKind, u32)> = None;
-        for at in 0..self.setup.pieces {
-            let piece = (at + index as u32) % self.setup.pieces;
-            if agent.held.contains(&piece) || agent.in_flight.contains_key(&piece) {
-                continue;
-            }
-            let holders = |regions: &mut dyn Iterator<Item = usize>| {
-                let known = regions.flat_map(|region| self.known[region].get(&piece));
-                let usable = known
-                    .flatten()
-                    .filter(|holder| !is_backed_off(piece, Source::Agent(**holder)));
-                usable.take(MAX_COUNTED).count()
-            };
-            let far_holders = holders(&mut (0..self.setup.regions).filter(|r| *r != agent.region));
-            let offers = agent.offers.get(&piece).into_iter().flatten();
-            let missing = MissingPiece {
-                piece,
-                offered: offers
-                    .into_iter()
-                    .any(|offer| !is_backed_off(piece, Source::Agent(*offer))),
-                announced_ms: if agent.offers.get(&piece).is_some_and(|o| !o.is_empty()) {
-                    Some(0)
-                } else {
-                    agent.announced.get(&piece).map(|at| now - at)
-                },
-                near_holders: holders(&mut std::iter::once(agent.region)),
-                far_holders,
-                far_holders_known_ms: if far_holders > 0 {
-                    now - *far_holders_known_ms.entry(piece).or_insert(now)
-                } else {
-                    0
-                },
-            };
-            if let Some((kind, order)) = choose_source(missing, &agent.trees, &conditions)
-                && (may_fetch_more || kind == SourceKind::Origin)
-                && best.is_none_or(|(_, _, known)| order < known)
-            {
-                best = Some((piece, kind, order));
-            }
-        }
-        self.agents[index].far_holders_known_ms = far_holders_known_ms;
-        let (piece, kind, _) = best?;
-        let agent = &self.agents[index];
-        let is_backed_off = |piece, from| {
-            agent
-                .backoffs
-                .get(&(piece, from))
-                .is_some_and(|until| now < *until)
-        };
-        let offers = agent.offers.get(&piece).cloned().unwrap_or_default();
-        let is_usable = |holder: &usize| !is_backed_off(piece, Source::Agent(*holder));
-        let holders = |is_near: bool| {
-            let regions = (0..self.setup.regions).filter(|r| (*r == agent.region) == is_near);
-            let known = regions.flat_map(|region| self.known[region].get(&piece));
-            known
-                .flatten()
-                .copied()
-                .filter(is_usable)
-                .collect::<Vec<_>>()
-        };
-        let holders = match kind {
-            SourceKind::Origin => return Some((piece, Source::Origin)),
-            SourceKind::Offer => offers.into_iter().find(is_usable).into_iter().collect(),
-            SourceKind::OwnRegion => holders(true),
-            SourceKind::OtherRegions => holders(false),
-        };
-        let index = self.random.random_range(0..holders.len());
-        Some((piece, Source::Agent(holders[index])))
-    }
-
-    fn request(&mut self, now: u64, to: usize, from: Source, piece: u32) {
-        let requested = now + MESSAGE_DELAY_MS;
-        match from {
-            Source::Origin => {
-                let is_off = self.setup.origin_off.contains(&requested);
-                self.origin_used += 1;
-                if is_off || self.origin_used > self.setup.origin_connections {
-                    self.at(
-                        requested + MESSAGE_DELAY_MS,
-                        Event::Failed { to, from, piece },
-                    );
-                    return;
-                }
-                let sent = self.origin_free_ms.max(requested) + self.setup.origin_piece_ms;
-                self.origin_free_ms = sent;
-                if sent >= self.setup.origin_off.start && requested < self.setup.origin_off.start {
-                    let off = self.setup.origin_off.start;
-                    self.at(off, Event::Failed { to, from, piece });
-                    return;
-                }
-                self.origin_fetches += 1;
-                self.deliver(sent, to, from, piece);
-            }
-            Source::Agent(source) if self.is_dead(source, now) => {
-                self.at(
-                    requested + MESSAGE_DELAY_MS,
-                    Event::Failed { to, from, piece },
-                );
-            }
-            Source::Agent(source) => {
-                let piece_ms = self.setup.link_piece_ms;
-                let start = self.agents[source].up_free_ms.max(requested);
-                if start >= requested + piece_ms * MAX_QUEUED_SENDS {
-                    self.at(
-                        requested + MESSAGE_DELAY_MS,
-                        Event::Failed { to, from, piece },
-                    );
-                    return;
-                }
-                self.agents[source].up_free_ms = start + piece_ms;
-                if self.agents[source].region != self.agents[to].region {
-                    self.crossings[self.agents[to].region] += 1;
-                }
-                self.deliver(start + piece_ms, to, from, piece);
-            }
-        }
-    }
-
-    fn deliver(&mut self, sent: u64, to: usize, from: Source, piece: u32) {
-        let free = self.agents[to].down_free_ms + self.setup.link_piece_ms;
-        let arrives = sent.max(free);
-        self.agents[to].down_free_ms = arrives;
-        self.at(
-            arrives + MESSAGE_DELAY_MS,
-            Event::Arrived { to, from, piece },
-        );
-    }
 }
