--- a/crates/moleroad_dispatch/tests/dispatch.rs
+++ b/crates/moleroad_dispatch/tests/dispatch.rs
@@ -1,18 +1,21 @@
-//! Unit tests of choice, health, queue and budget.
+//! Unit tests of the choice of a target and of its health.
 
 mod support;
 
 use moleroad_directory::prelude::TargetId;
 use moleroad_dispatch::prelude::*;
 use moleroad_types::prelude::{AllowedRegions, Millis};
+use support::candidate;
 
-fn candidate(name: &str, distance: Distance) -> Candidate {
-    Candidate {
-        distance,
-        ..support::target(name, 4)
-    }
-}
+/// How engines read prompts in these tests.
+const PREFILL: PrefillSpeed = PrefillSpeed {
+    tokens_per_ms: 30.0,
+    typical_prompt_tokens: 1_000.0,
+    steps_ms: 50.0,
+    tokens_per_pass: 2_000.0,
+};
 
+/// Returns the name of the target that a request goes to now.
 fn chosen(targets: &Targets, now: u64) -> Option<String> {
     match targets.choose(Millis(now), Requirements::default(), 0) {
         Choice::Send(candidate) => Some(candidate.id.to_string()),
@@ -20,6 +23,11 @@
     }
 }
 
+/// Returns whether some target takes a request now.
+fn takes_request(targets: &Targets, now: u64) -> bool {
+    chosen(targets, now).is_some()
+}
+
 fn near_and_far() -> Targets {
     let mut targets = Targets::default();
     targets.set(vec![
@@ -138,89 +146,10 @@
     assert!(health.failure_rate(Millis(30_000)) < 0.01);
 }
 
-fn waiter(id: u64, priority: u8, since: u64, latency_deadline: u64) -> Waiter {
-    Waiter {
-        class: WaitClass::InTime,
-        id: WaiterId(id),
-        priority,
-        since: Millis(since),
-        latency_deadline: Millis(latency_deadline),
-        expires_at: Millis(1_000),
-        regions: AllowedRegions::all(),
-    }
-}
-
-#[test]
-fn urgent_requests_that_can_be_in_time_go_first() {
-    let mut queue = WaitQueue::default();
-    assert!(queue.enter(waiter(1, 1, 0, 100)));
-    assert!(queue.enter(waiter(2, 1, 10, 300)));
-    assert!(queue.enter(waiter(3, 0, 20, 300)));
-    assert_eq!(queue.next(Millis(50), &[]), Some(WaiterId(3)));
-    queue.leave(WaiterId(3));
-    assert_eq!(queue.next(Millis(50), &[]), Some(WaiterId(1)));
-    assert_eq!(queue.next(Millis(200), &[]), Some(WaiterId(2)));
-    queue.leave(WaiterId(2));
-    assert_eq!(queue.next(Millis(200), &[]), Some(WaiterId(1)));
-    assert_eq!(queue.next(Millis(1_000), &[]), None);
-    assert_eq!(queue.expired(Millis(1_000)), vec![WaiterId(1)]);
-}
-
-#[test]
-fn the_queue_is_bounded() {
-    let mut queue = WaitQueue::default();
-    for id in 0..moleroad_dispatch::queue::MAX_WAITING as u64 {
-        assert!(queue.enter(waiter(id, 1, 0, 100)));
-    }
-    assert!(!queue.enter(waiter(9_999, 0, 0, 100)));
-}
-
-#[test]
-fn repeats_of_all_entries_stay_within_the_bound_in_every_window() {
-    let params = RetryBudgetParams {
-        ratio: 0.2,
-        slack: 100.0,
-        window_ms: 10_000,
-    };
-    let entries = 9;
-    let mut budgets: Vec<SharedRetryBudget> = (0..entries)
-        .map(|_| SharedRetryBudget::new(params))
-        .collect();
-    let mut sent_requests: Vec<(u64, bool)> = Vec::new();
-    for now in 0..60_000_u64 {
-        let budget = &mut budgets[(now % entries as u64) as usize];
-        if now % 5 == 0 {
-            budget.note_request(Millis(now));
-            sent_requests.push((now, false));
-        }
-        if budget.try_take(Millis(now), entries) {
-            sent_requests.push((now, true));
-        }
-    }
-    for start in (0..50_000).step_by(500) {
-        let in_window = |at: u64| (start..start + 10_000).contains(&at);
-        let retries = sent_requests
-            .iter()
-            .filter(|(at, is_retry)| in_window(*at) && *is_retry);
-        let retries = retries.count();
-        let requests = sent_requests
-            .iter()
-            .filter(|(at, is_retry)| in_window(*at) && !*is_retry);
-        let requests = requests.count();
-        let bound = 0.2 * requests as f64 + 100.0;
-        assert!(retries as f64 <= bound, "at {start}: {retries}");
-    }
-}
-
 #[test]
 fn waiting_prompts_weigh_more_than_running_requests() {
     let mut targets = Targets::default();
-    targets.prefill = Some(PrefillSpeed {
-        tokens_per_ms: 30.0,
-        typical_prompt_tokens: 1_000.0,
-        steps_ms: 50.0,
-        tokens_per_pass: 2_000.0,
-    });
+    targets.prefill = Some(PREFILL);
     targets.set(vec![
         candidate("reading", Distance::SameHall),
         candidate("running", Distance::SameHall),
@@ -242,9 +171,7 @@
     let mut targets = Targets::default();
     targets.prefill = Some(PrefillSpeed {
         tokens_per_ms: 10.0,
-        typical_prompt_tokens: 1_000.0,
-        steps_ms: 50.0,
-        tokens_per_pass: 2_000.0,
+        ..PREFILL
     });
     targets.set(vec![candidate("only", Distance::SameHall)]);
     targets.started(Millis(0), &TargetId::new("only"), 2_000);
@@ -261,60 +188,6 @@
     assert!(matches!(at(None), Choice::Send(_)));
 }
 
-#[test]
-fn all_slots_of_a_target_are_shared_out() {
-    let names: Vec<String> = (0..10).map(|index| format!("entry-{index}")).collect();
-    let demands = |per_s: fn(usize) -> f64| -> Vec<EntryDemand<'_>> {
-        let demand = |(index, name)| EntryDemand {
-            entry: name,
-            requests_per_s: per_s(index),
-        };
-        names
-            .iter()
-            .map(String::as_str)
-            .enumerate()
-            .map(demand)
-            .collect()
-    };
-    for entries in [demands(|_| 20.0), demands(|index| index as f64 * 7.0)] {
-        let mut totals = vec![0; names.len()];
-        for target in 0..200 {
-            let target = format!("target-{target}");
-            let shares: Vec<u32> = names
-                .iter()
-                .map(|name| SlotShares::new(name, entries.clone()).of(&target, 16))
-                .collect();
-            assert_eq!(shares.iter().sum::<u32>(), 16, "{shares:?}");
-            totals.iter_mut().zip(&shares).for_each(|(t, s)| *t += s);
-        }
-        // Over many targets, each entry's slots match its demand.
-        assert!(totals.iter().all(|total| *total > 0), "{totals:?}");
-        assert!(totals[9] >= totals[1], "{totals:?}");
-    }
-    let alone = SlotShares::new("entry-0", demands(|_| 1.0).into_iter().take(1));
-    assert_eq!(alone.of("target", 16), 16);
-}
-
-#[test]
-fn entry_demands_are_computed_once_for_all_targets() {
-    let names: Vec<String> = (0..500).map(|index| format!("entry-{index}")).collect();
-    let read = std::cell::Cell::new(0);
-    let demands = names.iter().map(|name| {
-        read.set(read.get() + 1);
-        EntryDemand {
-            entry: name,
-            requests_per_s: 2.0,
-        }
-    });
-    let shares = SlotShares::new("entry-7", demands);
-    let slots: u32 = (0..4_000)
-        .map(|n| shares.of(&format!("target-{n}"), 8))
-        .sum();
-    assert_eq!(read.get(), names.len());
-    // One in 500 of 32,000 slots, within rounding.
-    assert!((44..=84).contains(&slots), "{slots} slots");
-}
-
 #[test]
 fn a_nearly_full_target_is_left_to_entries_with_free_slots() {
     let mut mine = candidate("target", Distance::SameHall);
@@ -324,21 +197,21 @@
     let mut targets = Targets::default();
     targets.set(vec![mine]);
     let id = TargetId::new("target");
-    let takes = |targets: &Targets| {
-        matches!(
-            targets.choose(Millis(1), Requirements::default(), 0),
-            Choice::Send(_)
-        )
-    };
     targets.record_report(Millis(0), &id, 6, 0);
-    assert!(takes(&targets), "it is not nearly full");
+    assert!(takes_request(&targets, 1), "it is not nearly full");
     targets.record_report(Millis(0), &id, 8, 0);
-    assert!(takes(&targets), "one of the last slots is its own");
+    assert!(
+        takes_request(&targets, 1),
+        "one of the last slots is its own"
+    );
     targets.started(Millis(1), &id, 0);
-    assert!(!takes(&targets), "its own slot is used");
+    assert!(!takes_request(&targets, 1), "its own slot is used");
     targets.finished(Millis(1), &id, Outcome::Answered);
     targets.record_report(Millis(1), &id, 11, 0);
-    assert!(!takes(&targets), "the target has more requests than slots");
+    assert!(
+        !takes_request(&targets, 1),
+        "the target has more requests than slots"
+    );
 }
 
 #[test]
@@ -348,26 +221,17 @@
     idle.max_own = 100;
     idle.share = 2;
     let mut targets = Targets::default();
-    targets.prefill = Some(PrefillSpeed {
-        tokens_per_ms: 30.0,
-        typical_prompt_tokens: 1_000.0,
-        steps_ms: 50.0,
-        tokens_per_pass: 2_000.0,
-    });
+    targets.prefill = Some(PREFILL);
     targets.set(vec![idle]);
     let id = TargetId::new("fresh");
-    let takes = |targets: &Targets, now| {
-        let choice = targets.choose(Millis(now), Requirements::default(), 0);
-        matches!(choice, Choice::Send(_))
-    };
     for _ in 0..2 {
-        assert!(takes(&targets, 10));
+        assert!(takes_request(&targets, 10));
         targets.started(Millis(10), &id, 100);
     }
-    assert!(!takes(&targets, 10));
+    assert!(!takes_request(&targets, 10));
     // A report, or enough time for one, makes room for more.
     targets.record_report(Millis(20), &id, 2, 0);
-    assert!(takes(&targets, 20));
+    assert!(takes_request(&targets, 20));
 }
 
 #[test]
--- a/crates/moleroad_dispatch/tests/engines.rs
+++ b/crates/moleroad_dispatch/tests/engines.rs
@@ -5,6 +5,7 @@
 use moleroad_directory::prelude::TargetId;
 use moleroad_dispatch::prelude::*;
 use moleroad_types::prelude::Millis;
+use support::candidate;
 
 const PREFILL: PrefillSpeed = PrefillSpeed {
     tokens_per_ms: 30.0,
@@ -13,13 +14,6 @@
     tokens_per_pass: 2_048.0,
 };
 
-fn candidate(name: &str, distance: Distance) -> Candidate {
-    Candidate {
-        distance,
-        ..support::target(name, 4)
-    }
-}
-
 fn engine(name: &str, distance: Distance) -> Candidate {
     Candidate {
         slots: 16,
--- a/crates/moleroad_dispatch/tests/support/mod.rs
+++ b/crates/moleroad_dispatch/tests/support/mod.rs
@@ -28,3 +28,11 @@
         backoff_until: None,
     }
 }
+
+/// Returns a target with four slots at this distance.
+pub fn candidate(name: &str, distance: Distance) -> Candidate {
+    Candidate {
+        distance,
+        ..target(name, 4)
+    }
+}
