--- a/crates/moleroad_fakes/src/deployment/mod.rs
+++ b/crates/moleroad_fakes/src/deployment/mod.rs
@@ -3,6 +3,8 @@
 mod operate;
 mod start;
 
+pub use operate::leading_instance;
+
 use crate::address::AddressPool;
 use crate::engine::FakeEngine;
 use crate::process::{Process, Signal};
--- a/crates/moleroad_fakes/src/deployment/operate.rs
+++ b/crates/moleroad_fakes/src/deployment/operate.rs
@@ -194,12 +194,14 @@
 
     /// Returns the entry instance that leads the control group.
     pub fn leader(&self) -> Option<InstanceId> {
-        let group = self.status()?.group;
-        let leader = group.leader?;
-        group
-            .members
-            .into_iter()
-            .find(|member| member.info.id == leader)
-            .map(|member| member.info.instance)
+        leading_instance(self.status()?)
     }
 }
+
+/// Returns the entry instance that leads the control group by this status.
+pub fn leading_instance(status: SystemStatus) -> Option<InstanceId> {
+    let leader = status.group.leader?;
+    let mut members = status.group.members.into_iter();
+    let leading = members.find(|member| member.info.id == leader)?;
+    Some(leading.info.instance)
+}
