Give the harness the step that lets all engines serve a model

Ruled out: other weights: the seed, the sizes and the chunk size are those of before. Change: Deployment::serve_notes.

--- a/crates/moleroad_fakes/src/deployment/operate.rs
+++ b/crates/moleroad_fakes/src/deployment/operate.rs
@@ -1,6 +1,6 @@
 //! Operator and platform actions on a deployment, and queries of its state.
 
-use super::{Deployment, account_key};
+use super::{Deployment, account_key, generate_weights};
 use crate::wait::wait_until;
 use moleroad_rpc::message::{ReplicaCounts, SystemStatus};
 use moleroad_types::label::Operator;
@@ -8,6 +8,11 @@
 use moleroad_types::prelude::*;
 use std::io;
 
+/// Seed of the weights of `pallets/notes`.
+const NOTES_SEED: u64 = 1;
+/// Size of their chunks, in bytes.
+const NOTES_CHUNK_BYTES: u32 = 64 << 10;
+
 impl Deployment {
     /// Applies an object with the next version number.
     ///
@@ -150,6 +155,19 @@
         self.select(name, account, model, vec![everywhere], Replicas::All)
     }
 
+    /// Publishes random weights of `bytes` bytes as version `v1` of `pallets/notes`, places
+    /// them on all instances, and waits until all engines serve them.
+    ///
+    /// # Errors
+    /// The error of an operator call.
+    pub fn serve_notes(&mut self, bytes: usize) -> Result<RootDigest, MoleroadError> {
+        self.select_everywhere("notes", "pallets", "notes")?;
+        let weights = generate_weights(NOTES_SEED, bytes);
+        let root = self.publish("pallets", "notes", "v1", &weights, NOTES_CHUNK_BYTES)?;
+        self.wait_serving("notes", root, self.shape.engines as u32);
+        Ok(root)
+    }
+
     /// Returns the state of the system, if it is available.
     pub fn status(&self) -> Option<SystemStatus> {
         self.client().status().ok()
--- a/examples/requests/calls.rs
+++ b/examples/requests/calls.rs
@@ -1,7 +1,7 @@
 //! The deployments that are measured, and the requests of their callers.
 
 use moleroad_fakes::caller::caller_post;
-use moleroad_fakes::deployment::{account_key, generate_weights};
+use moleroad_fakes::deployment::account_key;
 use moleroad_fakes::prelude::*;
 use moleroad_types::prelude::*;
 use std::collections::BTreeMap;
@@ -18,15 +18,7 @@
     for service in &services {
         deployment.add_service(service, &["pallets", "labs"])?;
     }
-    deployment.select_everywhere("notes", "pallets", "notes")?;
-    let root = deployment.publish(
-        "pallets",
-        "notes",
-        "v1",
-        &generate_weights(1, 256 << 10),
-        64 << 10,
-    )?;
-    deployment.wait_serving("notes", root, engines);
+    let root = deployment.serve_notes(256 << 10)?;
     for (_, entry) in deployment.entries() {
         wait_until("routes to engines", || {
             (engines == 0 || request_stream(*entry, 1, 30_000).status == 200).then_some(())
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use moleroad_fakes::caller::{caller_get, caller_post};
-use moleroad_fakes::deployment::{account_key, generate_weights};
+use moleroad_fakes::deployment::account_key;
 use moleroad_fakes::prelude::*;
 use moleroad_types::prelude::*;
 use std::collections::BTreeMap;
@@ -30,19 +30,7 @@
     deployment
         .add_service("depot-api", &["pallets", "labs"])
         .unwrap();
-    deployment
-        .select_everywhere("notes", "pallets", "notes")
-        .unwrap();
-    let root = deployment
-        .publish(
-            "pallets",
-            "notes",
-            "v1",
-            &generate_weights(1, 256 << 10),
-            64 << 10,
-        )
-        .unwrap();
-    deployment.wait_serving("notes", root, engines);
+    let root = deployment.serve_notes(256 << 10).unwrap();
     for (_, entry) in deployment.entries() {
         wait_until("the entry to receive routes", || {
             (engines == 0 || request_stream(*entry, 1).status == 200).then_some(())
