Tell a likely end from the answers that are known, open ones among them

Cause: an entry that was asked to stop refused whatever came on a route with fewer than 100 known answers, and one open answer that took longer than 99 of 100 stood for all of them; at any moment some open answer does. Change: an open answer counts as one that took as long as it is open, among those that ended. However few are known, the longest of them tells; a cut of the first 3 s is likely to be avoided, which is all that is wanted there.

--- a/crates/moleroad_gateway/src/connections/open_answers.rs
+++ b/crates/moleroad_gateway/src/connections/open_answers.rs
@@ -155,15 +155,14 @@
     }
 
     /// Returns the time within which an answer of a target to a request of `route` is
-    /// likely to end, in milliseconds; `None` if too few are known. An answer that is
-    /// already open for longer counts as well: targets may have become slower.
+    /// likely to end, in milliseconds; `None` if none is known.
     pub fn likely_ms(&self, route: &str) -> Option<u64> {
         let now = self.clock.now();
         let mut state = self.lock();
-        let ended_ms = state.times.likely_ms(now, route)?;
-        let sent = state.open.values().filter(|open| open.is_sent_to(route));
-        let open_ms = sent.map(|open| now.since(open.arrived)).max();
-        Some(ended_ms.max(open_ms.unwrap_or(0)))
+        let State { open, times, .. } = &mut *state;
+        let sent = open.values().filter(|open| open.is_sent_to(route));
+        let open_ms = sent.map(|open| now.since(open.arrived));
+        times.likely_ms(now, route, open_ms)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
