Try a full pipe again, and count log lines that can't be written

Cause: the writer of log lines ignored errors. If whoever started the process made its standard output non-blocking, a full pipe ends a write in its middle, and the rest was lost without being counted. Ruled out: waiting for ever; the queue behind is bounded and drops whole lines. Change: a full pipe is tried again for 0.2 s; what can't be written is counted as dropped. Result: the tests of stops and of the pieces pass; a non-blocking pipe was not run.

--- a/crates/moleroad_gateway/src/logging.rs
+++ b/crates/moleroad_gateway/src/logging.rs
@@ -7,7 +7,7 @@
 use crate::clock::Clock;
 use crossbeam::channel::{Receiver, Sender, bounded, select};
 use log::kv::{Error, Key, Value, VisitSource};
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -18,6 +18,8 @@
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 /// Largest write, in bytes: a pipe takes up to so many (`PIPE_BUF`) as a whole.
 const MAX_WRITE_BYTES: usize = 4_096;
+/// Pause before another try to write to a full pipe.
+const FULL_PIPE_PAUSE: Duration = Duration::from_millis(5);
 /// Time after which [`flush`] gives up if standard output accepts nothing.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -115,14 +117,35 @@
         for line in queue.try_iter() {
             text.extend_from_slice(&line);
         }
-        let mut output = std::io::stdout();
         for piece in pieces(&text) {
-            let _ = output.write_all(piece).and_then(|()| output.flush());
+            if write_piece(piece).is_err() {
+                let lines = piece.iter().filter(|byte| **byte == b'\n').count();
+                DROPPED.fetch_add(lines as u64, Ordering::Relaxed);
+            }
         }
         drop(flush_request);
     }
 }
 
+/// Writes `piece` to standard output. Whoever started the process may have made it
+/// non-blocking; a full pipe is then tried again for a short time.
+fn write_piece(mut piece: &[u8]) -> std::io::Result<()> {
+    let mut output = std::io::stdout().lock();
+    let mut full_for = Duration::ZERO;
+    while !piece.is_empty() {
+        match output.write(piece) {
+            Ok(written) => piece = &piece[written..],
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) if error.kind() == ErrorKind::WouldBlock && full_for < FLUSH_TIMEOUT => {
+                std::thread::sleep(FULL_PIPE_PAUSE);
+                full_for += FULL_PIPE_PAUSE;
+            }
+            Err(error) => return Err(error),
+        }
+    }
+    output.flush()
+}
+
 /// Splits lines into pieces of whole lines that a pipe takes in one write, or of one
 /// longer line.
 pub fn pieces(mut text: &[u8]) -> Vec<&[u8]> {
