Give up what has no answer by the time of the signal, and refuse before a trial

Cause: the failure before the exit was planned from the handling of the signal. A request that can't be completed was also refused only after a trial of its quarantine was obtained, which used up the trial (by reading). Ruled out: an exit by the time of the signal; a stream that is open may still end. Change: what has no answer gets a failure when answers must have ended, which counts from the signal. The check of the stop comes right after the request is read, before anything is taken for it. The answer line says how often such a request was sent. A likely end may use the 0.1 s that are kept for last bytes.

--- a/crates/moleroad_gateway/src/front/serve.rs
+++ b/crates/moleroad_gateway/src/front/serve.rs
@@ -94,7 +94,7 @@
     if node.is_leaving() {
         close_after(&mut answer);
     }
-    record_answer(&node, &answer, &guard, summary, arrived);
+    record_answer(&node, &answer, &guard, summary, arrived, &progress);
     answer
 }
 
@@ -110,8 +110,11 @@
         Err(error) => return error.response(retry_after_ms(error)),
     };
     current.set_route(&accepted.route, accepted.until);
-    accepted.is_trial = trial::obtain(node, &accepted).await;
     *summary = Some(RequestSummary::of(&accepted));
+    if stop::is_too_late_for(node, &accepted) {
+        return refuse_by_stop(node);
+    }
+    accepted.is_trial = trial::obtain(node, &accepted).await;
     if accepted.route.streaming {
         stream::answer_stream(node, accepted).await
     } else {
@@ -119,11 +122,16 @@
     }
 }
 
+/// Refuses a request that did not run because this process stops.
+fn refuse_by_stop(node: &Node) -> Answer {
+    node.metrics.count("refused_by_stop");
+    EntryError::Stopping.response(Some(0))
+}
+
 /// Answers a request that has no answer when this process must exit.
 fn give_up_by_stop(node: &Node, progress: &AnswerProgress) -> Answer {
     if progress.sends() == 0 {
-        node.metrics.count("refused_by_stop");
-        return EntryError::Stopping.response(Some(0));
+        return refuse_by_stop(node);
     }
     node.metrics.count("given_up_by_stop");
     EntryError::StoppedWhileSent.response(None)
@@ -179,6 +187,7 @@
     guard: &DisconnectGuard,
     summary: Option<RequestSummary>,
     arrived: moleroad_types::prelude::Millis,
+    progress: &AnswerProgress,
 ) {
     let status = answer.status().as_u16();
     node.metrics
@@ -205,7 +214,7 @@
         result = answer.extensions().get::<EntryError>().map_or("-", |error| error.parts().1),
         elapsed_ms = elapsed_ms,
         target = sent.map_or("-", |sent| sent.target.as_str()),
-        sends = sent.map_or(0, |sent| sent.send),
+        sends = sent.map_or(progress.sends(), |sent| sent.send),
         waited_ms = sent.map_or(elapsed_ms, |sent| sent.waited_ms),
         weights = sent.map_or(0, |sent| sent.weights),
         believed_requests = estimate.requests,
--- a/crates/moleroad_gateway/src/stop.rs
+++ b/crates/moleroad_gateway/src/stop.rs
@@ -101,10 +101,9 @@
     pub lists_expire_at: Millis,
     /// Until then callers may still come.
     pub callers_leave_at: Millis,
-    /// An answer that ends by then is written before the process exits or is killed.
+    /// An answer that ends by then is written before the process exits or is killed. A
+    /// request that has no answer by then gets a failure.
     pub answers_end_by: Millis,
-    /// A request that has no answer by then gets a failure, written before the exit.
-    pub gives_up_at: Millis,
     /// The process exits then, whatever is open.
     pub exits_at: Millis,
 }
@@ -138,7 +137,6 @@
             lists_expire_at: sent_at + lists_ms,
             callers_leave_at: now + drain_ms.min(grace_ms * MAX_DRAIN_QUARTERS / 4),
             answers_end_by: sent_at + run_ms.saturating_sub(WRITE_MARGIN_MS),
-            gives_up_at: now + run_ms.saturating_sub(WRITE_MARGIN_MS),
             exits_at: now + run_ms,
         }
     }
@@ -155,19 +153,22 @@
         }
         let is_early = request.received <= self.lists_expire_at;
         let likely_end = request.likely_ms.map(|likely_ms| now + likely_ms);
-        let is_likely = likely_end.is_some_and(|end| end <= self.answers_end_by);
+        let is_likely = likely_end.is_some_and(|end| end <= self.answers_end_by + WRITE_MARGIN_MS);
         is_early && request.is_idempotent && is_likely
     }
 }
 
-/// Waits until the process stops and could not complete an answer to `request` any more
-/// before it exits.
+/// Returns whether the process stops and could not complete an answer to `request` before
+/// it exits, if the request began now.
+pub fn is_too_late_for(node: &Node, request: &AcceptedRequest) -> bool {
+    let plan = node.stop.plan.get();
+    plan.is_some_and(|plan| !plan.may_begin(node.clock.now(), pending(node, request)))
+}
+
+/// Waits until [`is_too_late_for`].
 pub async fn too_late_for(node: &Node, request: &AcceptedRequest) {
     node.stop.reached(StopPhase::Leaving).await;
-    let Some(plan) = node.stop.plan.get() else {
-        return std::future::pending().await;
-    };
-    while plan.may_begin(node.clock.now(), pending(node, request)) {
+    while !is_too_late_for(node, request) {
         tokio::time::sleep(LATE_CHECK_INTERVAL).await;
     }
 }
@@ -178,7 +179,7 @@
     let Some(plan) = node.stop.plan.get() else {
         return std::future::pending().await;
     };
-    sleep_until(node, plan.gives_up_at).await;
+    sleep_until(node, plan.answers_end_by).await;
 }
 
 async fn sleep_until(node: &Node, at: Millis) {
