--- a/crates/moleroad_gateway/src/stop.rs
+++ b/crates/moleroad_gateway/src/stop.rs
@@ -115,8 +115,8 @@
     pub received: Millis,
     /// Deadline for the answer, which ends by then in any case.
     pub until: Millis,
-    /// Time within which nearly all recent answers of the route ended, in milliseconds;
-    /// `None` if too few are known.
+    /// Time within which an answer of the route is likely to end, in milliseconds; `None`
+    /// if none is known.
     pub likely_ms: Option<u64>,
     /// Whether a caller whose answer is cut may send the request again.
     pub is_idempotent: bool,
